Settle the types between flows, loads, admission, follower and spread

Splits what the thin path had in one core along the areas that grow apart: the entry host's follower, the control host's spread, the load book that placement and admission read, the admission policy with the admit-all baseline, and the verdict effect.

--- a/packages/core/src/lacewingrudder_core/control.py
+++ b/packages/core/src/lacewingrudder_core/control.py
@@ -5,23 +5,11 @@
 from typing import NamedTuple
 
 from .core import Core
-from .messages import (
-    Changes,
-    HostStatus,
-    OperatorReply,
-    OperatorRequest,
-    Snapshot,
-    Status,
-    StatusRequest,
-    SubmitNote,
-    Subscribe,
-)
+from .messages import OperatorReply, OperatorRequest, Status, StatusRequest, SubmitNote
 from .notes import Catalogue, Change, SubmitReply, SubmitTag
+from .spread import Advanced, SendHost, SpreadCore, Subscribed
 from .types import HostName
 
-CHANGES_KEPT = 200
-SUBSCRIPTION_SECONDS = 3.0
-
 
 class Requested(NamedTuple):
     """An operator sent a request; the answer carries the same token."""
@@ -30,12 +18,6 @@
     request: OperatorRequest
 
 
-class Subscribed(NamedTuple):
-    """An entry host asked for changes."""
-
-    subscribe: Subscribe
-
-
 class Persisted(NamedTuple):
     """A change is durable on this host's disk."""
 
@@ -56,13 +38,6 @@
     body: OperatorReply | Status
 
 
-class SendHost(NamedTuple):
-    """Send changes to an entry host."""
-
-    host: HostName
-    body: Changes | Snapshot
-
-
 class Persist(NamedTuple):
     """Write a change and sync it, then report :class:`Persisted`."""
 
@@ -82,19 +57,17 @@
     def __init__(self, name: HostName, catalogue: Catalogue) -> None:
         self._name = name
         self._catalogue = catalogue
-        self._recent: list[Change] = []
+        self._spread = SpreadCore(catalogue)
         self._pending: dict[int, int] = {}
-        self._hosts: dict[HostName, HostStatus] = {}
-        self._heard: dict[HostName, float] = {}
 
     def handle(self, event: ControlEvent, now: float) -> list[ControlEffect]:
         """Take one event."""
         if isinstance(event, Requested):
             return self._requested(event, now)
         if isinstance(event, Subscribed):
-            return self._subscribed(event.subscribe, now)
+            return list(self._spread.handle(event, now))
         if isinstance(event, Persisted):
-            return self._persisted(event.change)
+            return self._persisted(event.change, now)
         return []
 
     def _requested(self, event: Requested, now: float) -> list[ControlEffect]:
@@ -115,31 +88,18 @@
         self._pending[change.revision] = event.token
         return [Persist(change)]
 
-    def _persisted(self, change: Change) -> list[ControlEffect]:
+    def _persisted(self, change: Change, now: float) -> list[ControlEffect]:
         self._catalogue = self._catalogue.apply(change)
-        self._recent = [*self._recent, change][-CHANGES_KEPT:]
-        effects: list[ControlEffect] = [SendHost(name, Changes((change,))) for name in self._hosts]
+        effects: list[ControlEffect] = []
+        effects += self._spread.handle(Advanced(change, self._catalogue), now)
         token = self._pending.pop(change.revision, None)
         if token is not None:
             reply = SubmitReply(SubmitTag.ACCEPTED, change.revision, "")
             effects.append(Reply(token, OperatorReply(reply)))
         return effects
 
-    def _subscribed(self, subscribe: Subscribe, now: float) -> list[ControlEffect]:
-        host = HostStatus(subscribe.host, subscribe.zone, subscribe.revision, 0.0)
-        self._hosts[subscribe.host] = host
-        self._heard[subscribe.host] = now
-        if subscribe.revision >= self._catalogue.revision:
-            return []
-        missing = [c for c in self._recent if c.revision > subscribe.revision]
-        if missing and missing[0].revision == subscribe.revision + 1:
-            return [SendHost(subscribe.host, Changes(tuple(missing)))]
-        return [SendHost(subscribe.host, Snapshot(self._catalogue))]
-
     def _status(self, now: float) -> Status:
-        hosts = tuple(
-            host._replace(age=now - self._heard[host.name]) for host in self._hosts.values()
-        )
+        hosts = self._spread.hosts(now)
         revision = self._catalogue.revision
         missing = tuple(host.name for host in hosts if host.revision < revision)
         return Status(revision, self._name, True, hosts, missing)
--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -4,18 +4,18 @@
 
 from typing import NamedTuple
 
-from . import membership, targets
+from . import follower, membership, targets
+from .admission import AdmitAll
 from .chart import Chart
 from .core import Core
 from .flows import FlowCore, FlowEffect, SegmentArrived, ViewChanged
+from .follower import ControlMessage, FollowerCore, FollowerEffect, InForce, SendControl
 from .membership import MemberHeard, MemberLeft, MembersChanged, MembershipCore, MembershipEffect
 from .messages import (
-    Changes,
+    Adopt,
     Goodbye,
     Heartbeat,
     Pins,
-    Snapshot,
-    Subscribe,
     TargetsRequest,
     TargetUpdates,
 )
@@ -32,10 +32,7 @@
 from .types import HostName, Member, TargetState
 from .view import build_view
 
-SUBSCRIBE_SECONDS = 1.0
-
-PeerBody = Heartbeat | TargetUpdates | TargetsRequest | Goodbye | Pins
-ControlBody = Changes | Snapshot
+PeerBody = Heartbeat | TargetUpdates | TargetsRequest | Goodbye | Pins | Adopt
 
 
 class PeerMessage(NamedTuple):
@@ -45,13 +42,6 @@
     body: PeerBody
 
 
-class ControlMessage(NamedTuple):
-    """A control host sent a message."""
-
-    sender: HostName
-    body: ControlBody
-
-
 class Tick(NamedTuple):
     """Time passed; due several times a second."""
 
@@ -70,18 +60,6 @@
     body: PeerBody
 
 
-class SendControl(NamedTuple):
-    """Send a message to the control host that this host follows."""
-
-    body: Subscribe
-
-
-class InForce(NamedTuple):
-    """A revision came into force on this host."""
-
-    revision: int
-
-
 EntryEffect = FlowEffect | SendPeer | SendControl | Answer | InForce | MembersChanged
 
 
@@ -102,17 +80,17 @@
         catalogue: Catalogue | None = None,
     ) -> None:
         self._me = me
-        self._catalogue = catalogue or Catalogue()
+        in_force = catalogue or Catalogue()
+        self._follower = FollowerCore(me.name, me.zone, in_force)
         self._membership = MembershipCore(me, peers)
         self._targets = TargetCore(me.name, target_chart)
-        self._targets.handle(CatalogueChanged(self._catalogue), 0.0)
-        self._flows = FlowCore(me.name, build_view([me], self._catalogue, ()))
-        self._subscribed = float("-inf")
+        self._targets.handle(CatalogueChanged(in_force), 0.0)
+        self._flows = FlowCore(me.name, build_view([me], in_force, ()), AdmitAll())
 
     @property
     def revision(self) -> int:
         """The revision in force on this host."""
-        return self._catalogue.revision
+        return self._follower.catalogue.revision
 
     @property
     def flow_count(self) -> int:
@@ -136,7 +114,7 @@
         if isinstance(event, PeerMessage):
             return self._peer(event, now)
         if isinstance(event, ControlMessage):
-            return self._control(event.body, now)
+            return self._follower_effects(self._follower.handle(event, now), now)
         if isinstance(event, Announced):
             return self._target_effects(self._targets.handle(event, now), now)
         if isinstance(event, StopPlanned):
@@ -146,13 +124,7 @@
     def _tick(self, now: float) -> list[EntryEffect]:
         effects = self._member_effects(self._membership.handle(membership.Tick(), now), now)
         effects += self._target_effects(self._targets.handle(targets.Tick(), now), now)
-        if now - self._subscribed >= SUBSCRIBE_SECONDS:
-            self._subscribed = now
-            effects.append(SendControl(self._subscription()))
-        return effects
-
-    def _subscription(self) -> Subscribe:
-        return Subscribe(self._me.name, self._me.zone, self.revision)
+        return effects + self._follower_effects(self._follower.handle(follower.Tick(), now), now)
 
     def _peer(self, event: PeerMessage, now: float) -> list[EntryEffect]:
         body = event.body
@@ -172,20 +144,12 @@
             effects.append(SendPeer(body.member.name, TargetsRequest()))
         return effects
 
-    def _control(self, body: ControlBody, now: float) -> list[EntryEffect]:
-        before = self.revision
-        if isinstance(body, Snapshot):
-            if body.catalogue.revision > self.revision:
-                self._catalogue = body.catalogue
-        else:
-            for change in body.changes:
-                if change.revision == self.revision + 1:
-                    self._catalogue = self._catalogue.apply(change)
-        if self.revision == before:
-            return []
-        self._targets.handle(CatalogueChanged(self._catalogue), now)
-        self._refresh(now)
-        return [InForce(self.revision), SendControl(self._subscription())]
+    def _follower_effects(self, effects: list[FollowerEffect], now: float) -> list[EntryEffect]:
+        for effect in effects:
+            if isinstance(effect, InForce):
+                self._targets.handle(CatalogueChanged(effect.catalogue), now)
+                self._refresh(now)
+        return list(effects)
 
     def _member_effects(self, effects: list[MembershipEffect], now: float) -> list[EntryEffect]:
         done: list[EntryEffect] = []
@@ -214,5 +178,5 @@
         return [SendPeer(name, body) for name in others]
 
     def _refresh(self, now: float) -> None:
-        view = build_view(self._membership.members, self._catalogue, self._targets.records)
+        view = build_view(self._membership.members, self._follower.catalogue, self._targets.records)
         self._flows.handle(ViewChanged(view), now)
--- a/packages/core/src/lacewingrudder_core/flows.py
+++ b/packages/core/src/lacewingrudder_core/flows.py
@@ -5,9 +5,11 @@
 import enum
 from typing import NamedTuple
 
+from .admission import AdmissionPolicy, Refused
 from .core import Core
 from .hashing import flow_hash
-from .types import Endpoint, FlowKey, HostName, TargetName
+from .loads import LoadBook
+from .types import Endpoint, FlowKey, HostName, TargetName, Verdict
 from .view import KindRoute, RoutingView, TargetRoute
 
 FIN = 0x01
@@ -111,7 +113,16 @@
     flags: int
 
 
-FlowEffect = ToTarget | ToCaller | Relay | Drop | Reset
+class VerdictReached(NamedTuple):
+    """A flow ended otherwise than by its ends; for the time line and metrics."""
+
+    key: FlowKey
+    target: TargetName
+    verdict: Verdict
+    reason: str
+
+
+FlowEffect = ToTarget | ToCaller | Relay | Drop | Reset | VerdictReached
 
 
 class Flow:
@@ -130,10 +141,13 @@
 
     :param name: the name of this host.
     :param view: the routing view to start with.
+    :param admission: decides on new flows.
     """
 
-    def __init__(self, name: HostName, view: RoutingView) -> None:
+    def __init__(self, name: HostName, view: RoutingView, admission: AdmissionPolicy) -> None:
         self._name = name
+        self._admission = admission
+        self._loads = LoadBook()
         self._view = view
         self._flows: dict[FlowKey, Flow] = {}
 
@@ -170,21 +184,35 @@
         if event.stage is Stage.FABRIC:
             return self._relay_home(digest)
         if segment.flags & SYN:
-            return self._choose(key, digest, route, now)
+            return self._choose(segment, key, digest, route, now)
         return [Drop(DropReason.UNKNOWN_FLOW)]
 
     def _relay_home(self, digest: int) -> list[FlowEffect]:
         home = self._view.homes.rank(digest).home
         return [Relay(home, Stage.HOME)]
 
-    def _choose(self, key: FlowKey, digest: int, route: KindRoute, now: float) -> list[FlowEffect]:
+    def _choose(
+        self, segment: Segment, key: FlowKey, digest: int, route: KindRoute, now: float
+    ) -> list[FlowEffect]:
+        outcome = self._admission.decide(route, self._loads, now)
+        if isinstance(outcome, Refused):
+            return self._refuse(segment, key, outcome.reason)
         name = route.table.choose(digest)
         if name is None:
-            return [Drop(DropReason.NO_TARGET)]
+            return self._refuse(segment, key, DropReason.NO_TARGET)
         endpoint = route.endpoints[name]
         self._flows[key] = Flow(name, endpoint, now)
+        self._loads.opened(name)
+        self._admission.opened(route, now)
         return [ToTarget(endpoint)]
 
+    def _refuse(self, segment: Segment, key: FlowKey, reason: str) -> list[FlowEffect]:
+        ack = (segment.seq + 1) & 0xFFFFFFFF
+        return [
+            Reset(segment.destination, segment.source, 0, ack, RST | ACK),
+            VerdictReached(key, "", Verdict.NOT_RUN, reason),
+        ]
+
     def _from_target(
         self, event: SegmentArrived, answer: TargetRoute, now: float
     ) -> list[FlowEffect]:
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -56,6 +56,12 @@
     groups: tuple[PinGroup, ...]
 
 
+class Adopt(NamedTuple):
+    """The receiver is the home of these flows; the sender served them until now."""
+
+    groups: tuple[PinGroup, ...]
+
+
 class Subscribe(NamedTuple):
     """An entry host asks a control host for what follows its revision; repeated as a lease.
 
@@ -128,5 +134,7 @@
     reply: SubmitReply
 
 
-EntryMessage = Heartbeat | TargetUpdates | TargetsRequest | Goodbye | Pins | Changes | Snapshot
+EntryMessage = (
+    Heartbeat | TargetUpdates | TargetsRequest | Goodbye | Pins | Adopt | Changes | Snapshot
+)
 OperatorRequest = SubmitNote | SubmitOrder | StatusRequest
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from aiohttp import web
-from lacewingrudder_core import control, entry
+from lacewingrudder_core import control, entry, follower, spread
 from lacewingrudder_core import messages as m
 from lacewingrudder_core.types import HostName, Member
 from lacewingrudder_wire.exceptions import LacewingrudderError
@@ -26,7 +26,7 @@
 
 STOP_SECONDS = 0.5
 
-_PEER_MESSAGES = (m.Heartbeat, m.TargetUpdates, m.TargetsRequest, m.Goodbye, m.Pins)
+_PEER_MESSAGES = (m.Heartbeat, m.TargetUpdates, m.TargetsRequest, m.Goodbye, m.Pins, m.Adopt)
 _OPERATOR_MESSAGES = (m.SubmitNote, m.SubmitOrder, m.StatusRequest)
 
 
@@ -120,7 +120,7 @@
                 self._control.handle(control.Requested(incoming.token, body))
             return
         if isinstance(body, m.Subscribe) and self._control is not None:
-            self._control.handle(control.Subscribed(body))
+            self._control.handle(spread.Subscribed(body))
         elif self._entry is not None:
             self._deliver_to_entry(self._entry, incoming.sender, body)
 
@@ -128,4 +128,4 @@
         if isinstance(body, _PEER_MESSAGES):
             task.handle(entry.PeerMessage(sender, body))
         elif isinstance(body, m.Changes | m.Snapshot):
-            task.handle(entry.ControlMessage(sender, body))
+            task.handle(follower.ControlMessage(sender, body))
--- a/packages/daemon/src/lacewingrudder_daemon/control_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/control_task.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from lacewingrudder_core import control as core
+from lacewingrudder_core.spread import SendHost
 from lacewingrudder_core.types import HostName
 
 from .recorder import Recorder
@@ -47,7 +48,7 @@
         match effect:
             case core.Reply(token, body):
                 self._answer(token, body)
-            case core.SendHost(host, body):
+            case SendHost(host, body):
                 self._send(host, body)
             case core.Persist(change):
                 self._store.append(change)
--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -7,9 +7,10 @@
 from typing import Any
 
 from lacewingrudder_core import entry, flows
+from lacewingrudder_core.follower import InForce, SendControl
 from lacewingrudder_core.membership import MembersChanged
 from lacewingrudder_core.targets import Announced, Announcement, AnnounceOutcome, Answer
-from lacewingrudder_core.types import Endpoint, HostName, Member
+from lacewingrudder_core.types import Endpoint, FlowKey, HostName, Member, TargetName, Verdict
 
 from . import encapsulation, packets
 from .recorder import Recorder
@@ -49,6 +50,7 @@
         self._packet: packets.ParsedPacket | None = None
         self._bytes = b""
         self.drops: dict[str, int] = {}
+        self.verdicts: dict[tuple[Verdict, str], int] = {}
 
     @property
     def core(self) -> entry.EntryCore:
@@ -137,15 +139,22 @@
         match effect:
             case entry.SendPeer(host, body):
                 self._send(host, body)
-            case entry.SendControl(body):
+            case SendControl(body):
                 self._follow(body)
             case Answer(token, outcome):
                 self._answers.pop(token).set_result(outcome)
-            case entry.InForce(revision):
-                self._recorder.record("in_force", revision=revision)
+            case InForce(catalogue):
+                self._recorder.record("in_force", revision=catalogue.revision)
+            case flows.VerdictReached(key, target, verdict, reason):
+                self._verdict(key, target, verdict, reason)
             case MembersChanged(members):
                 self._members_changed(members)
 
+    def _verdict(self, key: FlowKey, target: TargetName, verdict: Verdict, reason: str) -> None:
+        self.verdicts[verdict, reason] = self.verdicts.get((verdict, reason), 0) + 1
+        flow = f"{Endpoint(*key[:2])}>{Endpoint(*key[2:])}"
+        self._recorder.record("verdict", flow=flow, target=target, detail=f"{verdict}: {reason}")
+
     def _current(self) -> packets.ParsedPacket:
         assert self._packet is not None
         return self._packet
--- a/packages/daemon/src/lacewingrudder_daemon/metrics.py
+++ b/packages/daemon/src/lacewingrudder_daemon/metrics.py
@@ -51,3 +51,9 @@
         for reason, count in self._entry.drops.items():
             drops.add_metric([reason], count)
         yield drops
+        verdicts = CounterMetricFamily(
+            "lwr_verdicts", "Flows that ended otherwise.", labels=["verdict", "reason"]
+        )
+        for (verdict, reason), count in self._entry.verdicts.items():
+            verdicts.add_metric([verdict, reason], count)
+        yield verdicts
--- a/packages/wire/src/lacewingrudder_wire/codec.py
+++ b/packages/wire/src/lacewingrudder_wire/codec.py
@@ -27,6 +27,7 @@
     12: m.TargetsRequest,
     13: m.Goodbye,
     14: m.Pins,
+    15: m.Adopt,
     20: m.Subscribe,
     21: m.Changes,
     22: m.Snapshot,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,7 +5,7 @@
 import contextlib
 import itertools
 import json
-import os
+import random
 import signal
 import socket
 import subprocess
@@ -24,9 +24,8 @@
 PEER_KEY = "a-peer-key-for-demos-only"
 STOP_SECONDS = 5.0
 POLL_SECONDS = 0.05
-TARGET_KEY_PORT = 9000
-
-_networks = itertools.count(1)
+TARGET_FIRST_PORT = 9000
+CLAIM_PORT = 4999
 
 
 class FleetError(Exception):
@@ -81,8 +80,8 @@
         work_seconds: float = 0.005,
     ) -> None:
         self.shape = shape
-        self._number = (os.getpid() % 100) * 2 + 20
-        self._network = f"127.{self._number % 200 + 20}.{next(_networks) % 250}"
+        self._claim = _claim_network()
+        self._network = self._claim.getsockname()[0].rpartition(".")[0]
         self._temporary = None if folder else tempfile.TemporaryDirectory(prefix="lwr-")
         self.folder = folder or Path(self._temporary.name if self._temporary else "")
         zones = itertools.cycle(shape.zones)
@@ -117,6 +116,7 @@
             process.kill()
         for process in self.processes.values():
             process.wait()
+        self._claim.close()
         if self._temporary is not None:
             self._temporary.cleanup()
 
@@ -190,7 +190,7 @@
                     "zone": zone,
                     "address": f"{service.address.rsplit('.', 1)[0]}.{_offset(service) + number}",
                     "ports": {
-                        kind.name: TARGET_KEY_PORT + index
+                        kind.name: TARGET_FIRST_PORT + index
                         for index, kind in enumerate(service.kinds)
                     },
                     "slots": service.slots,
@@ -203,7 +203,7 @@
 
     def target_names(self, service: ServiceShape) -> list[str]:
         """Return the names of a service's targets."""
-        return [f"{entry['address']}:{TARGET_KEY_PORT}" for entry in self._targets(service)]
+        return [f"{entry['address']}:{TARGET_FIRST_PORT}" for entry in self._targets(service)]
 
     def start_callers(self, loads: list[dict[str, Any]]) -> Callers:
         """Start one process of callers."""
@@ -352,6 +352,18 @@
         return results
 
 
+def _claim_network() -> socket.socket:
+    """Return a socket whose address claims a /24 of the loopback range for one fleet."""
+    while True:
+        address = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}.254"
+        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            claim.bind((address, CLAIM_PORT))
+            return claim
+        except OSError:
+            claim.close()
+
+
 def service_entry(service: ServiceShape) -> dict[str, Any]:
     """Return a service as a release note describes it."""
     return {
