--- a/packages/core/src/lacewingrudder_core/admission.py
+++ b/packages/core/src/lacewingrudder_core/admission.py
@@ -34,7 +34,13 @@
 
 
 class AdmissionPolicy(abc.ABC):
-    """Decides on new flows; the flow table tells it of those that open and close."""
+    """Decides on new flows; the flow table tells it what becomes of them.
+
+    A flow is *half-open* from its SYN until its caller's first acknowledgement, and *busy* from its
+    caller's last payload until its target's payload. The flow table reports ``established`` or
+    ``abandoned`` once for each flow it reported as ``opened``, and ``became_idle`` before
+    ``closed`` for a busy flow; an abandoned flow is not reported as closed.
+    """
 
     @abc.abstractmethod
     def decide(self, route: KindRoute, loads: LoadBook, now: float) -> AdmissionOutcome:
@@ -46,7 +52,23 @@
 
     @abc.abstractmethod
     def closed(self, service: str, kind: str, now: float) -> None:
-        """Take note that a flow ended."""
+        """Take note that an established flow ended."""
+
+    def established(self, service: str, kind: str, now: float) -> None:
+        """Take note that a half-open flow's caller acknowledged the target's answer."""
+        return None
+
+    def abandoned(self, service: str, kind: str, now: float) -> None:
+        """Take note that a half-open flow ended."""
+        return None
+
+    def became_busy(self, service: str, kind: str, now: float) -> None:
+        """Take note that a flow waits for its target."""
+        return None
+
+    def became_idle(self, service: str, kind: str, now: float) -> None:
+        """Take note that a flow no longer waits for its target."""
+        return None
 
 
 class AdmitAll(AdmissionPolicy):
