Let a placement policy and a health book decide on the target of a new flow

The Maglev table moves to maglev.py; placement.py holds PlacementPolicy, the sparing policy and three baselines; health.py holds this host's evidence. flows.py carries the start of the half-open counting (flow_use.py, syn_guard.py, admission.py) that was being written at the same time.

--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -10,6 +10,7 @@
 from .core import Core
 from .flows import FlowCore, FlowEffect, SegmentArrived, ViewChanged
 from .follower import ControlMessage, FollowerCore, FollowerEffect, InForce, SendControl
+from .health import HealthBook
 from .membership import MemberHeard, MemberLeft, MembersChanged, MembershipCore, MembershipEffect
 from .messages import (
     Adopt,
@@ -20,6 +21,7 @@
     TargetUpdates,
 )
 from .notes import Catalogue
+from .placement import SparingPlacement
 from .targets import (
     Announced,
     Answer,
@@ -85,7 +87,10 @@
         self._membership = MembershipCore(me, peers)
         self._targets = TargetCore(me.name, target_chart)
         self._targets.handle(CatalogueChanged(in_force), 0.0)
-        self._flows = FlowCore(me.name, build_view([me], in_force, ()), AdmitAll())
+        self._health = HealthBook()
+        placement = SparingPlacement(me.zone, self._health)
+        view = build_view([me], in_force, ())
+        self._flows = FlowCore(me.name, view, AdmitAll(), placement, self._health)
 
     @property
     def revision(self) -> int:
@@ -179,4 +184,5 @@
 
     def _refresh(self, now: float) -> None:
         view = build_view(self._membership.members, self._follower.catalogue, self._targets.records)
+        self._health.regroup(view.working_targets())
         self._flows.handle(ViewChanged(view), now)
--- a/packages/core/src/lacewingrudder_core/flows.py
+++ b/packages/core/src/lacewingrudder_core/flows.py
@@ -5,10 +5,13 @@
 import enum
 from typing import NamedTuple
 
-from .admission import AdmissionPolicy, Refused
+from .admission import AdmissionPolicy, RefusalReason, Refused
 from .core import Core
+from .flow_use import FlowUse, UseBook
 from .hashing import flow_hash
+from .health import HealthBook
 from .loads import LoadBook
+from .placement import PlacementPolicy
 from .types import Endpoint, FlowKey, HostName, TargetName, Verdict
 from .view import KindRoute, RoutingView, TargetRoute
 
@@ -128,11 +131,12 @@
 class Flow:
     """One flow at its home."""
 
-    __slots__ = ("target", "endpoint", "last_seen")
+    __slots__ = ("target", "endpoint", "use", "last_seen")
 
-    def __init__(self, target: TargetName, endpoint: Endpoint, now: float) -> None:
+    def __init__(self, target: TargetName, endpoint: Endpoint, use: FlowUse, now: float) -> None:
         self.target = target
         self.endpoint = endpoint
+        self.use = use
         self.last_seen = now
 
 
@@ -142,12 +146,24 @@
     :param name: the name of this host.
     :param view: the routing view to start with.
     :param admission: decides on new flows.
+    :param placement: chooses their targets.
+    :param health: takes this host's evidence on targets.
     """
 
-    def __init__(self, name: HostName, view: RoutingView, admission: AdmissionPolicy) -> None:
+    def __init__(
+        self,
+        name: HostName,
+        view: RoutingView,
+        admission: AdmissionPolicy,
+        placement: PlacementPolicy,
+        health: HealthBook,
+    ) -> None:
         self._name = name
         self._admission = admission
+        self._placement = placement
+        self._health = health
         self._loads = LoadBook()
+        self._uses = UseBook(admission, self._loads)
         self._view = view
         self._flows: dict[FlowKey, Flow] = {}
 
@@ -179,6 +195,7 @@
         flow = self._flows.get(key)
         if flow is not None:
             flow.last_seen = now
+            self._note_caller(flow, key, segment, now)
             return [ToTarget(flow.endpoint)]
         digest = flow_hash(key)
         if event.stage is Stage.FABRIC:
@@ -197,14 +214,26 @@
         outcome = self._admission.decide(route, self._loads, now)
         if isinstance(outcome, Refused):
             return self._refuse(segment, key, outcome.reason)
-        name = route.table.choose(digest)
+        name = self._placement.choose(route, digest, 0, self._loads, now)
         if name is None:
             return self._refuse(segment, key, DropReason.NO_TARGET)
         endpoint = route.endpoints[name]
-        self._flows[key] = Flow(name, endpoint, now)
-        self._loads.opened(name)
-        self._admission.opened(route, now)
-        return [ToTarget(endpoint)]
+        use, given_up = self._uses.opened(route, key, name, now)
+        self._flows[key] = Flow(name, endpoint, use, now)
+        return [ToTarget(endpoint), *self._give_up(given_up, now)]
+
+    def _note_caller(self, flow: Flow, key: FlowKey, segment: Segment, now: float) -> None:
+        if segment.flags & (SYN | ACK) == ACK:
+            self._uses.acknowledged(flow.use, key, now)
+        if segment.payload:
+            self._uses.caller_sent(flow.use, now)
+
+    def _give_up(self, key: FlowKey | None, now: float) -> list[FlowEffect]:
+        flow = self._flows.pop(key, None) if key is not None else None
+        if key is None or flow is None:
+            return []
+        self._uses.ended(flow.use, key, now)
+        return [VerdictReached(key, flow.target, Verdict.NOT_RUN, RefusalReason.TOO_MANY_HALF_OPEN)]
 
     def _refuse(self, segment: Segment, key: FlowKey, reason: str) -> list[FlowEffect]:
         ack = (segment.seq + 1) & 0xFFFFFFFF
@@ -221,6 +250,8 @@
         flow = self._flows.get(key)
         if flow is not None:
             flow.last_seen = now
+            if segment.payload:
+                self._uses.target_sent(flow.use, now)
             return [ToCaller(answer.service)]
         if event.stage is Stage.FABRIC:
             return self._relay_home(flow_hash(key))
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/maglev.py
@@ -0,0 +1,80 @@
+"""A weighted Maglev table (Eisenbud et al., 2016): which target a flow hash leads to.
+
+The table is a pure function of its entries, so that two hosts with the same view of the targets
+place a flow on the same target without exchanging a byte.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from .hashing import name_hash, pair_hash
+from .types import TargetName
+
+TABLE_SIZE = 2039
+_OFFSET_SEED = 1
+_SKIP_SEED = 2
+_CHOICE_SEED = 0x9E3779B97F4A7C15
+
+
+class Entry(NamedTuple):
+    """A target with its weight in a table; a weight of 0 gets no slot."""
+
+    name: TargetName
+    weight: float
+
+
+class PlacementTable:
+    """A table of slots, each held by one target.
+
+    :param entries: targets with weights, in any order.
+    """
+
+    def __init__(self, entries: Sequence[Entry]) -> None:
+        self._entries = tuple(sorted(entry for entry in entries if entry.weight > 0))
+        self._slots = _fill(self._entries)
+
+    @property
+    def entries(self) -> tuple[Entry, ...]:
+        """The targets with a positive weight, sorted by name."""
+        return self._entries
+
+    def choose(self, digest: int, attempt: int = 0) -> TargetName | None:
+        """Return the target for a flow's hash, or ``None`` if the table is empty.
+
+        :param attempt: 0 for the first choice; higher numbers give further choices, which need
+            not differ from the ones before.
+        """
+        if not self._slots:
+            return None
+        slot = pair_hash(digest, _CHOICE_SEED + attempt) % TABLE_SIZE
+        return self._entries[self._slots[slot]].name
+
+
+def _fill(entries: Sequence[Entry]) -> list[int]:
+    if not entries:
+        return []
+    heaviest = max(entry.weight for entry in entries)
+    offsets = [name_hash(entry.name, _OFFSET_SEED) % TABLE_SIZE for entry in entries]
+    skips = [name_hash(entry.name, _SKIP_SEED) % (TABLE_SIZE - 1) + 1 for entry in entries]
+    slots = [-1] * TABLE_SIZE
+    steps = [0] * len(entries)
+    credit = [0.0] * len(entries)
+    filled = 0
+    while True:
+        for index, entry in enumerate(entries):
+            credit[index] += entry.weight / heaviest
+            if credit[index] < 1 - math.ulp(TABLE_SIZE):
+                continue
+            credit[index] -= 1
+            slot = (offsets[index] + steps[index] * skips[index]) % TABLE_SIZE
+            while slots[slot] >= 0:
+                steps[index] += 1
+                slot = (offsets[index] + steps[index] * skips[index]) % TABLE_SIZE
+            slots[slot] = index
+            steps[index] += 1
+            filled += 1
+            if filled == TABLE_SIZE:
+                return slots
--- a/packages/core/src/lacewingrudder_core/placement.py
+++ b/packages/core/src/lacewingrudder_core/placement.py
@@ -1,80 +1,188 @@
-"""Which target a new flow gets: a weighted Maglev table (Eisenbud et al., 2016).
+"""Which target a new flow gets, from the shared table and this host's own evidence.
 
-The table is a pure function of its entries, so that two hosts with the same view of the targets
-place a flow on the same target without exchanging a byte.
+A flow on another target than the table's is a pin, which costs control bytes on other hosts. The
+policy therefore leaves the table's choice only where it has to, and for busy slots within a budget.
 """
 
 from __future__ import annotations
 
-import math
-from collections.abc import Sequence
+import abc
 from typing import NamedTuple
 
-from .hashing import name_hash, pair_hash
-from .types import TargetName
+from .health import HealthBook
+from .loads import LoadBook
+from .types import TargetName, ZoneName
+from .view import KindRoute
 
-TABLE_SIZE = 2039
-_OFFSET_SEED = 1
-_SKIP_SEED = 2
-_CHOICE_SEED = 0x9E3779B97F4A7C15
+FULL_LOAD = 1.0
+SECOND_CHOICES_PER_SECOND = 40.0
+SECOND_CHOICE_BURST = 40.0
 
+_CANDIDATES = 4
+_SALTS = 16
 
-class Entry(NamedTuple):
-    """A target with its weight in a table; a weight of 0 gets no slot."""
 
-    name: TargetName
-    weight: float
+class PlacementPolicy(abc.ABC):
+    """Chooses the target of a new flow."""
 
+    @abc.abstractmethod
+    def choose(
+        self, route: KindRoute, digest: int, attempt: int, loads: LoadBook, now: float
+    ) -> TargetName | None:
+        """Return a target, or ``None`` if there is none left to try.
 
-class PlacementTable:
-    """A table of slots, each held by one target.
+        :param digest: the flow's hash.
+        :param attempt: 0 for a new flow; 1 and up after as many targets did not answer the SYN. A
+            higher attempt may name a target that a lower one named: ask again with the next.
+        """
+
+
+class TablePlacement(PlacementPolicy):
+    """Keeps to the table's choice and never looks at loads; a baseline."""
+
+    def choose(
+        self, route: KindRoute, digest: int, attempt: int, loads: LoadBook, now: float
+    ) -> TargetName | None:
+        """Return the table's choice under this attempt."""
+        return route.table.choose(digest, attempt)
+
+
+class ModuloPlacement(PlacementPolicy):
+    """Plain hash: the flow's hash modulo the number of targets; a baseline."""
+
+    def choose(
+        self, route: KindRoute, digest: int, attempt: int, loads: LoadBook, now: float
+    ) -> TargetName | None:
+        """Return the target at the hash's remainder."""
+        entries = route.table.entries
+        return entries[(digest + attempt) % len(entries)].name if entries else None
+
+
+class LeastConnections(PlacementPolicy):
+    """The target with the fewest of this host's flows for its weight; a baseline."""
 
-    :param entries: targets with weights, in any order.
+    def choose(
+        self, route: KindRoute, digest: int, attempt: int, loads: LoadBook, now: float
+    ) -> TargetName | None:
+        """Return the least loaded target, skipping one for each attempt."""
+        entries = route.table.entries
+        if attempt >= len(entries):
+            return None
+        order = sorted(entries, key=lambda e: (loads.load(e.name).flows / e.weight, e.name))
+        return order[attempt].name
+
+
+class _Need(NamedTuple):
+    """Why a flow leaves the table's choice.
+
+    :param free_slot: only for a target with a free slot, and within the budget.
     """
 
-    def __init__(self, entries: Sequence[Entry]) -> None:
-        self._entries = tuple(sorted(entry for entry in entries if entry.weight > 0))
-        self._slots = _fill(self._entries)
+    free_slot: bool
 
-    @property
-    def entries(self) -> tuple[Entry, ...]:
-        """The targets with a positive weight, sorted by name."""
-        return self._entries
 
-    def choose(self, digest: int, attempt: int = 0) -> TargetName | None:
-        """Return the target for a flow's hash, or ``None`` if the table is empty.
+class SparingPlacement(PlacementPolicy):
+    """The table's choice, unless this host's evidence speaks against it.
 
-        :param attempt: 0 for the first choice; higher numbers give further choices, which need
-            not differ from the ones before.
-        """
-        if not self._slots:
+    A second choice is made when the first is ejected, when it holds its connection limit divided by
+    the number of hosts, or when its slots are busy while another's are free; the last within a
+    budget. Where the choice is free, targets of this host's zone come first.
+
+    :param zone: this host's zone.
+    :param health: this host's evidence on targets.
+    """
+
+    def __init__(self, zone: ZoneName, health: HealthBook) -> None:
+        self._zone = zone
+        self._health = health
+        self._budget = SECOND_CHOICE_BURST
+        self._refilled = 0.0
+
+    def choose(
+        self, route: KindRoute, digest: int, attempt: int, loads: LoadBook, now: float
+    ) -> TargetName | None:
+        """Return the first choice that the evidence allows."""
+        first = route.table.choose(digest)
+        if first is None:
             return None
-        slot = pair_hash(digest, _CHOICE_SEED + attempt) % TABLE_SIZE
-        return self._entries[self._slots[slot]].name
-
-
-def _fill(entries: Sequence[Entry]) -> list[int]:
-    if not entries:
-        return []
-    heaviest = max(entry.weight for entry in entries)
-    offsets = [name_hash(entry.name, _OFFSET_SEED) % TABLE_SIZE for entry in entries]
-    skips = [name_hash(entry.name, _SKIP_SEED) % (TABLE_SIZE - 1) + 1 for entry in entries]
-    slots = [-1] * TABLE_SIZE
-    steps = [0] * len(entries)
-    credit = [0.0] * len(entries)
-    filled = 0
-    while True:
-        for index, entry in enumerate(entries):
-            credit[index] += entry.weight / heaviest
-            if credit[index] < 1 - math.ulp(TABLE_SIZE):
+        if attempt:
+            return self._retry(route, digest, attempt, now)
+        need = self._need(route, first, loads, now)
+        if need is None:
+            return first
+        return self._second(route, digest, first, need, loads, now)
+
+    def _need(
+        self, route: KindRoute, first: TargetName, loads: LoadBook, now: float
+    ) -> _Need | None:
+        if self._health.ejected(first, now) or _at_limit(route, first, loads):
+            return _Need(free_slot=False)
+        if _slots_busy(route, first, loads):
+            return _Need(free_slot=True)
+        return None
+
+    def _second(
+        self,
+        route: KindRoute,
+        digest: int,
+        first: TargetName,
+        need: _Need,
+        loads: LoadBook,
+        now: float,
+    ) -> TargetName:
+        if need.free_slot and not self._has_budget(now):
+            return first
+        order = self._order(route, digest)
+        sound = [name for name in order if not self._health.ejected(name, now)]
+        for name in sound[:_CANDIDATES]:
+            if name == first or _at_limit(route, name, loads):
+                continue
+            if need.free_slot and not _slot_free(route, name, loads):
                 continue
-            credit[index] -= 1
-            slot = (offsets[index] + steps[index] * skips[index]) % TABLE_SIZE
-            while slots[slot] >= 0:
-                steps[index] += 1
-                slot = (offsets[index] + steps[index] * skips[index]) % TABLE_SIZE
-            slots[slot] = index
-            steps[index] += 1
-            filled += 1
-            if filled == TABLE_SIZE:
-                return slots
+            self._budget -= need.free_slot
+            return name
+        return sound[0] if sound else first
+
+    def _retry(self, route: KindRoute, digest: int, attempt: int, now: float) -> TargetName | None:
+        order = self._order(route, digest)[attempt:]
+        sound = (name for name in order if not self._health.ejected(name, now))
+        return next(sound, order[0] if order else None)
+
+    def _order(self, route: KindRoute, digest: int) -> list[TargetName]:
+        """Return distinct choices: the table's first, then those of this zone, then others."""
+        names = dict.fromkeys(route.table.choose(digest, salt) for salt in range(_SALTS))
+        first, *others = [name for name in names if name is not None]
+        if len(others) < _CANDIDATES:
+            known = {first, *others}
+            others += [entry.name for entry in route.table.entries if entry.name not in known]
+        return [first, *sorted(others, key=lambda name: not self._is_near(route, name))]
+
+    def _is_near(self, route: KindRoute, name: TargetName) -> bool:
+        record = route.records.get(name)
+        return record is not None and record.target.zone == self._zone
+
+    def _has_budget(self, now: float) -> bool:
+        gained = (now - self._refilled) * SECOND_CHOICES_PER_SECOND
+        self._budget = min(SECOND_CHOICE_BURST, self._budget + gained)
+        self._refilled = now
+        return self._budget >= 1
+
+
+def _at_limit(route: KindRoute, name: TargetName, loads: LoadBook) -> bool:
+    record = route.records.get(name)
+    if record is None:
+        return False
+    return loads.load(name).flows >= max(1, record.target.connection_limit // route.capacity.homes)
+
+
+def _slots_busy(route: KindRoute, name: TargetName, loads: LoadBook) -> bool:
+    record = route.records.get(name)
+    if record is None:
+        return False
+    busy = loads.load(name).busy
+    return busy >= record.target.slots or (busy > 0 and record.load >= FULL_LOAD)
+
+
+def _slot_free(route: KindRoute, name: TargetName, loads: LoadBook) -> bool:
+    record = route.records.get(name)
+    return loads.load(name).busy == 0 and (record is None or record.load < FULL_LOAD)
