Watch members by SWIM on hash rings and spread changes as leases

Heartbeats from all to all and target records sent to all cost more than a host may spend at 490 hosts (60 B x 490 x 2/s = 59 KB/s for heartbeats). Hosts now ping at most eight neighbours on four hash rings, pass news of members on pings, and compare digests of members and target records, of which they pull only the buckets that differ. A host that stood still chooses no target for a new flow until another host answered a new ping.

Ruled out: pinging random members of the whole list as in SWIM itself, which in time opens a link to each of the other 489 hosts.

--- a/packages/core/src/lacewingrudder_core/clock.py
+++ b/packages/core/src/lacewingrudder_core/clock.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+MAX_AHEAD_MILLISECONDS = 60_000
+
 
 class HybridTime(NamedTuple):
     """A reading that orders events; equal wall times are told apart by the counter.
@@ -16,7 +18,11 @@
 
 
 class HybridClock:
-    """Gives readings that never go back, whatever the wall clock does."""
+    """Gives readings that never go back, whatever the wall clock does.
+
+    A reading from another process that is far ahead of this host's wall clock is not taken over, so
+    that one wrong clock can't carry all others away.
+    """
 
     def __init__(self) -> None:
         self._last = HybridTime(0, 0)
@@ -34,6 +40,6 @@
 
     def merge(self, wall: int, other: HybridTime) -> HybridTime:
         """Return the reading for a message from another process."""
-        if other > self._last:
+        if other > self._last and other.wall <= wall + MAX_AHEAD_MILLISECONDS:
             self._last = other
         return self.tick(wall)
--- a/packages/core/src/lacewingrudder_core/control.py
+++ b/packages/core/src/lacewingrudder_core/control.py
@@ -7,7 +7,7 @@
 from .core import Core
 from .messages import OperatorReply, OperatorRequest, Status, StatusRequest, SubmitNote
 from .notes import Catalogue, Change, SubmitReply, SubmitTag
-from .spread import Advanced, SendHost, SpreadCore, Subscribed
+from .spread import Advanced, SendHost, SnapshotPulled, SpreadCore, Subscribed
 from .types import HostName
 
 
@@ -28,7 +28,7 @@
     """Time passed."""
 
 
-ControlEvent = Requested | Subscribed | Persisted | Tick
+ControlEvent = Requested | Subscribed | SnapshotPulled | Persisted | Tick
 
 
 class Reply(NamedTuple):
@@ -64,7 +64,7 @@
         """Take one event."""
         if isinstance(event, Requested):
             return self._requested(event, now)
-        if isinstance(event, Subscribed):
+        if isinstance(event, Subscribed | SnapshotPulled):
             return list(self._spread.handle(event, now))
         if isinstance(event, Persisted):
             return self._persisted(event.change, now)
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/digests.py
@@ -0,0 +1,75 @@
+"""Digests by bucket, so that two hosts find where their tables differ for a few bytes.
+
+Each entry of a table falls into a bucket by the hash of its name; the digest of a bucket is the
+exclusive or of the hashes of its entries, whatever their order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .hashing import name_hash
+
+DIGEST_BYTES = 4
+BUCKETS_MIN = 8
+BUCKETS_MAX = 1024
+ENTRIES_PER_BUCKET = 8
+_MASK = (1 << (8 * DIGEST_BYTES)) - 1
+
+
+class Fingerprint(NamedTuple):
+    """The hashes that stand for one entry of a table.
+
+    :param name: hash of the entry's name.
+    :param contents: hash of its name and contents.
+    """
+
+    name: int
+    contents: int
+
+    @classmethod
+    def of(cls, name: str, contents: str) -> Fingerprint:
+        """Return the fingerprint of an entry."""
+        return cls(name_hash(name), name_hash(f"{name}|{contents}"))
+
+
+def bucket_count(entries: int) -> int:
+    """Return how many buckets suit a table of that size; a power of two."""
+    count = BUCKETS_MIN
+    while count < BUCKETS_MAX and count * ENTRIES_PER_BUCKET < entries:
+        count *= 2
+    return count
+
+
+def bucket_digests(fingerprints: Iterable[Fingerprint], count: int) -> bytes:
+    """Return the digests of all buckets, :data:`DIGEST_BYTES` each."""
+    digests = [0] * count
+    for fingerprint in fingerprints:
+        digests[fingerprint.name % count] ^= fingerprint.contents
+    return b"".join((digest & _MASK).to_bytes(DIGEST_BYTES, "big") for digest in digests)
+
+
+def table_digest(fingerprints: Iterable[Fingerprint]) -> int:
+    """Return one digest over a whole table."""
+    digest = 0
+    for fingerprint in fingerprints:
+        digest ^= fingerprint.contents
+    return digest & _MASK
+
+
+def differing_buckets(mine: Iterable[Fingerprint], theirs: bytes) -> frozenset[int] | None:
+    """Return the buckets in which a table differs from another's digests.
+
+    :return: ``None`` if ``theirs`` does not have a valid length.
+    """
+    count, rest = divmod(len(theirs), DIGEST_BYTES)
+    if rest or not BUCKETS_MIN <= count <= BUCKETS_MAX:
+        return None
+    own = bucket_digests(mine, count)
+    starts = range(0, len(theirs), DIGEST_BYTES)
+    return frozenset(
+        index
+        for index, start in enumerate(starts)
+        if own[start : start + DIGEST_BYTES] != theirs[start : start + DIGEST_BYTES]
+    )
--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -2,26 +2,66 @@
 
 from __future__ import annotations
 
+import random
 from typing import NamedTuple
 
 from . import follower, membership, targets
 from .admission import AdmitAll
 from .chart import Chart
 from .core import Core
-from .flows import FlowCore, FlowEffect, SegmentArrived, ViewChanged
-from .follower import ControlMessage, FollowerCore, FollowerEffect, InForce, SendControl
+from .flows import (
+    ACK,
+    SYN,
+    Drop,
+    DropReason,
+    FlowCore,
+    FlowEffect,
+    SegmentArrived,
+    ViewChanged,
+)
+from .follower import (
+    ControlMessage,
+    FollowerCore,
+    FollowerEffect,
+    InForce,
+    Keep,
+    Kept,
+    PeerSeen,
+    SendControl,
+    ZonesLearnt,
+)
+from .gossip import SendTargets, TargetGossip
 from .health import HealthBook
-from .membership import MemberHeard, MemberLeft, MembersChanged, MembershipCore, MembershipEffect
+from .membership import (
+    MemberLeft,
+    MemberMessage,
+    MembersChanged,
+    MembershipCore,
+    MembershipEffect,
+    PeerConfirmed,
+)
 from .messages import (
+    Ack,
     Adopt,
+    FollowMessage,
     Goodbye,
-    Heartbeat,
+    MembersPull,
+    MemberUpdates,
+    Ping,
     Pins,
-    TargetsRequest,
+    ProbeRequest,
+    SnapshotPull,
+    SpreadMessage,
+    Standing,
+    Subscribe,
+    SwimMessage,
+    TargetsPull,
     TargetUpdates,
 )
 from .notes import Catalogue
 from .placement import SparingPlacement
+from .readiness import Readiness
+from .spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
 from .targets import (
     Announced,
     Answer,
@@ -29,12 +69,20 @@
     RecordsHeard,
     TargetCore,
     TargetEffect,
-    records_digest,
 )
-from .types import HostName, Member, TargetState
+from .types import HostName, Member, TargetState, ZoneName
 from .view import build_view
 
-PeerBody = Heartbeat | TargetUpdates | TargetsRequest | Goodbye | Pins | Adopt
+PeerBody = (
+    SwimMessage
+    | SpreadMessage
+    | FollowMessage
+    | TargetUpdates
+    | TargetsPull
+    | Goodbye
+    | Pins
+    | Adopt
+)
 
 
 class PeerMessage(NamedTuple):
@@ -52,7 +100,7 @@
     """This host is going to stop: hand over, then leave."""
 
 
-EntryEvent = SegmentArrived | PeerMessage | ControlMessage | Announced | Tick | StopPlanned
+EntryEvent = SegmentArrived | PeerMessage | ControlMessage | Announced | Kept | Tick | StopPlanned
 
 
 class SendPeer(NamedTuple):
@@ -62,7 +110,7 @@
     body: PeerBody
 
 
-EntryEffect = FlowEffect | SendPeer | SendControl | Answer | InForce | MembersChanged
+EntryEffect = FlowEffect | SendPeer | SendControl | Answer | Keep | InForce | MembersChanged
 
 
 class EntryCore(Core[EntryEvent, EntryEffect]):
@@ -72,6 +120,9 @@
     :param peers: names of the other entry hosts.
     :param target_chart: the life cycle of targets.
     :param catalogue: the catalogue this host last had in force, if it kept it.
+    :param controls: names of the control hosts.
+    :param keeps: whether this host makes a catalogue durable before it is in force.
+    :param rng: source of random choices in gossip.
     """
 
     def __init__(
@@ -80,11 +131,18 @@
         peers: tuple[HostName, ...],
         target_chart: Chart,
         catalogue: Catalogue | None = None,
+        controls: tuple[HostName, ...] = (),
+        keeps: bool = False,
+        rng: random.Random | None = None,
     ) -> None:
         self._me = me
+        rng = rng or random.Random(me.name)
         in_force = catalogue or Catalogue()
-        self._follower = FollowerCore(me.name, me.zone, in_force)
-        self._membership = MembershipCore(me, peers)
+        self._follower = FollowerCore(me.name, me.zone, in_force, controls, rng, keeps)
+        self._membership = MembershipCore(me, peers, rng)
+        self._gossip = TargetGossip(rng)
+        self._spread = SpreadCore(in_force)
+        self._readiness = Readiness(is_alone=not set(peers) - {me.name})
         self._targets = TargetCore(me.name, target_chart)
         self._targets.handle(CatalogueChanged(in_force), 0.0)
         self._health = HealthBook()
@@ -112,75 +170,140 @@
         """How many targets take new flows."""
         return sum(record.state is TargetState.SERVING for record in self._targets.records)
 
+    @property
+    def followed(self) -> HostName:
+        """The control host that this host follows."""
+        return self._follower.followed
+
+    @property
+    def zones(self) -> dict[HostName, ZoneName]:
+        """The live entry hosts and their zones."""
+        return {member.name: member.zone for member in self._membership.members}
+
     def handle(self, event: EntryEvent, now: float) -> list[EntryEffect]:
         """Take one event."""
+        self._readiness.notice(now)
         if isinstance(event, SegmentArrived):
-            return list(self._flows.handle(event, now))
+            return self._segment(event, now)
         if isinstance(event, PeerMessage):
             return self._peer(event, now)
         if isinstance(event, ControlMessage):
-            return self._follower_effects(self._follower.handle(event, now), now)
+            return self._control(event, now)
         if isinstance(event, Announced):
             return self._target_effects(self._targets.handle(event, now), now)
+        if isinstance(event, Kept):
+            return self._follower_effects(self._follower.handle(event, now), now)
         if isinstance(event, StopPlanned):
-            return self._to_all(Goodbye(self._me))
+            return self._leave()
         return self._tick(now)
 
+    def _segment(self, event: SegmentArrived, now: float) -> list[EntryEffect]:
+        """Take a packet; what may open a flow waits until this host's state is fresh."""
+        opens = event.segment.flags & (SYN | ACK) == SYN
+        if opens and not self._readiness.is_ready(now):
+            return [Drop(DropReason.NOT_READY)]
+        return list(self._flows.handle(event, now))
+
     def _tick(self, now: float) -> list[EntryEffect]:
+        self._readiness.tick(now)
         effects = self._member_effects(self._membership.handle(membership.Tick(), now), now)
         effects += self._target_effects(self._targets.handle(targets.Tick(), now), now)
-        return effects + self._follower_effects(self._follower.handle(follower.Tick(), now), now)
+        effects += self._follower_effects(self._follower.handle(follower.Tick(), now), now)
+        return effects + self._gossiped(self._gossip.tick(self._membership.neighbours, now))
 
     def _peer(self, event: PeerMessage, now: float) -> list[EntryEffect]:
-        body = event.body
-        if isinstance(body, Heartbeat):
-            return self._heartbeat(body, now)
+        sender, body = event
+        if isinstance(body, Ping | Ack | ProbeRequest | MembersPull | MemberUpdates):
+            return self._swim(sender, body, now)
         if isinstance(body, TargetUpdates):
             return self._target_effects(self._targets.handle(RecordsHeard(body.records), now), now)
-        if isinstance(body, TargetsRequest):
-            return [SendPeer(event.sender, TargetUpdates(self._targets.records))]
+        if isinstance(body, TargetsPull):
+            return self._gossiped(self._gossip.pulled(sender, body.digests, now))
         if isinstance(body, Goodbye):
             return self._member_effects(self._membership.handle(MemberLeft(body.member), now), now)
+        if isinstance(body, Subscribe):
+            return self._served(self._spread.handle(Subscribed(body), now))
+        if isinstance(body, SnapshotPull):
+            return self._served(self._spread.handle(SnapshotPulled(body), now))
         return []
 
-    def _heartbeat(self, body: Heartbeat, now: float) -> list[EntryEffect]:
-        effects = self._member_effects(self._membership.handle(MemberHeard(body.member), now), now)
-        if body.digest != records_digest(self._targets.records):
-            effects.append(SendPeer(body.member.name, TargetsRequest()))
+    def _swim(self, sender: HostName, body: SwimMessage, now: float) -> list[EntryEffect]:
+        effects = self._member_effects(
+            self._membership.handle(MemberMessage(sender, body), now), now
+        )
+        if not isinstance(body, Ping | Ack):
+            return effects
+        effects += self._gossiped(self._gossip.compare(sender, body.targets, now))
+        seen = PeerSeen(sender, body.revision)
+        effects += self._follower_effects(self._follower.handle(seen, now), now)
+        same_targets = body.targets == self._gossip.digest
+        self._readiness.compare(same_targets and body.revision <= self.revision)
         return effects
 
+    def _control(self, event: ControlMessage, now: float) -> list[EntryEffect]:
+        """Take changes, but none as the first before peers had time to tell their revision."""
+        is_first = self.revision == 0 and not isinstance(event.body, Standing)
+        if is_first and not self._readiness.may_learn(now):
+            return []
+        return self._follower_effects(self._follower.handle(event, now), now)
+
+    def _leave(self) -> list[EntryEffect]:
+        goodbye = Goodbye(self._membership.me)
+        return [SendPeer(name, goodbye) for name in self._membership.neighbours]
+
     def _follower_effects(self, effects: list[FollowerEffect], now: float) -> list[EntryEffect]:
+        done: list[EntryEffect] = []
         for effect in effects:
+            done.append(effect)
             if isinstance(effect, InForce):
-                self._targets.handle(CatalogueChanged(effect.catalogue), now)
+                changed = self._targets.handle(CatalogueChanged(effect.catalogue), now)
+                done += self._target_effects(changed, now)
                 self._refresh(now)
-        return list(effects)
+                done += self._pass_on(effect, now)
+        return done
+
+    def _pass_on(self, effect: InForce, now: float) -> list[EntryEffect]:
+        """Let peers that subscribe to this host have what came into force here."""
+        if not effect.changes:
+            self._spread.handle(Replaced(effect.catalogue), now)
+        sends = []
+        for change in effect.changes:
+            sends += self._spread.handle(Advanced(change, effect.catalogue), now)
+        return self._served(sends)
 
     def _member_effects(self, effects: list[MembershipEffect], now: float) -> list[EntryEffect]:
         done: list[EntryEffect] = []
         for effect in effects:
             if isinstance(effect, MembersChanged):
+                self._follower.handle(ZonesLearnt(self.zones), now)
                 self._refresh(now)
                 done.append(effect)
+            elif isinstance(effect, PeerConfirmed):
+                self._readiness.confirm()
             else:
-                digest = records_digest(self._targets.records)
-                done.append(SendPeer(effect.host, Heartbeat(self._me, self.revision, digest)))
+                done.append(SendPeer(effect.host, self._filled_in(effect.body)))
         return done
 
+    def _filled_in(self, body: SwimMessage) -> SwimMessage:
+        if isinstance(body, Ping | Ack):
+            return body._replace(revision=self.revision, targets=self._gossip.digest)
+        return body
+
     def _target_effects(self, effects: list[TargetEffect], now: float) -> list[EntryEffect]:
         done: list[EntryEffect] = []
         for effect in effects:
             if isinstance(effect, Answer):
                 done.append(effect)
                 continue
+            self._gossip.refresh(self._targets.records, now)
             self._refresh(now)
-            if effect.records:
-                done += self._to_all(TargetUpdates(effect.records))
         return done
 
-    def _to_all(self, body: PeerBody) -> list[EntryEffect]:
-        others = [m.name for m in self._membership.members if m.name != self._me.name]
-        return [SendPeer(name, body) for name in others]
+    def _gossiped(self, effects: list[SendTargets]) -> list[EntryEffect]:
+        return [SendPeer(effect.host, effect.body) for effect in effects]
+
+    def _served(self, effects: list[SendHost]) -> list[EntryEffect]:
+        return [SendPeer(effect.host, effect.body) for effect in effects]
 
     def _refresh(self, now: float) -> None:
         view = build_view(self._membership.members, self._follower.catalogue, self._targets.records)
--- a/packages/core/src/lacewingrudder_core/flows.py
+++ b/packages/core/src/lacewingrudder_core/flows.py
@@ -77,6 +77,7 @@
 
     FOREIGN = "foreign"
     NO_HOME = "no_home"
+    NOT_READY = "not_ready"
     NO_TARGET = "no_target"
     UNKNOWN_FLOW = "unknown_flow"
 
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/members.py
@@ -0,0 +1,200 @@
+"""The table of members: what a host believes of each, and the news it still has to pass on."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .digests import DIGEST_BYTES, Fingerprint, differing_buckets, table_digest
+from .messages import MemberStatus, MemberUpdate
+from .types import HostName, Member
+
+TRANSMISSIONS_FACTOR = 3
+DEAD_KEPT_SECONDS = 86_400.0
+LEFT_KEPT_SECONDS = 3_600.0
+_KEPT_SECONDS = {
+    MemberStatus.DEAD: DEAD_KEPT_SECONDS,
+    MemberStatus.LEFT: LEFT_KEPT_SECONDS,
+}
+
+
+class _Row(NamedTuple):
+    member: Member
+    status: MemberStatus
+    since: float
+
+    @property
+    def is_live(self) -> bool:
+        return self.status <= MemberStatus.SUSPECT
+
+
+class MemberTable:
+    """What this host believes of each entry host.
+
+    :param me: this host.
+    """
+
+    def __init__(self, me: Member) -> None:
+        self._me = me
+        self._rows: dict[HostName, _Row] = {}
+        self._sends_left: dict[HostName, int] = {me.name: TRANSMISSIONS_FACTOR}
+        self._fingerprints = {me.name: _fingerprint(me)}
+        self._live: tuple[Member, ...] = (me,)
+        self._digest = table_digest(self._fingerprints.values())
+        self._is_changed = False
+        self.changed_at = float("-inf")
+
+    @property
+    def me(self) -> Member:
+        """This host."""
+        return self._me
+
+    @property
+    def live(self) -> tuple[Member, ...]:
+        """The live members, this host first."""
+        return self._live
+
+    @property
+    def dead(self) -> list[HostName]:
+        """Hosts that were declared dead and did not leave as planned."""
+        return [name for name, row in self._rows.items() if row.status is MemberStatus.DEAD]
+
+    @property
+    def fingerprints(self) -> dict[HostName, Fingerprint]:
+        """The fingerprints of the live members."""
+        return self._fingerprints
+
+    @property
+    def digest(self) -> int:
+        """Digest of the live members."""
+        return self._digest
+
+    def is_known(self, name: HostName) -> bool:
+        """Whether the table holds that host, dead or alive."""
+        return name == self._me.name or name in self._rows
+
+    def is_live(self, name: HostName) -> bool:
+        """Whether that host is a live member."""
+        return name in self._fingerprints
+
+    def take(self, updates: Iterable[MemberUpdate], now: float) -> None:
+        """Take news; what is older than the table's rows changes nothing."""
+        for update in updates:
+            if update.member.name == self._me.name:
+                self._take_own(update, now)
+            else:
+                self._take_other(update, now)
+
+    def take_about_me(self, updates: Iterable[MemberUpdate], now: float) -> None:
+        """Take only news of this host, from a sender whose news of others does not count."""
+        self.take([update for update in updates if update.member.name == self._me.name], now)
+
+    def suspect(self, name: HostName, now: float) -> None:
+        """Suspect a member that did not answer."""
+        row = self._rows.get(name)
+        if row is not None:
+            self._take_other(MemberUpdate(row.member, MemberStatus.SUSPECT), now)
+
+    def expire(self, now: float, suspicion: float) -> None:
+        """Declare members dead that did not refute, and forget old rows.
+
+        :param suspicion: seconds that a suspicion lasts in a small fleet.
+        """
+        lasting = suspicion * max(1.0, math.log10(len(self._live)))
+        for name, row in list(self._rows.items()):
+            age = now - row.since
+            if row.status is MemberStatus.SUSPECT and age >= lasting:
+                self._take_other(MemberUpdate(row.member, MemberStatus.DEAD), now)
+            elif age > _KEPT_SECONDS.get(row.status, math.inf):
+                del self._rows[name]
+
+    def restart_suspicions(self, now: float) -> None:
+        """Give suspected members their whole time again, after this host itself stood still."""
+        for name, row in self._rows.items():
+            if row.status is MemberStatus.SUSPECT:
+                self._rows[name] = row._replace(since=now)
+
+    def updates_for(self, host: HostName, count: int) -> tuple[MemberUpdate, ...]:
+        """Return news to send to a host, what it should know of itself first."""
+        about_host = self._rows.get(host)
+        chosen = []
+        if about_host is not None and about_host.status is not MemberStatus.ALIVE:
+            chosen.append(MemberUpdate(about_host.member, about_host.status))
+        fresh = sorted(self._sends_left, key=lambda name: -self._sends_left[name])
+        for name in fresh[: count - len(chosen)]:
+            self._count_send(name)
+            if name not in (host, self._me.name):
+                chosen.append(self._update(name))
+        return tuple(chosen)
+
+    def differing(self, digests: bytes) -> list[MemberUpdate]:
+        """Return the rows, dead ones too, in the buckets that differ from another's digests."""
+        buckets = differing_buckets(self._fingerprints.values(), digests)
+        if buckets is None:
+            return []
+        count = len(digests) // DIGEST_BYTES
+        rows = [self._update(name) for name in (self._me.name, *self._rows)]
+        return [u for u in rows if _fingerprint(u.member).name % count in buckets]
+
+    def take_change(self) -> bool:
+        """Whether the live members or their endpoints changed since the last call."""
+        changed, self._is_changed = self._is_changed, False
+        return changed
+
+    def _update(self, name: HostName) -> MemberUpdate:
+        if name == self._me.name:
+            return MemberUpdate(self._me, MemberStatus.ALIVE)
+        row = self._rows[name]
+        return MemberUpdate(row.member, row.status)
+
+    def _count_send(self, name: HostName) -> None:
+        self._sends_left[name] -= 1
+        if self._sends_left[name] <= 0 or not self.is_known(name):
+            del self._sends_left[name]
+
+    def _take_own(self, update: MemberUpdate, now: float) -> None:
+        """Outbid news of this host that is not what it is."""
+        heard = update.member.incarnation
+        is_same = update.member == self._me and update.status is MemberStatus.ALIVE
+        if is_same or heard < self._me.incarnation:
+            return
+        self._me = self._me._replace(incarnation=heard + 1)
+        self._spread(self._me.name, now)
+        self._refresh()
+
+    def _take_other(self, update: MemberUpdate, now: float) -> None:
+        name = update.member.name
+        row = self._rows.get(name)
+        if row is not None and not _is_newer(update, row):
+            return
+        self._rows[name] = _Row(update.member, update.status, now)
+        self._spread(name, now)
+        if row is None or row.is_live != self._rows[name].is_live or row.member != update.member:
+            self._refresh()
+
+    def _spread(self, name: HostName, now: float) -> None:
+        rounds = math.ceil(math.log2(len(self._rows) + 2))
+        self._sends_left[name] = TRANSMISSIONS_FACTOR * rounds
+        self.changed_at = now
+
+    def _refresh(self) -> None:
+        before = {_place(member) for member in self._live}
+        others = [row.member for row in self._rows.values() if row.is_live]
+        self._live = (self._me, *others)
+        self._fingerprints = {member.name: _fingerprint(member) for member in self._live}
+        self._digest = table_digest(self._fingerprints.values())
+        self._is_changed |= before != {_place(member) for member in self._live}
+
+
+def _is_newer(update: MemberUpdate, row: _Row) -> bool:
+    heard = (update.member.incarnation, update.status)
+    return heard > (row.member.incarnation, row.status)
+
+
+def _place(member: Member) -> Member:
+    return member._replace(incarnation=0)
+
+
+def _fingerprint(member: Member) -> Fingerprint:
+    return Fingerprint.of(member.name, str(member.incarnation))
--- a/packages/core/src/lacewingrudder_core/membership.py
+++ b/packages/core/src/lacewingrudder_core/membership.py
@@ -1,21 +1,51 @@
-"""Which entry hosts are alive, from heartbeats."""
+"""Which entry hosts are alive: SWIM (Das, Gupta, Motivala, 2002) over the rings of :mod:`.rings`.
+
+Each period a host pings a few of its neighbours. One that does not answer is pinged through others,
+then suspected, and declared dead unless it refutes the suspicion with a higher incarnation. News of
+members travels on pings and their answers. Dead hosts are still pinged now and then, so that views
+converge after a cut heals.
+"""
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from . import members as table
 from .core import Core
+from .digests import bucket_count, bucket_digests
+from .messages import (
+    Ack,
+    MembersPull,
+    MemberStatus,
+    MemberUpdate,
+    MemberUpdates,
+    Ping,
+    ProbeRequest,
+    SwimMessage,
+)
+from .probes import Probe, Probes
+from .rings import neighbours
 from .types import HostName, Member
 
-HEARTBEAT_SECONDS = 0.5
-DEAD_AFTER_SECONDS = 2.0
+PERIOD_SECONDS = 0.5
+PROBES_PER_PERIOD = 4
+CONTACT_SECONDS = 1.0
+SUSPICION_SECONDS = 0.8
+PULL_SECONDS = 0.5
+QUIET_SECONDS = 1.5
+FROZEN_SECONDS = 1.5
+HELPERS = 3
+UPDATES_PER_MESSAGE = 8
+UPDATES_PER_PULL = 128
 
 
-class MemberHeard(NamedTuple):
-    """A member told that it is alive."""
+class MemberMessage(NamedTuple):
+    """Another entry host sent a message about members."""
 
-    member: Member
+    sender: HostName
+    body: SwimMessage
 
 
 class MemberLeft(NamedTuple):
@@ -25,70 +55,193 @@
 
 
 class Tick(NamedTuple):
-    """Time passed."""
+    """Time passed; due several times a second."""
 
 
-MembershipEvent = MemberHeard | MemberLeft | Tick
+MembershipEvent = MemberMessage | MemberLeft | Tick
 
 
 class MembersChanged(NamedTuple):
-    """The set of live members changed."""
+    """The set of live members changed, or where they can be reached."""
 
     members: tuple[Member, ...]
 
 
-class SendHeartbeat(NamedTuple):
-    """A heartbeat to this host is due."""
+class SendMember(NamedTuple):
+    """Send a message; the owner fills in ``revision`` and ``targets`` of pings and answers."""
 
     host: HostName
+    body: SwimMessage
 
 
-MembershipEffect = MembersChanged | SendHeartbeat
+class PeerConfirmed(NamedTuple):
+    """A host answered a ping that this host sent, so both are in touch now."""
+
+    host: HostName
+
+
+MembershipEffect = MembersChanged | SendMember | PeerConfirmed
 
 
 class MembershipCore(Core[MembershipEvent, MembershipEffect]):
     """Keeps the set of live entry hosts.
 
     :param me: this host, always a member.
-    :param peers: names of the other hosts to send heartbeats to.
+    :param seeds: names of hosts to call on until members are known through gossip.
+    :param rng: source of random choices.
     """
 
-    def __init__(self, me: Member, peers: Iterable[HostName]) -> None:
-        self._me = me
-        self._peers = tuple(peers)
-        self._members: dict[HostName, Member] = {}
-        self._heard: dict[HostName, float] = {}
-        self._sent = float("-inf")
+    def __init__(self, me: Member, seeds: Iterable[HostName], rng: random.Random) -> None:
+        self._table = table.MemberTable(me)
+        self._seeds = tuple(name for name in seeds if name != me.name)
+        self._rng = rng
+        self._probes = Probes()
+        self._round: list[HostName] = []
+        self._neighbours: tuple[HostName, ...] = ()
+        self._next_period = float("-inf")
+        self._next_contact = float("-inf")
+        self._pulled = float("-inf")
+        self._last_tick: float | None = None
+
+    @property
+    def me(self) -> Member:
+        """This host, at its current incarnation."""
+        return self._table.me
 
     @property
     def members(self) -> tuple[Member, ...]:
         """The live members, this host among them."""
-        return (self._me, *self._members.values())
+        return self._table.live
+
+    @property
+    def neighbours(self) -> tuple[HostName, ...]:
+        """The hosts that this host probes and tells of news."""
+        return self._neighbours
+
+    @property
+    def digest(self) -> int:
+        """Digest of the live members."""
+        return self._table.digest
 
     def handle(self, event: MembershipEvent, now: float) -> list[MembershipEffect]:
         """Take one event."""
-        if isinstance(event, MemberHeard):
-            return self._alive(event.member, now)
-        if isinstance(event, MemberLeft):
-            return self._remove([event.member.name])
-        late = [name for name, at in self._heard.items() if now - at > DEAD_AFTER_SECONDS]
-        return self._remove(late) + self._heartbeats(now)
-
-    def _alive(self, member: Member, now: float) -> list[MembershipEffect]:
-        self._heard[member.name] = now
-        if self._members.get(member.name) == member:
+        if isinstance(event, Tick):
+            effects = self._tick(now)
+        elif isinstance(event, MemberLeft):
+            self._table.take([MemberUpdate(event.member, MemberStatus.LEFT)], now)
+            effects = []
+        else:
+            effects = self._message(event.sender, event.body, now)
+        if self._table.take_change():
+            names = [member.name for member in self.members]
+            self._neighbours = neighbours(self.me.name, names)
+            effects.insert(0, MembersChanged(self.members))
+        return effects
+
+    def _tick(self, now: float) -> list[MembershipEffect]:
+        if self._last_tick is not None and now - self._last_tick > FROZEN_SECONDS:
+            self._probes.clear()
+            self._table.restart_suspicions(now)
+        self._last_tick = now
+        effects = self._late_probes(now)
+        self._table.expire(now, SUSPICION_SECONDS)
+        if now >= self._next_contact:
+            self._next_contact = now + CONTACT_SECONDS
+            effects += self._contact(now)
+        if now >= self._next_period:
+            self._next_period = now + PERIOD_SECONDS
+            effects += self._start_round(now)
+        return effects
+
+    def _late_probes(self, now: float) -> list[MembershipEffect]:
+        effects: list[MembershipEffect] = []
+        for sequence, probe in self._probes.take_unanswered(now):
+            others = [name for name in self._neighbours if name != probe.subject]
+            helpers = self._rng.sample(others, min(HELPERS, len(others)))
+            effects += [SendMember(name, ProbeRequest(sequence, probe.subject)) for name in helpers]
+        for probe in self._probes.take_failed(now):
+            self._table.suspect(probe.subject, now)
+        return effects
+
+    def _contact(self, now: float) -> list[MembershipEffect]:
+        """Ping one host that is not a member, or all seeds while there is no other member."""
+        absent = [name for name in self._seeds if not self._table.is_known(name)]
+        if len(self.members) > 1 or not absent:
+            absent += self._table.dead
+            absent = [self._rng.choice(absent)] if absent else []
+        return [self._ping(name, Probe(name, now, is_contact=True)) for name in absent]
+
+    def _start_round(self, now: float) -> list[MembershipEffect]:
+        pings: list[MembershipEffect] = []
+        for _ in range(min(PROBES_PER_PERIOD, len(self._neighbours))):
+            name = self._next_neighbour()
+            if not self._probes.is_probing(name):
+                pings.append(self._ping(name, Probe(name, now)))
+        return pings
+
+    def _next_neighbour(self) -> HostName:
+        self._round = [name for name in self._round if name in self._neighbours]
+        if not self._round:
+            self._round = list(self._neighbours)
+            self._rng.shuffle(self._round)
+        return self._round.pop()
+
+    def _ping(self, host: HostName, probe: Probe) -> SendMember:
+        sequence = self._probes.start(probe)
+        updates = self._table.updates_for(host, UPDATES_PER_MESSAGE)
+        return SendMember(host, Ping(sequence, self.me, 0, self.digest, 0, updates))
+
+    def _ack(self, host: HostName, sequence: int) -> SendMember:
+        updates = self._table.updates_for(host, UPDATES_PER_MESSAGE)
+        return SendMember(host, Ack(sequence, self.me, 0, self.digest, 0, updates))
+
+    def _message(self, sender: HostName, body: SwimMessage, now: float) -> list[MembershipEffect]:
+        if isinstance(body, Ping | Ack):
+            return self._exchange(sender, body, now)
+        if isinstance(body, ProbeRequest):
+            return [self._ping(body.subject, Probe(body.subject, now, sender, body.sequence))]
+        if isinstance(body, MembersPull):
+            return self._pulled_from(sender, body)
+        self._table.take(body.updates, now)
+        return []
+
+    def _exchange(self, sender: HostName, body: Ping | Ack, now: float) -> list[MembershipEffect]:
+        self._table.take([MemberUpdate(body.member, MemberStatus.ALIVE)], now)
+        if self._table.is_live(sender):
+            self._table.take(body.updates, now)
+        else:
+            self._table.take_about_me(body.updates, now)
+        effects: list[MembershipEffect]
+        if isinstance(body, Ping):
+            effects = [self._ack(sender, body.sequence)]
+        else:
+            effects = self._acknowledged(sender, body.sequence)
+        return effects + self._pull(sender, body.members, now)
+
+    def _acknowledged(self, sender: HostName, sequence: int) -> list[MembershipEffect]:
+        probe = self._probes.finish(sequence)
+        if probe is None:
+            return []
+        effects: list[MembershipEffect] = []
+        if probe.asked_by:
+            effects.append(self._ack(probe.asked_by, probe.asked_sequence))
+        return [*effects, PeerConfirmed(sender)]
+
+    def _pull(self, sender: HostName, digest: int, now: float) -> list[MembershipEffect]:
+        """Ask for what differs, unless news that travels on pings may still explain it."""
+        is_quiet = now - self._table.changed_at > QUIET_SECONDS or len(self.members) <= 2
+        if digest == self.digest or not is_quiet or now - self._pulled < PULL_SECONDS:
             return []
-        self._members[member.name] = member
-        return [MembersChanged(self.members)]
+        self._pulled = now
+        return [SendMember(sender, self._pull_request())]
 
-    def _remove(self, names: Iterable[HostName]) -> list[MembershipEffect]:
-        gone = [name for name in names if self._members.pop(name, None)]
-        for name in gone:
-            self._heard.pop(name, None)
-        return [MembersChanged(self.members)] if gone else []
+    def _pull_request(self) -> MembersPull:
+        prints = self._table.fingerprints
+        return MembersPull(bucket_digests(prints.values(), bucket_count(len(prints))))
 
-    def _heartbeats(self, now: float) -> list[MembershipEffect]:
-        if now - self._sent < HEARTBEAT_SECONDS:
+    def _pulled_from(self, sender: HostName, body: MembersPull) -> list[MembershipEffect]:
+        updates = self._table.differing(body.digests)
+        self._rng.shuffle(updates)
+        if not updates:
             return []
-        self._sent = now
-        return [SendHeartbeat(name) for name in self._peers]
+        return [SendMember(sender, MemberUpdates(tuple(updates[:UPDATES_PER_PULL])))]
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -2,22 +2,94 @@
 
 from __future__ import annotations
 
+import enum
 from typing import NamedTuple
 
-from .notes import Catalogue, Change, Note, SubmitReply
-from .types import HostName, Member, TargetName, TargetOrder, TargetRecord, ZoneName
+from .notes import Change, Note, SubmitReply
+from .types import (
+    HostName,
+    Member,
+    Service,
+    TargetName,
+    TargetOrder,
+    TargetRecord,
+    ZoneName,
+)
+
+
+class MemberStatus(enum.IntEnum):
+    """What hosts believe of an entry host; at one incarnation the higher value wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
 
 
-class Heartbeat(NamedTuple):
-    """Tells another entry host that the sender is alive and what it holds.
+class MemberUpdate(NamedTuple):
+    """News of one entry host, passed on from host to host."""
+
+    member: Member
+    status: MemberStatus
+
 
+class Ping(NamedTuple):
+    """Asks another entry host whether it is alive, and tells what the sender holds.
+
+    :param sequence: comes back in the :class:`Ack`.
     :param revision: the sender's revision in force.
-    :param digest: hash of the sender's target records, to detect a difference.
+    :param members: digest of the live members that the sender knows.
+    :param targets: digest of the target records that the sender knows.
     """
 
+    sequence: int
     member: Member
     revision: int
-    digest: int
+    members: int
+    targets: int
+    updates: tuple[MemberUpdate, ...]
+
+
+class Ack(NamedTuple):
+    """Answers a :class:`Ping`, or says that the subject of a :class:`ProbeRequest` did.
+
+    The fields are those of :class:`Ping`, for the host that sends the answer.
+    """
+
+    sequence: int
+    member: Member
+    revision: int
+    members: int
+    targets: int
+    updates: tuple[MemberUpdate, ...]
+
+
+class ProbeRequest(NamedTuple):
+    """Asks the receiver to ping a host that the sender can't reach.
+
+    :param sequence: comes back in the :class:`Ack` if the subject answers.
+    """
+
+    sequence: int
+    subject: HostName
+
+
+class MembersPull(NamedTuple):
+    """Asks for the members in the buckets that differ; see :mod:`.digests`."""
+
+    digests: bytes
+
+
+class MemberUpdates(NamedTuple):
+    """The answer to :class:`MembersPull`."""
+
+    updates: tuple[MemberUpdate, ...]
+
+
+class TargetsPull(NamedTuple):
+    """Asks for the target records in the buckets that differ; see :mod:`.digests`."""
+
+    digests: bytes
 
 
 class TargetUpdates(NamedTuple):
@@ -26,10 +98,6 @@
     records: tuple[TargetRecord, ...]
 
 
-class TargetsRequest(NamedTuple):
-    """Asks for all target records."""
-
-
 class Goodbye(NamedTuple):
     """An entry host leaves as planned, after it handed over its flows."""
 
@@ -63,14 +131,27 @@
 
 
 class Subscribe(NamedTuple):
-    """An entry host asks a control host for what follows its revision; repeated as a lease.
+    """An entry host asks for what follows its revision; repeated as a lease and as a receipt.
 
     :param revision: the revision that the entry host has in force.
+    :param digest: hash of the contents of the catalogue it has in force.
     """
 
     host: HostName
     zone: ZoneName
     revision: int
+    digest: int
+
+
+class Standing(NamedTuple):
+    """Answers a :class:`Subscribe`.
+
+    :param revision: the revision that the answering host has.
+    :param digest: hash of the contents of its catalogue.
+    """
+
+    revision: int
+    digest: int
 
 
 class Changes(NamedTuple):
@@ -79,10 +160,33 @@
     changes: tuple[Change, ...]
 
 
-class Snapshot(NamedTuple):
-    """A whole catalogue, for a receiver too far behind for changes."""
+class SnapshotPart(NamedTuple):
+    """A part of a whole catalogue, for a receiver too far behind for changes.
 
-    catalogue: Catalogue
+    :param revision: the revision of the whole.
+    :param digest: hash of the contents of the whole.
+    :param part: the part's place, from 0.
+    :param parts: how many parts make the whole.
+    """
+
+    revision: int
+    digest: int
+    part: int
+    parts: int
+    services: tuple[Service, ...]
+    orders: tuple[TargetOrder, ...]
+
+
+class SnapshotPull(NamedTuple):
+    """Asks for the next part of a snapshot.
+
+    :param revision: the revision whose parts the sender collects.
+    :param part: the part's place, from 0.
+    """
+
+    host: HostName
+    revision: int
+    part: int
 
 
 class SubmitNote(NamedTuple):
@@ -134,7 +238,8 @@
     reply: SubmitReply
 
 
-EntryMessage = (
-    Heartbeat | TargetUpdates | TargetsRequest | Goodbye | Pins | Adopt | Changes | Snapshot
-)
+SwimMessage = Ping | Ack | ProbeRequest | MembersPull | MemberUpdates
+SpreadMessage = Standing | Changes | SnapshotPart
+FollowMessage = Subscribe | SnapshotPull
+EntryMessage = SwimMessage | SpreadMessage | TargetUpdates | TargetsPull | Goodbye | Pins | Adopt
 OperatorRequest = SubmitNote | SubmitOrder | StatusRequest
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/rings.py
@@ -0,0 +1,31 @@
+"""Who probes and tells whom: successors on several hash rings.
+
+Every host has the same number of predecessors on each ring, so each is watched by a bounded number
+of others, whatever the size of the fleet (Suresh et al., "Stable and Consistent Membership at Scale
+with Rapid", 2018).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .hashing import name_hash
+from .types import HostName
+
+RINGS = 4
+SUCCESSORS_PER_RING = 2
+
+
+def neighbours(me: HostName, names: Iterable[HostName]) -> tuple[HostName, ...]:
+    """Return the hosts that a host probes.
+
+    :param names: the live hosts, with or without ``me``.
+    """
+    everyone = {me, *names}
+    found: dict[HostName, None] = {}
+    for seed in range(RINGS):
+        ring = sorted(everyone, key=lambda name: (name_hash(name, seed), name))
+        at = ring.index(me)
+        for step in range(1, min(SUCCESSORS_PER_RING, len(ring) - 1) + 1):
+            found[ring[(at + step) % len(ring)]] = None
+    return tuple(found)
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-import itertools
+import random
 import time
 from typing import Any
 
@@ -15,6 +15,7 @@
 from lacewingrudder_wire.exceptions import LacewingrudderError
 from lacewingrudder_wire.resources import load_chart
 
+from .catalogue_store import CatalogueStore
 from .control_task import ControlTask
 from .entry_task import EntryTask
 from .http import announcement_app, metrics_app, start_app
@@ -26,7 +27,21 @@
 
 STOP_SECONDS = 0.5
 
-_PEER_MESSAGES = (m.Heartbeat, m.TargetUpdates, m.TargetsRequest, m.Goodbye, m.Pins, m.Adopt)
+_PEER_MESSAGES = (
+    m.Ping,
+    m.Ack,
+    m.ProbeRequest,
+    m.MembersPull,
+    m.MemberUpdates,
+    m.TargetUpdates,
+    m.TargetsPull,
+    m.Subscribe,
+    m.SnapshotPull,
+    m.Goodbye,
+    m.Pins,
+    m.Adopt,
+)
+_SPREAD_MESSAGES = (m.Standing, m.Changes, m.SnapshotPart)
 _OPERATOR_MESSAGES = (m.SubmitNote, m.SubmitOrder, m.StatusRequest)
 
 
@@ -41,7 +56,6 @@
         self._recorder = Recorder(settings.name, settings.timeline)
         hosts = {**settings.entries, **settings.controls}
         self._hub = LinkHub(settings.name, settings.peer_key, hosts, self._recorder, self._deliver)
-        self._followed = itertools.cycle(sorted(settings.controls))
         self._control = self._make_control() if settings.is_control else None
         self._entry = self._make_entry(settings.entry) if settings.entry else None
         self._metrics = ProcessMetrics(self._hub, self._entry)
@@ -107,11 +121,21 @@
             self._settings.listen,
         )
         peers = tuple(name for name in self._settings.entries if name != me.name)
-        core = entry.EntryCore(me, peers, load_chart("target"))
-        return EntryTask(settings, core, self._recorder, self._hub.send, self._follow)
+        folder = self._settings.data_folder
+        store = CatalogueStore(folder) if folder is not None else None
+        core = entry.EntryCore(
+            me,
+            peers,
+            load_chart("target"),
+            catalogue=store.read() if store is not None else None,
+            controls=tuple(self._settings.controls),
+            keeps=store is not None,
+            rng=random.Random(f"{me.name}/{me.incarnation}"),
+        )
+        return EntryTask(settings, core, self._recorder, self._hub.send, self._learn, store)
 
-    def _follow(self, body: Any) -> None:
-        self._hub.send(next(self._followed), body)
+    def _learn(self, member: Member) -> None:
+        self._hub.learn(member.name, member.link)
 
     def _deliver(self, incoming: Incoming) -> None:
         body = incoming.body
@@ -121,11 +145,13 @@
             return
         if isinstance(body, m.Subscribe) and self._control is not None:
             self._control.handle(spread.Subscribed(body))
+        elif isinstance(body, m.SnapshotPull) and self._control is not None:
+            self._control.handle(spread.SnapshotPulled(body))
         elif self._entry is not None:
             self._deliver_to_entry(self._entry, incoming.sender, body)
 
     def _deliver_to_entry(self, task: EntryTask, sender: HostName, body: Any) -> None:
         if isinstance(body, _PEER_MESSAGES):
             task.handle(entry.PeerMessage(sender, body))
-        elif isinstance(body, m.Changes | m.Snapshot):
+        elif isinstance(body, _SPREAD_MESSAGES):
             task.handle(follower.ControlMessage(sender, body))
--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Any
 
 from lacewingrudder_core import entry, flows
-from lacewingrudder_core.follower import InForce, SendControl
+from lacewingrudder_core.follower import InForce, Keep, Kept, SendControl
 from lacewingrudder_core.membership import MembersChanged
+from lacewingrudder_core.notes import Catalogue
 from lacewingrudder_core.targets import Announced, Announcement, AnnounceOutcome, Answer
 from lacewingrudder_core.types import Endpoint, FlowKey, HostName, Member, TargetName, Verdict
 
 from . import encapsulation, packets
+from .catalogue_store import CatalogueStore
 from .recorder import Recorder
 from .settings import EntrySettings
 
 TICK_SECONDS = 0.1
 
+_log = logging.getLogger(__name__)
+
 Address = tuple[str, int]
 
 
@@ -25,7 +30,8 @@
     """Feeds an entry core with packets, messages and time, and carries out its effects.
 
     :param send: sends a message to a host.
-    :param follow: sends a message to the control host that this host follows.
+    :param learn: told of each live entry host and where it takes links.
+    :param store: keeps the catalogue that is in force.
     """
 
     def __init__(
@@ -34,13 +40,16 @@
         core: entry.EntryCore,
         recorder: Recorder,
         send: Callable[[HostName, Any], None],
-        follow: Callable[[Any], None],
+        learn: Callable[[Member], None],
+        store: CatalogueStore | None = None,
     ) -> None:
         self._settings = settings
         self._core = core
         self._recorder = recorder
         self._send = send
-        self._follow = follow
+        self._learn = learn
+        self._store = store
+        self._keeping: set[asyncio.Task[None]] = set()
         self._fabric = _address(settings.fabric)
         self._members: dict[HostName, Address] = {}
         self._senders: dict[Address, HostName] = {}
@@ -139,11 +148,13 @@
         match effect:
             case entry.SendPeer(host, body):
                 self._send(host, body)
-            case SendControl(body):
-                self._follow(body)
+            case SendControl(host, body):
+                self._send(host, body)
+            case Keep(catalogue):
+                self._keep(catalogue)
             case Answer(token, outcome):
                 self._answers.pop(token).set_result(outcome)
-            case InForce(catalogue):
+            case InForce(catalogue, _):
                 self._recorder.record("in_force", revision=catalogue.revision)
             case flows.VerdictReached(key, target, verdict, reason):
                 self._verdict(key, target, verdict, reason)
@@ -176,7 +187,23 @@
     def _drop(self, reason: str) -> None:
         self.drops[reason] = self.drops.get(reason, 0) + 1
 
+    def _keep(self, catalogue: Catalogue) -> None:
+        task = asyncio.create_task(self._keep_and_tell(catalogue))
+        self._keeping.add(task)
+        task.add_done_callback(self._keeping.discard)
+
+    async def _keep_and_tell(self, catalogue: Catalogue) -> None:
+        """Write off the event loop; a full disk must not keep a change from coming into force."""
+        if self._store is not None:
+            try:
+                await asyncio.to_thread(self._store.write, catalogue)
+            except OSError as error:
+                _log.error("catalogue %d was not kept: %s", catalogue.revision, error)
+        self.handle(Kept(catalogue.revision))
+
     def _members_changed(self, members: tuple[Member, ...]) -> None:
+        for member in members:
+            self._learn(member)
         others = [member for member in members if member.data != self._settings.data]
         self._members = {member.name: _address(member.data) for member in others}
         self._senders = {address: name for name, address in self._members.items()}
--- /dev/null
+++ b/packages/daemon/src/lacewingrudder_daemon/link_counts.py
@@ -0,0 +1,69 @@
+"""What the links of a process have carried and refused, for its metrics."""
+
+from __future__ import annotations
+
+import collections
+import enum
+from typing import Any
+
+from lacewingrudder_wire.codec import tag_of
+
+
+class Purpose(enum.StrEnum):
+    """What a message is for; a label of metrics."""
+
+    HANDSHAKE = "handshake"
+    FLOWS = "flows"
+    TARGETS = "targets"
+    SPREAD = "spread"
+    OPERATORS = "operators"
+    REPLICATION = "replication"
+    MEMBERSHIP = "membership"
+    FLOODS = "floods"
+
+
+class Rejection(enum.StrEnum):
+    """Why a link was closed or not taken; a label of metrics."""
+
+    MALFORMED = "malformed"
+    OVERSIZED = "oversized"
+    UNAUTHENTICATED = "unauthenticated"
+    TOO_MANY = "too_many"
+    SLOW = "slow"
+    FAILED = "failed"
+
+
+_FIRST_TAGS = (
+    (1, Purpose.HANDSHAKE),
+    (11, Purpose.TARGETS),
+    (13, Purpose.MEMBERSHIP),
+    (14, Purpose.FLOWS),
+    (20, Purpose.SPREAD),
+    (30, Purpose.OPERATORS),
+    (40, Purpose.REPLICATION),
+    (60, Purpose.MEMBERSHIP),
+    (65, Purpose.TARGETS),
+    (66, Purpose.SPREAD),
+    (80, Purpose.FLOODS),
+    (90, Purpose.TARGETS),
+)
+
+
+def purpose_of(body: Any) -> Purpose:
+    """Return what a message is for."""
+    tag = tag_of(body)
+    return next(purpose for first, purpose in reversed(_FIRST_TAGS) if tag >= first)
+
+
+class LinkCounts:
+    """Counters of a process's links; they only grow."""
+
+    def __init__(self) -> None:
+        self.sent_bytes: collections.Counter[Purpose] = collections.Counter()
+        self.received_bytes: collections.Counter[Purpose] = collections.Counter()
+        self.rejections: collections.Counter[Rejection] = collections.Counter()
+
+    @property
+    def all_sent_bytes(self) -> int:
+        """Bytes sent for any purpose."""
+        return sum(self.sent_bytes.values())
--- a/packages/wire/src/lacewingrudder_wire/codec.py
+++ b/packages/wire/src/lacewingrudder_wire/codec.py
@@ -22,20 +22,26 @@
     2: h.Hello,
     3: h.Welcome,
     4: h.OperatorHello,
-    10: m.Heartbeat,
     11: m.TargetUpdates,
-    12: m.TargetsRequest,
     13: m.Goodbye,
     14: m.Pins,
     15: m.Adopt,
     20: m.Subscribe,
     21: m.Changes,
-    22: m.Snapshot,
     30: m.SubmitNote,
     31: m.SubmitOrder,
     32: m.StatusRequest,
     33: m.Status,
     34: m.OperatorReply,
+    60: m.Ping,
+    61: m.Ack,
+    62: m.ProbeRequest,
+    63: m.MembersPull,
+    64: m.MemberUpdates,
+    65: m.TargetsPull,
+    66: m.Standing,
+    67: m.SnapshotPart,
+    68: m.SnapshotPull,
 }
 _TAG_OF = {cls: tag for tag, cls in _TAGS.items()}
 
@@ -49,6 +55,11 @@
     body: Any
 
 
+def tag_of(body: Any) -> int:
+    """Return the tag of a message."""
+    return _TAG_OF[type(body)]
+
+
 def encode(envelope: Envelope) -> bytes:
     """Return the bytes of a message."""
     body = envelope.body
