Interpret the targets' life cycle from its chart

A target's record was whatever it last announced, from any host, and a lease ended only where the owner lived. Now the chart decides each step, announcements carry a sequence number under the key, ownership of a lease moves, a zone declares the targets of a dead owner lost, and records merge alike on all hosts.

Orders of operators are kept out of records: the catalogue is on every host, so they apply at the same revision everywhere and no owner has to be reachable. Ruled out: gossip of each renewal (one message a second and target), and a new owner at each announcement (a record change a second for a target that announces to its hosts in turn; test_target_may_announce_to_hosts_in_turn).

Found by the tests and mended: a host that took over a lease wrote nothing when only the owner differed, so the target was lost 6 s later; and a host that wrongly took an owner for dead declared the loss again every half second.

--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/announcements.py
@@ -0,0 +1,184 @@
+"""Announcements of targets, and the checks that one has to pass before it changes anything."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import NamedTuple
+
+from .notes import Catalogue
+from .quarantine import Quarantine
+from .records import RecordBook
+from .types import (
+    Endpoint,
+    KindPort,
+    Service,
+    Target,
+    TargetName,
+    TargetRecord,
+    TargetState,
+    ZoneName,
+)
+
+ANNOUNCED_STATES = frozenset({TargetState.WARMING, TargetState.SERVING, TargetState.DRAINING})
+
+
+class Announcement(NamedTuple):
+    """What a target says of itself.
+
+    :param load: busy share, 0 to 1.
+    :param sequence: grows with each announcement of an incarnation.
+    :param mac: hexadecimal keyed hash over the rest, see :func:`announcement_mac`.
+    """
+
+    target: Target
+    state: TargetState
+    load: float
+    sequence: int
+    mac: str
+
+
+def announcement_mac(key: str, target: Target, state: str, load: float, sequence: int) -> str:
+    """Return the keyed hash that authenticates an announcement.
+
+    :param key: the service's key from its release note.
+    """
+    ports = ",".join(f"{entry.kind}={entry.port}" for entry in target.ports)
+    text = "|".join(
+        str(part)
+        for part in (
+            target.name,
+            target.service,
+            target.zone,
+            ports,
+            target.slots,
+            target.connection_limit,
+            target.incarnation,
+            state,
+            f"{load:.3f}",
+            sequence,
+        )
+    )
+    return hmac.new(key.encode(), text.encode(), hashlib.sha256).hexdigest()
+
+
+class _Age(NamedTuple):
+    incarnation: int
+    sequence: int
+
+
+class AnnouncementChecks:
+    """Says what speaks against an announcement.
+
+    :param zone: the zone of this host; its targets may announce here, and those of a zone that has
+        no live host.
+    :param book: what is known of targets.
+    :param quarantine: which endpoints may still have flows of their former service.
+    """
+
+    def __init__(self, zone: ZoneName, book: RecordBook, quarantine: Quarantine) -> None:
+        self._zone = zone
+        self.zones: frozenset[ZoneName] = frozenset([zone])
+        self._book = book
+        self._quarantine = quarantine
+        self._accepted: dict[TargetName, _Age] = {}
+
+    def accepted(self, announcement: Announcement) -> None:
+        """Take note that an announcement was taken; none of its age is taken again."""
+        target = announcement.target
+        self._accepted[target.name] = _Age(target.incarnation, announcement.sequence)
+
+    def last_sequence(self, target: Target) -> int:
+        """Return the number of the last announcement of this incarnation taken here, or 0."""
+        age = self._accepted.get(target.name)
+        return age.sequence if age is not None and age.incarnation == target.incarnation else 0
+
+    def problem(self, announcement: Announcement, catalogue: Catalogue, now: float) -> str:
+        """Return why an announcement is not taken; empty if it is."""
+        target = announcement.target
+        service = catalogue.service(target.service)
+        if service is None:
+            return f"there is no service {target.service}"
+        return (
+            self._key_problem(announcement, service)
+            or self._zone_problem(target)
+            or _state_problem(announcement.state)
+            or _ports_problem(target, service, catalogue)
+            or self._age_problem(announcement)
+            or self._endpoint_problem(target, now)
+        )
+
+    def _key_problem(self, announcement: Announcement, service: Service) -> str:
+        expected = announcement_mac(
+            service.key,
+            announcement.target,
+            announcement.state,
+            announcement.load,
+            announcement.sequence,
+        )
+        if hmac.compare_digest(expected.encode(), announcement.mac.encode()):
+            return ""
+        return "the key does not match the service's"
+
+    def _zone_problem(self, target: Target) -> str:
+        if target.zone == self._zone or target.zone not in self.zones:
+            return ""
+        return f"zone {target.zone} has entry hosts; this one is in zone {self._zone}"
+
+    def _age_problem(self, announcement: Announcement) -> str:
+        target = announcement.target
+        known = self._book.get(target.name)
+        if known is None or target.incarnation > known.target.incarnation:
+            return ""
+        if target.incarnation < known.target.incarnation:
+            return (
+                f"incarnation {target.incarnation} is older than {known.target.incarnation}, "
+                "which is known"
+            )
+        last = max(known.sequence, self.last_sequence(target))
+        if announcement.sequence <= last:
+            return f"sequence {announcement.sequence} is not above {last}"
+        if known.weight == 0 and announcement.state is not TargetState.DRAINING:
+            return f"incarnation {target.incarnation} has drained; a new one may return"
+        if target != known.target:
+            return "the description differs from that of the same incarnation"
+        return ""
+
+    def _endpoint_problem(self, target: Target, now: float) -> str:
+        for entry in target.ports:
+            endpoint = Endpoint(target.address, entry.port)
+            for record in self._book.at(endpoint):
+                if _same_work(record, target, entry):
+                    continue
+                if record.state is TargetState.LOST and self._quarantine.is_over(record, now):
+                    continue
+                return (
+                    f"{endpoint} belongs to service {record.target.service}, target "
+                    f"{record.target.name}, and may still have its flows"
+                )
+        return ""
+
+
+def _same_work(record: TargetRecord, target: Target, entry: KindPort) -> bool:
+    same_target = (record.target.name, record.target.service) == (target.name, target.service)
+    return same_target and entry in record.target.ports
+
+
+def _state_problem(state: TargetState) -> str:
+    if state in ANNOUNCED_STATES:
+        return ""
+    return f"a target can't announce the state {state}"
+
+
+def _ports_problem(target: Target, service: Service, catalogue: Catalogue) -> str:
+    ports = [entry.port for entry in target.ports]
+    if len(set(ports)) != len(ports):
+        return "two kinds of work share a port"
+    known = {kind.name for kind in service.kinds}
+    if not any(entry.kind in known for entry in target.ports):
+        return f"no port is for a kind of work of service {service.name}"
+    fronts = {(other.address, kind.port) for other in catalogue.services for kind in other.kinds}
+    taken = next((port for port in ports if (target.address, port) in fronts), None)
+    if taken is not None:
+        return f"{Endpoint(target.address, taken)} is an address of a service"
+    return ""
--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -63,14 +63,16 @@
 from .readiness import Readiness
 from .spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
 from .targets import (
+    WORKING_STATES,
     Announced,
     Answer,
     CatalogueChanged,
+    MembersSeen,
     RecordsHeard,
     TargetCore,
     TargetEffect,
 )
-from .types import HostName, Member, TargetState, ZoneName
+from .types import HostName, Member, ZoneName
 from .view import build_view
 
 PeerBody = (
@@ -143,7 +145,7 @@
         self._gossip = TargetGossip(rng)
         self._spread = SpreadCore(in_force)
         self._readiness = Readiness(is_alone=not set(peers) - {me.name})
-        self._targets = TargetCore(me.name, target_chart)
+        self._targets = TargetCore(me.name, me.zone, target_chart)
         self._targets.handle(CatalogueChanged(in_force), 0.0)
         self._health = HealthBook()
         placement = SparingPlacement(me.zone, self._health)
@@ -168,7 +170,7 @@
     @property
     def serving_targets(self) -> int:
         """How many targets take new flows."""
-        return sum(record.state is TargetState.SERVING for record in self._targets.records)
+        return sum(record.state in WORKING_STATES for record in self._targets.records)
 
     @property
     def followed(self) -> HostName:
@@ -276,6 +278,7 @@
         for effect in effects:
             if isinstance(effect, MembersChanged):
                 self._follower.handle(ZonesLearnt(self.zones), now)
+                self._targets.handle(MembersSeen(self.zones), now)
                 self._refresh(now)
                 done.append(effect)
             elif isinstance(effect, PeerConfirmed):
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/lease.py
@@ -0,0 +1,96 @@
+"""The lease that a target holds at an entry host, with its slow start and announced load."""
+
+from __future__ import annotations
+
+from .announcements import Announcement
+
+LEASE_SECONDS = 3.0
+STEADY_SECONDS = LEASE_SECONDS / 2
+
+FULL_WEIGHT = 8
+DRAINED_WEIGHT = 0
+WARMING_WEIGHTS = (2, 4, FULL_WEIGHT)
+WARMING_STEP_SECONDS = 4.0
+
+HOLD_SECONDS = 1.0
+HOLD_SECONDS_MAX = 60.0
+FLAP_FORGET_SECONDS = 60.0
+
+LOAD_LEVELS = (0.0, 0.5, 0.75, 1.0)
+LOAD_CHANGE_SECONDS = 60.0
+LOAD_SMOOTHING = 0.2
+_LOAD_MARGIN = 0.1
+
+
+class Lease:
+    """What a host keeps of a target that announces to it.
+
+    :param flaps: how often the target was lost and came back of late; each doubles the hold.
+    """
+
+    def __init__(self, announcement: Announcement, flaps: int, now: float) -> None:
+        self.said = announcement.state
+        self.renewed = now
+        self.is_steady = False
+        self._load = announcement.load
+        self._load_changed = now
+        self._stepped = now
+        self._hold_until = now + hold_seconds(flaps)
+
+    def renew(self, announcement: Announcement, now: float) -> None:
+        """Take a further announcement."""
+        self.is_steady = now - self.renewed <= STEADY_SECONDS
+        self.said = announcement.state
+        self.renewed = now
+        self._load += LOAD_SMOOTHING * (announcement.load - self._load)
+
+    def has_expired(self, now: float) -> bool:
+        """Return whether the target failed to renew in time."""
+        return now - self.renewed > LEASE_SECONDS
+
+    def hold_is_over(self, now: float) -> bool:
+        """Return whether a target that came back may take work again."""
+        return now >= self._hold_until
+
+    def stepped(self, now: float) -> None:
+        """Take note that the target entered a state or a step of its slow start."""
+        self._stepped = now
+
+    def step_is_over(self, now: float) -> bool:
+        """Return whether the next step of the slow start is due."""
+        return now - self._stepped >= WARMING_STEP_SECONDS
+
+    def is_stable(self, now: float) -> bool:
+        """Return whether the target stayed long enough for its flaps to be forgotten."""
+        return now - self._stepped >= FLAP_FORGET_SECONDS
+
+    def load_level(self, known: float, now: float) -> float:
+        """Return the level for the announced load, which changes late and by a margin only.
+
+        :param known: the level of the target's record.
+        """
+        if now - self._load_changed < LOAD_CHANGE_SECONDS or abs(self._load - known) < _LOAD_MARGIN:
+            return known
+        level = min(LOAD_LEVELS, key=lambda level: abs(level - self._load))
+        if level != known:
+            self._load_changed = now
+        return level
+
+    def postpone(self, seconds: float) -> None:
+        """Move all times by an interval in which this process did not run."""
+        self.renewed += seconds
+        self._load_changed += seconds
+        self._stepped += seconds
+        self._hold_until += seconds
+
+
+def hold_seconds(flaps: int) -> float:
+    """Return how long a target that came back waits until it takes work."""
+    if flaps < 1:
+        return 0.0
+    return min(HOLD_SECONDS_MAX, HOLD_SECONDS * 2.0 ** min(flaps - 1, 16))
+
+
+def next_weight(weight: int) -> int:
+    """Return the weight of the next step of a slow start."""
+    return next((step for step in WARMING_WEIGHTS if step > weight), FULL_WEIGHT)
--- a/packages/core/src/lacewingrudder_core/targets.py
+++ b/packages/core/src/lacewingrudder_core/targets.py
@@ -1,210 +1,368 @@
-"""The targets' life cycle: announcements, leases and what other hosts say of targets."""
+"""The targets' life cycle: announcements, leases and what other hosts say of targets.
+
+The entry host to which a target announces itself owns its lease and writes its record; the other
+hosts only merge records. If the owner is gone, every host of the target's zone waits for the target
+to announce itself anew, and else declares it lost. Operators' orders are not written into records:
+they come with the catalogue, which every host has, and outrank them.
+"""
 
 from __future__ import annotations
 
-import dataclasses
-import hashlib
-import hmac
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from .announcements import Announcement, AnnouncementChecks, announcement_mac
 from .chart import Chart
 from .core import Core
-from .hashing import name_hash
+from .lease import (
+    DRAINED_WEIGHT,
+    FULL_WEIGHT,
+    LEASE_SECONDS,
+    WARMING_WEIGHTS,
+    Lease,
+    next_weight,
+)
 from .notes import Catalogue
-from .types import HostName, Target, TargetName, TargetRecord, TargetState
-
-LEASE_SECONDS = 3.0
-
-
-class Announcement(NamedTuple):
-    """What a target says of itself.
-
-    :param load: busy share, 0 to 1.
-    :param mac: hexadecimal keyed hash over the rest, see :func:`announcement_mac`.
-    """
-
-    target: Target
-    state: TargetState
-    load: float
-    mac: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Renewed:
-    """The announcement was taken; it has to be renewed within the lease.
-
-    :param lease: seconds.
-    """
-
-    lease: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rejected:
-    """The announcement was not taken."""
-
-    reason: str
-
-
-AnnounceOutcome = Renewed | Rejected
-
-
-class Announced(NamedTuple):
-    """A target announced itself to this host."""
-
-    token: int
-    announcement: Announcement
-
-
-class RecordsHeard(NamedTuple):
-    """Another host told what it knows of targets."""
-
-    records: tuple[TargetRecord, ...]
-
-
-class CatalogueChanged(NamedTuple):
-    """The services changed."""
-
-    catalogue: Catalogue
-
-
-class Tick(NamedTuple):
-    """Time passed."""
-
-
-TargetEvent = Announced | RecordsHeard | CatalogueChanged | Tick
-
-
-class Answer(NamedTuple):
-    """Answer the announcement that came with this token."""
-
-    token: int
-    outcome: AnnounceOutcome
-
-
-class RecordsChanged(NamedTuple):
-    """These records changed here; tell the other hosts."""
-
-    records: tuple[TargetRecord, ...]
-
-
-TargetEffect = Answer | RecordsChanged
-
-
-def announcement_mac(key: str, target: Target, state: str, load: float) -> str:
-    """Return the keyed hash that authenticates an announcement.
-
-    :param key: the service's key from its release note.
-    """
-    ports = ",".join(f"{entry.kind}={entry.port}" for entry in target.ports)
-    text = "|".join(
-        str(part)
-        for part in (
-            target.name,
-            target.service,
-            target.zone,
-            ports,
-            target.slots,
-            target.connection_limit,
-            target.incarnation,
-            state,
-            f"{load:.3f}",
-        )
-    )
-    return hmac.new(key.encode(), text.encode(), hashlib.sha256).hexdigest()
-
-
-def records_digest(records: Iterable[TargetRecord]) -> int:
-    """Return a hash over records that does not depend on their order."""
-    digest = 0
-    for record in records:
-        text = f"{record.target.name}|{record.target.incarnation}|{record.version}|{record.state}"
-        digest ^= name_hash(text)
-    return digest
+from .quarantine import Quarantine
+from .records import RecordBook, records_digest, supersedes
+from .target_events import (
+    Announced,
+    AnnounceOutcome,
+    Answer,
+    CatalogueChanged,
+    InUse,
+    MembersSeen,
+    RecordsChanged,
+    RecordsHeard,
+    Rejected,
+    Renewed,
+    TargetEffect,
+    TargetEvent,
+    Tick,
+)
+from .types import (
+    HostName,
+    OrderAction,
+    TargetName,
+    TargetRecord,
+    TargetState,
+    ZoneName,
+)
+
+__all__ = [
+    "Announced",
+    "Announcement",
+    "AnnounceOutcome",
+    "Answer",
+    "CatalogueChanged",
+    "InUse",
+    "MembersSeen",
+    "RecordsChanged",
+    "RecordsHeard",
+    "Rejected",
+    "Renewed",
+    "TargetCore",
+    "TargetEffect",
+    "TargetEvent",
+    "Tick",
+    "announcement_mac",
+    "records_digest",
+]
+
+CHECK_SECONDS = 0.5
+FREEZE_SECONDS = 1.5
+ORPHAN_SECONDS = 2 * LEASE_SECONDS
+ORPHAN_STAGGER_SECONDS = 0.5
+MOVE_SECONDS = 30.0
+
+WORKING_STATES = frozenset({TargetState.WARMING, TargetState.SERVING})
+
+
+class _Orphan(NamedTuple):
+    """Since when the owner of a record's lease is gone."""
+
+    version: int
+    since: float
 
 
 class TargetCore(Core[TargetEvent, TargetEffect]):
     """Holds the records of all targets and the leases of those that announce here.
 
     :param name: the name of this host.
+    :param zone: the zone of this host; its targets announce here, and those of a zone that has no
+        live host.
     :param chart: the life cycle of a target.
     """
 
-    def __init__(self, name: HostName, chart: Chart) -> None:
+    def __init__(self, name: HostName, zone: ZoneName, chart: Chart) -> None:
         self._name = name
+        self._zone = zone
         self._chart = chart
         self._catalogue = Catalogue()
-        self._records: dict[TargetName, TargetRecord] = {}
-        self._renewed: dict[TargetName, float] = {}
+        self._book = RecordBook()
+        self._quarantine = Quarantine()
+        self._checks = AnnouncementChecks(zone, self._book, self._quarantine)
+        self._leases: dict[TargetName, Lease] = {}
+        self._orphans: dict[TargetName, _Orphan] = {}
+        self._moved: dict[TargetName, float] = {}
+        self._hosts: Mapping[HostName, ZoneName] = {name: zone}
+        self._ticked: float | None = None
+        self._checked = float("-inf")
 
     @property
     def records(self) -> tuple[TargetRecord, ...]:
         """All records, in no particular order."""
-        return tuple(self._records.values())
+        return self._book.records
+
+    def state(self, name: TargetName) -> TargetState | None:
+        """Return a target's state with the operators' order for it, or ``None`` if unknown."""
+        record = self._book.get(name)
+        if record is None:
+            return None
+        order = self._catalogue.order(name)
+        return record.state if order is None else self._next(record.state, order.value)
 
     def handle(self, event: TargetEvent, now: float) -> list[TargetEffect]:
         """Take one event."""
-        if isinstance(event, Announced):
-            return self._announced(event, now)
-        if isinstance(event, RecordsHeard):
-            return self._heard(event.records)
-        if isinstance(event, CatalogueChanged):
-            self._catalogue = event.catalogue
-            return []
-        return self._expire(now)
+        match event:
+            case Announced():
+                return self._announced(event, now)
+            case RecordsHeard():
+                return self._heard(event.records, now)
+            case CatalogueChanged():
+                return self._catalogue_changed(event.catalogue, now)
+            case MembersSeen():
+                self._hosts = event.zones
+                self._checks.zones = frozenset(event.zones.values())
+                return []
+            case InUse():
+                self._quarantine.claim(event.targets, now)
+                return []
+            case Tick():
+                return self._tick(now)
+
+    def _next(self, state: TargetState, event: str) -> TargetState:
+        return TargetState(self._chart.next(state, event).state)
 
     def _announced(self, event: Announced, now: float) -> list[TargetEffect]:
         announcement = event.announcement
-        problem = self._problem(announcement)
+        problem = self._checks.problem(announcement, self._catalogue, now)
         if problem:
             return [Answer(event.token, Rejected(problem))]
-        target = announcement.target
-        self._renewed[target.name] = now
+        self._checks.accepted(announcement)
         answer = Answer(event.token, Renewed(LEASE_SECONDS))
-        known = self._records.get(target.name)
-        if known is not None and known.target == target and known.state is announcement.state:
+        known = self._book.get(announcement.target.name)
+        record = self._record_after(announcement, known, now)
+        lease = self._lease(announcement, record, now)
+        if record.owner != self._name and not self._takes_over(lease, record, now):
             return [answer]
-        version = known.version + 1 if known else 1
-        record = TargetRecord(target, announcement.state, version, announcement.load, self._name)
-        self._records[target.name] = record
-        return [answer, RecordsChanged((record,))]
-
-    def _problem(self, announcement: Announcement) -> str:
-        service = self._catalogue.service(announcement.target.service)
-        if service is None:
-            return f"there is no service {announcement.target.service}"
-        expected = announcement_mac(
-            service.key, announcement.target, announcement.state, announcement.load
-        )
-        if not hmac.compare_digest(expected, announcement.mac):
-            return "the key does not match the service's"
-        return ""
-
-    def _heard(self, records: tuple[TargetRecord, ...]) -> list[TargetEffect]:
-        changed = tuple(record for record in records if self._supersedes(record))
-        for record in changed:
-            self._records[record.target.name] = record
-        return [RecordsChanged(())] if changed else []
-
-    def _supersedes(self, record: TargetRecord) -> bool:
-        known = self._records.get(record.target.name)
+        record = self._progress(record._replace(owner=self._name), lease, now)
+        return [answer, *self._write([record], now)]
+
+    def _record_after(
+        self, announcement: Announcement, known: TargetRecord | None, now: float
+    ) -> TargetRecord:
+        """Return the record with which an accepted announcement starts."""
+        target = announcement.target
         if known is None:
+            state = TargetState(self._chart.initial)
+            return TargetRecord(target, state, 0, 0.0, self._name, weight=WARMING_WEIGHTS[0])
+        if target.incarnation > known.target.incarnation:
+            self._leases.pop(target.name, None)
+            return TargetRecord(
+                target,
+                self._next(known.state, "restart"),
+                0,
+                0.0,
+                self._name,
+                weight=WARMING_WEIGHTS[0],
+                flaps=known.flaps + (target.service == known.target.service),
+            )
+        if known.state is TargetState.LOST:
+            self._leases.pop(target.name, None)
+            return known._replace(
+                state=self._next(known.state, "announce"),
+                owner=self._name,
+                weight=WARMING_WEIGHTS[0],
+                flaps=known.flaps + 1,
+            )
+        return known
+
+    def _lease(self, announcement: Announcement, record: TargetRecord, now: float) -> Lease:
+        lease = self._leases.get(announcement.target.name)
+        if lease is None:
+            lease = Lease(announcement, record.flaps, now)
+            self._leases[announcement.target.name] = lease
+        else:
+            lease.renew(announcement, now)
+        return lease
+
+    def _takes_over(self, lease: Lease, record: TargetRecord, now: float) -> bool:
+        """Return whether this host becomes the owner of a lease another host owns.
+
+        A target that keeps to this host moves its lease here, if it did not move of late; one that
+        announces to many hosts in turn does not, unless it drains, which must not wait.
+        """
+        if record.owner not in self._hosts:
             return True
-        return (record.target.incarnation, record.version) > (
-            known.target.incarnation,
-            known.version,
+        if lease.said is TargetState.DRAINING and record.state is not TargetState.DRAINING:
+            return True
+        moved = self._moved.get(record.target.name, float("-inf"))
+        return lease.is_steady and now - moved > MOVE_SECONDS
+
+    def _progress(self, record: TargetRecord, lease: Lease, now: float) -> TargetRecord:
+        """Return the record after what the target said and the time that passed."""
+        if lease.said is TargetState.DRAINING:
+            return record._replace(state=self._next(record.state, "drain"), weight=DRAINED_WEIGHT)
+        if record.state is TargetState.ANNOUNCED:
+            return self._admit(record, lease, now)
+        if record.state is TargetState.WARMING:
+            return self._warm(record, lease, now)
+        if record.flaps and lease.is_stable(now):
+            record = record._replace(flaps=0)
+        return record._replace(load=lease.load_level(record.load, now))
+
+    def _admit(self, record: TargetRecord, lease: Lease, now: float) -> TargetRecord:
+        if not lease.hold_is_over(now) and self._others_work(record):
+            return record
+        lease.stepped(now)
+        return record._replace(state=self._next(record.state, "admit"), weight=WARMING_WEIGHTS[0])
+
+    def _warm(self, record: TargetRecord, lease: Lease, now: float) -> TargetRecord:
+        if lease.said is not TargetState.SERVING or not lease.step_is_over(now):
+            return record
+        lease.stepped(now)
+        weight = next_weight(record.weight)
+        state = self._next(record.state, "warm") if weight == FULL_WEIGHT else record.state
+        return record._replace(state=state, weight=weight)
+
+    def _others_work(self, record: TargetRecord) -> bool:
+        return any(
+            other.target.service == record.target.service
+            and other.target.name != record.target.name
+            and other.state in WORKING_STATES
+            for other in self._book.records
         )
 
-    def _expire(self, now: float) -> list[TargetEffect]:
-        late = [name for name, at in self._renewed.items() if now - at > LEASE_SECONDS]
-        lost = []
-        for name in late:
-            del self._renewed[name]
-            record = self._records[name]
-            if record.owner != self._name:
+    def _write(self, records: Iterable[TargetRecord], now: float) -> list[TargetEffect]:
+        """Keep those of the given records that differ, under a new version of this owner."""
+        written = []
+        for record in records:
+            if self._book.get(record.target.name) == record:
+                continue
+            sequence = max(record.sequence, self._checks.last_sequence(record.target))
+            record = record._replace(
+                version=record.version + 1, owner=self._name, sequence=sequence
+            )
+            self._keep(record, now)
+            written.append(record)
+        return [RecordsChanged(tuple(written))] if written else []
+
+    def _keep(self, record: TargetRecord, now: float) -> None:
+        known = self._book.get(record.target.name)
+        if known is not None and known.owner != record.owner:
+            self._moved[record.target.name] = now
+        self._book.put(record)
+        self._quarantine.update(record, now)
+
+    def _heard(self, records: tuple[TargetRecord, ...], now: float) -> list[TargetEffect]:
+        changed = False
+        refuted = []
+        for record in records:
+            before = self._book.get(record.target.name)
+            if not supersedes(record, before):
                 continue
-            record = record._replace(state=TargetState.LOST, version=record.version + 1)
-            self._records[name] = record
-            lost.append(record)
-        return [RecordsChanged(tuple(lost))] if lost else []
+            changed = True
+            self._keep(record, now)
+            if before is not None and self._refutes(record, now):
+                refuted.append(record._replace(state=before.state))
+        return self._write(refuted, now) or ([RecordsChanged(())] if changed else [])
+
+    def _refutes(self, record: TargetRecord, now: float) -> bool:
+        """Return whether another host lost a target that announces itself here."""
+        lease = self._leases.get(record.target.name)
+        return record.state is TargetState.LOST and lease is not None and not lease.has_expired(now)
+
+    def _catalogue_changed(self, catalogue: Catalogue, now: float) -> list[TargetEffect]:
+        before = {order.target: order.action for order in self._catalogue.orders}
+        self._catalogue = catalogue
+        stops = (OrderAction.DRAIN, OrderAction.WITHDRAW)
+        restored = [
+            name
+            for name, action in before.items()
+            if action in stops and catalogue.order(name) not in stops
+        ]
+        return self._write(
+            [record for name in restored for record in self._restored(name, now)], now
+        )
+
+    def _restored(self, name: TargetName, now: float) -> list[TargetRecord]:
+        record = self._book.get(name)
+        lease = self._leases.get(name)
+        if record is None or lease is None or record.owner != self._name:
+            return []
+        transition = self._chart.next(record.state, OrderAction.RESTORE.value)
+        if not transition.allowed:
+            return []
+        lease.stepped(now)
+        state = TargetState(transition.state)
+        return [record._replace(state=state, weight=WARMING_WEIGHTS[0])]
+
+    def _tick(self, now: float) -> list[TargetEffect]:
+        if self._ticked is not None and now - self._ticked > FREEZE_SECONDS:
+            self._postpone(now - self._ticked)
+        self._ticked = now
+        if now - self._checked < CHECK_SECONDS:
+            return []
+        self._checked = now
+        return self._write([*self._owned_progress(now), *self._lost_orphans(now)], now)
+
+    def _postpone(self, seconds: float) -> None:
+        """Hold all state after this process did not run, until the targets renewed it."""
+        for lease in self._leases.values():
+            lease.postpone(seconds)
+        self._quarantine.postpone(seconds)
+        self._orphans.clear()
+
+    def _owned_progress(self, now: float) -> list[TargetRecord]:
+        changed = []
+        for name, lease in list(self._leases.items()):
+            record = self._book.get(name)
+            assert record is not None
+            if lease.has_expired(now):
+                del self._leases[name]
+                if record.owner == self._name:
+                    changed.append(record._replace(state=self._next(record.state, "expire")))
+            elif record.owner == self._name:
+                changed.append(self._progress(record, lease, now))
+        return changed
+
+    def _lost_orphans(self, now: float) -> list[TargetRecord]:
+        """Return as lost what no live host holds a lease of for too long."""
+        orphans = {
+            record.target.name: record for record in self._book.records if self._is_orphan(record)
+        }
+        self._orphans = {name: self._orphan(record, now) for name, record in orphans.items()}
+        wait = ORPHAN_SECONDS + ORPHAN_STAGGER_SECONDS * self._place_in_zone()
+        return [
+            record._replace(state=self._next(record.state, "expire"))
+            for name, record in orphans.items()
+            if now - self._orphans[name].since > wait
+        ]
+
+    def _orphan(self, record: TargetRecord, now: float) -> _Orphan:
+        known = self._orphans.get(record.target.name)
+        if known is not None and known.version == record.version:
+            return known
+        return _Orphan(record.version, now)
+
+    def _is_orphan(self, record: TargetRecord) -> bool:
+        if record.state is TargetState.LOST:
+            return False
+        if record.owner == self._name:
+            return record.target.name not in self._leases
+        return record.target.zone == self._zone and record.owner not in self._hosts
+
+    def _place_in_zone(self) -> int:
+        near = [name for name, zone in self._hosts.items() if zone == self._zone]
+        return sorted(near).index(self._name)
--- a/packages/core/src/lacewingrudder_core/types.py
+++ b/packages/core/src/lacewingrudder_core/types.py
@@ -134,8 +134,11 @@
     """What a host knows of a target, as gossip carries it.
 
     :param version: grows with each change the owner of the lease makes within an incarnation.
-    :param load: busy share that the target itself reports, 0 to 1.
+    :param load: busy share that the target itself reports, 0 to 1, in few coarse levels.
     :param owner: the entry host that holds the target's lease.
+    :param weight: eighths of its full weight that the target has; fewer while it warms up.
+    :param sequence: number of the last announcement that led to this record.
+    :param flaps: how often the target was lost and came back of late.
     """
 
     target: Target
@@ -143,6 +146,9 @@
     version: int
     load: float
     owner: HostName
+    weight: int = 8
+    sequence: int = 0
+    flaps: int = 0
 
 
 class Member(NamedTuple):
--- /dev/null
+++ b/packages/core/tests/test_targets.py
@@ -0,0 +1,335 @@
+import random
+import unittest
+
+from lacewingrudder_core.lease import LEASE_SECONDS
+from lacewingrudder_core.notes import Catalogue
+from lacewingrudder_core.quarantine import QUARANTINE_SECONDS
+from lacewingrudder_core.records import records_digest, supersedes
+from lacewingrudder_core.targets import (
+    ORPHAN_SECONDS,
+    Announced,
+    CatalogueChanged,
+    InUse,
+    MembersSeen,
+    RecordsHeard,
+    Tick,
+)
+from lacewingrudder_core.types import KindPort, OrderAction, TargetState
+from target_fakes import CATALOGUE, Zone, announcement, order, proof_target, sheet_target
+
+TWO_HOSTS = {"entry-1": "adum", "entry-2": "adum"}
+TWO_ZONES = {"entry-1": "adum", "entry-2": "adum", "entry-3": "suame"}
+
+
+class AnnouncementTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.zone = Zone()
+        self.target = proof_target()
+
+    def assert_rejected(self, reason: str, sent: object) -> None:
+        before = self.zone.cores["entry-1"].records
+        self.assertRegex(self.zone.announce(sent), reason)  # type: ignore[arg-type]
+        self.assertEqual(self.zone.cores["entry-1"].records, before)
+
+    def test_wrong_key_changes_nothing(self) -> None:
+        self.assert_rejected("key does not match", announcement(self.target, 1, key="wrong"))
+        self.zone.keep(self.target, 2, 1)
+        forged = announcement(self.target, 9, TargetState.DRAINING, key="sheetroom-secret")
+        self.assert_rejected("key does not match", forged)
+
+    def test_changed_field_breaks_the_key(self) -> None:
+        sent = announcement(self.target, 1)
+        self.assert_rejected("key does not match", sent._replace(sequence=2))
+        self.assert_rejected("key does not match", sent._replace(load=0.9))
+        self.assert_rejected("key does not match", sent._replace(mac="\u00e9"))
+
+    def test_unknown_service_wrong_zone_and_state(self) -> None:
+        self.assert_rejected(
+            "no service", announcement(proof_target(service="gone"), 1, key="proofdesk-secret")
+        )
+        self.zone.send("entry-1", MembersSeen({"entry-1": "adum", "entry-9": "suame"}))
+        self.assert_rejected("zone suame", announcement(proof_target(zone="suame"), 1))
+        self.assert_rejected("state lost", announcement(self.target, 1, TargetState.LOST))
+
+    def test_zone_without_hosts_announces_elsewhere_until_it_has_one(self) -> None:
+        far = proof_target(zone="suame")
+        self.assertEqual(self.zone.announce(announcement(far, 1)), "")
+        self.zone.send("entry-1", MembersSeen({"entry-1": "adum", "entry-9": "suame"}))
+        self.assert_rejected("zone suame", announcement(far, 2))
+
+    def test_ports_are_checked(self) -> None:
+        twice = proof_target(ports=(KindPort("edits", 9000), KindPort("screens", 9000)))
+        self.assert_rejected("share a port", announcement(twice, 1))
+        other = proof_target(ports=(KindPort("sheets", 9000),))
+        self.assert_rejected("no port is for", announcement(other, 1))
+        front = proof_target(address=0x0A0A0001, ports=(KindPort("edits", 443),))
+        self.assert_rejected("address of a service", announcement(front, 1))
+
+    def test_old_incarnation_is_rejected(self) -> None:
+        self.zone.keep(proof_target(incarnation=5), 2, 1)
+        self.assert_rejected("older", announcement(proof_target(incarnation=4), 99))
+
+    def test_replay_renews_no_lease(self) -> None:
+        sent = announcement(self.target, 1)
+        self.zone.announce(sent)
+        for _ in range(5):
+            self.zone.run(1)
+            self.assert_rejected("not above", sent)
+        self.assertIs(self.zone.state(self.target), TargetState.LOST)
+        self.assert_rejected("not above", sent)
+
+    def test_description_changes_with_an_incarnation_only(self) -> None:
+        self.zone.keep(self.target, 2, 1)
+        self.assert_rejected("description", announcement(proof_target(slots=300), 9))
+        self.assertEqual(self.zone.announce(announcement(proof_target(1, 2, slots=300), 1)), "")
+
+
+class LifeCycleTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.zone = Zone()
+        self.target = proof_target()
+
+    def test_slow_start_has_few_steps(self) -> None:
+        weights = []
+        for sequence in range(1, 15):
+            self.zone.keep(self.target, 1, sequence)
+            weights.append((self.zone.state(self.target), self.zone.record(self.target).weight))
+        warming, serving = TargetState.WARMING, TargetState.SERVING
+        self.assertEqual(list(dict.fromkeys(weights)), [(warming, 2), (warming, 4), (serving, 8)])
+        self.assertEqual(self.zone.written, 3)
+
+    def test_target_that_says_it_warms_stays_at_the_first_step(self) -> None:
+        self.zone.keep(self.target, 20, 1, state=TargetState.WARMING)
+        self.assertEqual(self.zone.record(self.target).weight, 2)
+
+    def test_drained_incarnation_never_returns(self) -> None:
+        sequence = self.zone.keep(self.target, 12, 1)
+        stale = announcement(self.target, sequence)
+        sequence = self.zone.keep(self.target, 2, sequence + 1, state=TargetState.DRAINING)
+        self.assertIs(self.zone.state(self.target), TargetState.DRAINING)
+        self.assertIn("not above", self.zone.announce(stale))
+        self.assertIn("has drained", self.zone.announce(announcement(self.target, sequence)))
+        self.zone.run(LEASE_SECONDS + 1)
+        self.assertIs(self.zone.state(self.target), TargetState.LOST)
+        self.assertIn("has drained", self.zone.announce(announcement(self.target, sequence)))
+        self.zone.keep(proof_target(incarnation=2), 3, 1)
+        self.assertIs(self.zone.state(self.target), TargetState.WARMING)
+
+    def test_orders_outrank_any_incarnation(self) -> None:
+        core = self.zone.cores["entry-1"]
+        for action, state, incarnations in (
+            (OrderAction.DRAIN, TargetState.DRAINING, (1, 2)),
+            (OrderAction.WITHDRAW, TargetState.WITHDRAWN, (3, 4)),
+        ):
+            self.zone.send("entry-1", CatalogueChanged(order(self.target, action)))
+            for incarnation in incarnations:
+                self.zone.keep(proof_target(incarnation=incarnation), 12, 1)
+                self.assertIs(core.state(self.target.name), state)
+
+    def test_restored_target_starts_slowly(self) -> None:
+        sequence = self.zone.keep(self.target, 12, 1)
+        self.zone.send("entry-1", CatalogueChanged(order(self.target, OrderAction.WITHDRAW)))
+        self.zone.send("entry-1", CatalogueChanged(CATALOGUE))
+        self.assertEqual(self.zone.record(self.target).weight, 2)
+        self.zone.keep(self.target, 12, sequence)
+        self.assertIs(self.zone.state(self.target), TargetState.SERVING)
+
+    def test_flapping_target_waits_longer_each_time(self) -> None:
+        other = proof_target(2)
+        other_sequence, sequence, away = 1, 1, []
+        for _ in range(5):
+            returned = None
+            for second in range(40):
+                self.zone.announce(announcement(other, other_sequence))
+                other_sequence += 1
+                sequence = self.zone.keep(self.target, 1, sequence)
+                if returned is None and self.zone.state(self.target) is TargetState.WARMING:
+                    returned = second
+                    break
+            away.append(returned)
+            for _ in range(5):
+                other_sequence = self.zone.keep(other, 1, other_sequence)
+            self.assertIs(self.zone.state(self.target), TargetState.LOST)
+        self.assertEqual(away, sorted(away))
+        self.assertEqual((away[0], away[-1]), (0, 8))
+
+    def test_only_target_of_a_service_never_waits(self) -> None:
+        sequence = 1
+        for _ in range(6):
+            sequence = self.zone.keep(self.target, 1, sequence)
+            self.assertIs(self.zone.state(self.target), TargetState.WARMING)
+            self.zone.run(LEASE_SECONDS + 1)
+
+    def test_stable_target_has_its_flaps_forgotten(self) -> None:
+        sequence = self.zone.keep(self.target, 1, 1)
+        self.zone.run(LEASE_SECONDS + 1)
+        sequence = self.zone.keep(self.target, 20, sequence)
+        self.assertEqual(self.zone.record(self.target).flaps, 1)
+        self.zone.keep(self.target, 80, sequence)
+        self.assertEqual(self.zone.record(self.target).flaps, 0)
+
+    def test_jumping_load_rarely_changes_the_record(self) -> None:
+        sequence = self.zone.keep(self.target, 12, 1)
+        written = self.zone.written
+        for second in range(240):
+            load = float(second % 2)
+            self.zone.announce(announcement(self.target, sequence + second, load=load))
+            self.zone.run(1)
+        self.assertLessEqual(self.zone.written - written, 2)
+
+    def test_lasting_load_shows_as_a_level(self) -> None:
+        sequence = self.zone.keep(self.target, 12, 1)
+        self.zone.keep(self.target, 80, sequence, load=0.97)
+        self.assertEqual(self.zone.record(self.target).load, 1.0)
+
+
+class QuarantineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.zone = Zone()
+        self.proof = proof_target()
+        self.sheet = sheet_target(incarnation=2)
+
+    def test_address_under_another_service_waits_until_its_flows_are_gone(self) -> None:
+        sequence = self.zone.keep(self.proof, 2, 1)
+        self.assertIn("may still have its flows", self.announce(sequence))
+        self.zone.run(LEASE_SECONDS + 1)
+        self.assertIs(self.zone.state(self.proof), TargetState.LOST)
+        for _ in range(30):
+            self.zone.send("entry-1", InUse((self.proof.name,)))
+            self.zone.run(1)
+            self.assertIn("may still have its flows", self.announce(sequence))
+        self.zone.run(QUARANTINE_SECONDS + 1)
+        self.assertEqual(self.announce(sequence), "")
+        self.assertEqual(self.zone.record(self.sheet).target.service, "sheetroom")
+
+    def test_second_name_on_a_port_in_use_is_rejected(self) -> None:
+        self.zone.keep(self.proof, 2, 1)
+        ports = (KindPort("sheets", 9001),)
+        other = self.sheet._replace(name="10.10.0.101:9001", ports=ports)
+        self.assertIn("may still have its flows", self.zone.announce(announcement(other, 1)))
+
+    def test_ports_that_change_kinds_wait_too(self) -> None:
+        self.zone.keep(self.proof, 2, 1)
+        ports = (KindPort("screens", 9000), KindPort("edits", 9001))
+        swapped = proof_target(incarnation=2, ports=ports)
+        self.assertIn("may still have its flows", self.zone.announce(announcement(swapped, 1)))
+
+    def announce(self, sequence: int) -> str:
+        return self.zone.announce(announcement(self.sheet, sequence))
+
+
+class OwnerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.zone = Zone(TWO_ZONES)
+        self.target = proof_target()
+
+    def assert_converged(self) -> None:
+        self.assertEqual(
+            len({records_digest(core.records) for core in self.zone.cores.values()}), 1
+        )
+
+    def test_zone_declares_the_target_of_a_dead_owner_lost(self) -> None:
+        self.zone.keep(self.target, 12, 1)
+        self.zone.lose("entry-1")
+        self.zone.run(ORPHAN_SECONDS - 1)
+        self.assertIs(self.zone.state(self.target, "entry-2"), TargetState.SERVING)
+        self.zone.run(3)
+        self.assertIs(self.zone.state(self.target, "entry-3"), TargetState.LOST)
+        self.assertEqual(self.zone.record(self.target, "entry-3").owner, "entry-2")
+
+    def test_target_of_a_dead_owner_moves_without_being_lost(self) -> None:
+        sequence = self.zone.keep(self.target, 12, 1)
+        written = self.zone.written
+        self.zone.lose("entry-1")
+        self.zone.keep(self.target, 20, sequence, host="entry-2")
+        record = self.zone.record(self.target, "entry-3")
+        self.assertEqual((record.owner, record.state), ("entry-2", TargetState.SERVING))
+        self.assertEqual(self.zone.written, written + 1)
+
+    def test_owner_that_restarts_without_the_lease_lets_it_expire(self) -> None:
+        self.zone.keep(self.target, 2, 1)
+        fresh = Zone(TWO_ZONES).cores["entry-1"]
+        self.zone.cores["entry-1"] = fresh
+        self.zone.heal()
+        self.zone.run(ORPHAN_SECONDS + 2)
+        self.assertIs(self.zone.state(self.target, "entry-3"), TargetState.LOST)
+
+    def test_target_may_announce_to_hosts_in_turn(self) -> None:
+        sequence = self.zone.keep(self.target, 12, 1)
+        written = self.zone.written
+        for turn in range(20):
+            host = f"entry-{1 + turn % 2}"
+            sequence = self.zone.keep(self.target, 1, sequence, host=host)
+        self.assertEqual(self.zone.written, written)
+
+    def test_drain_told_to_another_host_counts_at_once(self) -> None:
+        sequence = self.zone.keep(self.target, 12, 1)
+        drain = announcement(self.target, sequence, TargetState.DRAINING)
+        self.zone.announce(drain, "entry-2")
+        self.assertIs(self.zone.state(self.target, "entry-3"), TargetState.DRAINING)
+
+    def test_wrong_loss_is_refuted_where_the_target_announces(self) -> None:
+        sequence = self.zone.keep(self.target, 12, 1)
+        self.zone.send("entry-2", MembersSeen({"entry-2": "adum", "entry-3": "suame"}))
+        self.zone.keep(self.target, 12, sequence)
+        for host in self.zone.cores:
+            self.assertIs(self.zone.state(self.target, host), TargetState.SERVING)
+        self.assert_converged()
+
+    def test_host_that_was_frozen_does_not_act_on_old_leases(self) -> None:
+        sequence = self.zone.keep(self.target, 12, 1)
+        self.zone.run(30, stopped=("entry-1",))
+        written = self.zone.written
+        self.zone.send("entry-1", Tick())
+        self.zone.run(1)
+        self.assertIs(self.zone.state(self.target), TargetState.SERVING)
+        self.zone.keep(self.target, 2, sequence)
+        self.assertEqual(self.zone.written, written)
+
+    def test_frozen_host_still_lets_a_silent_target_expire_later(self) -> None:
+        self.zone.keep(self.target, 12, 1)
+        self.zone.run(30, stopped=("entry-1",))
+        self.zone.run(LEASE_SECONDS + 1)
+        self.assertIs(self.zone.state(self.target), TargetState.LOST)
+
+    def test_both_sides_of_a_cut_agree_after_it_heals(self) -> None:
+        sequence = self.zone.keep(self.target, 12, 1)
+        self.zone.cut = {"entry-2"}
+        self.zone.send("entry-2", MembersSeen({"entry-2": "adum"}))
+        self.zone.keep(self.target, 12, sequence)
+        self.assertIs(self.zone.state(self.target, "entry-2"), TargetState.LOST)
+        self.zone.heal()
+        self.assert_converged()
+        self.assertIs(self.zone.state(self.target, "entry-3"), TargetState.SERVING)
+
+    def test_any_order_of_arrival_leaves_the_same_records(self) -> None:
+        rng = random.Random(7)
+        base = Zone().cores["entry-1"]
+        base.handle(Announced(1, announcement(self.target, 1)), 1.0)
+        record = base.records[0]
+        records = [
+            record._replace(state=state, version=version, owner=owner)
+            for state in TargetState
+            for version in (1, 2)
+            for owner in TWO_HOSTS
+        ]
+        outcomes = set()
+        for _ in range(50):
+            rng.shuffle(records)
+            core = Zone({"entry-9": "suame"}).cores["entry-9"]
+            for heard in records:
+                core.handle(RecordsHeard((heard,)), 1.0)
+            outcomes.add(core.records)
+        self.assertEqual(len(outcomes), 1)
+
+    def test_nothing_of_an_old_incarnation_supersedes(self) -> None:
+        self.zone.keep(proof_target(incarnation=2), 2, 1)
+        known = self.zone.record(self.target)
+        old = known._replace(target=proof_target(incarnation=1), version=99)
+        self.assertFalse(supersedes(old, known))
+
+    def test_withdrawn_service_takes_its_targets_along(self) -> None:
+        self.zone.keep(self.target, 2, 1)
+        self.zone.send("entry-1", CatalogueChanged(Catalogue(2)))
+        self.zone.keep(self.target, 5, 10)
+        self.assertIs(self.zone.state(self.target), TargetState.LOST)
--- a/packages/daemon/src/lacewingrudder_daemon/http.py
+++ b/packages/daemon/src/lacewingrudder_daemon/http.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 from aiohttp import web
-from lacewingrudder_core.targets import Announcement, Rejected
+from lacewingrudder_core.announcements import Announcement
+from lacewingrudder_core.targets import Rejected
 from lacewingrudder_core.types import Endpoint, KindPort, Target, TargetState, parse_address
+from lacewingrudder_wire.documents import check_document
+from lacewingrudder_wire.exceptions import DocumentError
 from prometheus_client import CollectorRegistry, generate_latest
 
 from .entry_task import EntryTask
@@ -23,10 +27,11 @@
 
     async def announce(request: web.Request) -> web.Response:
         try:
-            announcement = parse_announcement(await request.json())
-        except (KeyError, TypeError, ValueError) as error:
-            reason = f"not an announcement: {type(error).__name__}: {error}"
-            return web.json_response({"reason": reason}, status=400)
+            announcement = parse_announcement(read_json(await request.read()))
+        except DocumentError as error:
+            return web.json_response({"reason": str(error)}, status=400)
+        except (ValueError, RecursionError) as error:
+            return web.json_response({"reason": f"not JSON: {error}"}, status=400)
         outcome = await task.announce(announcement)
         if isinstance(outcome, Rejected):
             return web.json_response({"reason": outcome.reason}, status=403)
@@ -60,33 +65,37 @@
     return runner
 
 
-def parse_announcement(document: dict[str, Any]) -> Announcement:
-    """Return the announcement in a JSON object.
+def read_json(data: bytes) -> Any:
+    """Return the value of a JSON text, which has no NaN and no infinity.
 
-    :raises KeyError: if a field is missing.
-    :raises TypeError: if the object or a field has the wrong type.
-    :raises ValueError: if a field's value is out of its range.
+    :raises ValueError: if the bytes are no such text.
     """
-    ports = tuple(KindPort(str(kind), int(port)) for kind, port in document["ports"].items())
-    if not ports or any(not 0 < entry.port < 65536 for entry in ports):
-        raise ValueError("ports has to name a port from 1 to 65535 for each kind")
+
+    def refuse(name: str) -> None:
+        raise ValueError(f"{name} is no number")
+
+    return json.loads(data, parse_constant=refuse)
+
+
+def parse_announcement(document: Any) -> Announcement:
+    """Return the announcement that a JSON document holds.
+
+    :raises DocumentError: naming the first field that breaks the schema.
+    """
+    check_document(document, "announcement", "announcement")
+    ports = tuple(KindPort(kind, int(port)) for kind, port in document["ports"].items())
     address = parse_address(document["address"])
     target = Target(
         name=str(Endpoint(address, ports[0].port)),
-        service=str(document["service"]),
-        zone=str(document["zone"]),
+        service=document["service"],
+        zone=document["zone"],
         address=address,
         ports=ports,
-        slots=_positive(document, "slots"),
-        connection_limit=_positive(document, "connection_limit"),
+        slots=int(document["slots"]),
+        connection_limit=int(document["connection_limit"]),
         incarnation=int(document["incarnation"]),
     )
     state = TargetState(document["state"])
-    return Announcement(target, state, float(document["load"]), str(document["mac"]))
-
-
-def _positive(document: dict[str, Any], field: str) -> int:
-    number = int(document[field])
-    if number < 1:
-        raise ValueError(f"{field} has to be at least 1")
-    return number
+    return Announcement(
+        target, state, float(document["load"]), int(document["sequence"]), document["mac"]
+    )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -178,11 +178,12 @@
         self.route({target["address"]: listen for target in targets})
 
     def _targets(self, service: ServiceShape) -> list[dict[str, Any]]:
-        zones = itertools.cycle(self.shape.zones)
+        covered = {host.zone for host in self.hosts}
+        zones = itertools.cycle([zone for zone in self.shape.zones if zone in covered])
         entries = []
         for number in range(1, service.targets + 1):
             zone = next(zones)
-            near = [host for host in self.hosts if host.zone == zone] or self.hosts
+            hosts = sorted(self.hosts, key=lambda host: host.zone != zone)
             entries.append(
                 {
                     "service": service.name,
@@ -196,7 +197,7 @@
                     "slots": service.slots,
                     "connection_limit": 2000,
                     "work_seconds": self._work_seconds,
-                    "announce": [f"http://{host.announce}/announce" for host in near],
+                    "announce": [f"http://{host.announce}/announce" for host in hosts],
                 }
             )
         return entries
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -10,13 +10,14 @@
 import asyncio
 import json
 import random
+import signal
 import sys
 import time
 from pathlib import Path
 from typing import Any, TypedDict, cast
 
 import aiohttp
-from lacewingrudder_core.targets import announcement_mac
+from lacewingrudder_core.announcements import announcement_mac
 from lacewingrudder_core.types import KindPort, Target, parse_address
 
 from . import tcp, wire, work
@@ -54,6 +55,14 @@
         first_port = next(iter(config["ports"].values()))
         self.name = f"{config['address']}:{first_port}"
         self._incarnation = time.time_ns() // 1_000_000
+        self._sequence = 0
+        self._busy = 0
+        self.state = "serving"
+
+    @property
+    def load(self) -> float:
+        """The busy share of the slots."""
+        return min(1.0, self._busy / self.config["slots"])
 
     def take(self, segment: InnerSegment, now: float) -> None:
         """Take a segment that is for this target."""
@@ -84,19 +93,25 @@
                 del self._taken[pair]
 
     async def announce(self, session: aiohttp.ClientSession) -> None:
-        """Renew the lease at one of the entry hosts until cancelled."""
+        """Renew the lease until cancelled; keep to the entry host that took it last."""
+        urls = list(self.config["announce"])
         while True:
-            for url in random.sample(self.config["announce"], len(self.config["announce"])):
-                try:
-                    async with session.post(url, json=self._announcement()) as response:
-                        if response.status == 200:
-                            break
-                except (aiohttp.ClientError, TimeoutError):
-                    continue
+            for _ in urls:
+                if await self._announce_to(session, urls[0]):
+                    break
+                urls.append(urls.pop(0))
             await asyncio.sleep(ANNOUNCE_SECONDS)
 
+    async def _announce_to(self, session: aiohttp.ClientSession, url: str) -> bool:
+        try:
+            async with session.post(url, json=self._announcement()) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
     def _announcement(self) -> dict[str, Any]:
         config = self.config
+        self._sequence += 1
         target = Target(
             self.name,
             config["service"],
@@ -115,9 +130,10 @@
             "slots": config["slots"],
             "connection_limit": config["connection_limit"],
             "incarnation": self._incarnation,
-            "state": "serving",
-            "load": 0.0,
-            "mac": announcement_mac(config["key"], target, "serving", 0.0),
+            "sequence": self._sequence,
+            "state": self.state,
+            "load": self.load,
+            "mac": announcement_mac(config["key"], target, self.state, self.load, self._sequence),
         }
 
     def _refuse(self, segment: InnerSegment) -> None:
@@ -139,7 +155,9 @@
 
     async def _work(self, end: tcp.TcpEnd, request: bytes) -> None:
         async with self._slots:
+            self._busy += 1
             await asyncio.sleep(self.config["work_seconds"])
+            self._busy -= 1
         answer = work.answer(request, self.config["service"], self.name)
         end.write(answer, asyncio.get_running_loop().time())
 
@@ -164,6 +182,11 @@
         if target is not None:
             target.take(segment, asyncio.get_running_loop().time())
 
+    def drain(self) -> None:
+        """Let all targets announce that they take no new flow, and serve on."""
+        for target in self.targets:
+            target.state = "draining"
+
     def _send(self, segment: InnerSegment) -> None:
         assert self._transport is not None
         self._transport.sendto(wire.pack(segment), self._fabric)
@@ -176,6 +199,7 @@
     await loop.create_datagram_endpoint(
         lambda: protocol, local_addr=parse_endpoint(config["listen"])
     )
+    loop.add_signal_handler(signal.SIGTERM, protocol.drain)
     timeout = aiohttp.ClientTimeout(total=1.0)
     async with aiohttp.ClientSession(timeout=timeout) as session:
         tasks = [loop.create_task(target.announce(session)) for target in protocol.targets]
