Look flows up at earlier homes and at the targets, with pins, retries and silence

Now the packet itself asks the second and the heir; whoever keeps the flow names its target in the GRE key, at no control byte. If nobody does, the home asks the targets by an empty acknowledged segment and holds the packet, so that no byte reaches a target that lacks the flow. SYNs are retried on another target within a budget, silent flows are reset at both ends. The stand-in TCP end answers such probes as RFC 9293 asks for.

--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -16,6 +16,10 @@
     DropReason,
     FlowCore,
     FlowEffect,
+    FlowTick,
+    Leaving,
+    PinsHeard,
+    Replicate,
     SegmentArrived,
     ViewChanged,
 )
@@ -196,7 +200,7 @@
         if isinstance(event, Kept):
             return self._follower_effects(self._follower.handle(event, now), now)
         if isinstance(event, StopPlanned):
-            return self._leave()
+            return self._leave(now)
         return self._tick(now)
 
     def _segment(self, event: SegmentArrived, now: float) -> list[EntryEffect]:
@@ -204,13 +208,14 @@
         opens = event.segment.flags & (SYN | ACK) == SYN
         if opens and not self._readiness.is_ready(now):
             return [Drop(DropReason.NOT_READY)]
-        return list(self._flows.handle(event, now))
+        return self._flow_effects(self._flows.handle(event, now))
 
     def _tick(self, now: float) -> list[EntryEffect]:
         self._readiness.tick(now)
         effects = self._member_effects(self._membership.handle(membership.Tick(), now), now)
         effects += self._target_effects(self._targets.handle(targets.Tick(), now), now)
         effects += self._follower_effects(self._follower.handle(follower.Tick(), now), now)
+        effects += self._flow_effects(self._flows.handle(FlowTick(), now))
         return effects + self._gossiped(self._gossip.tick(self._membership.neighbours, now))
 
     def _peer(self, event: PeerMessage, now: float) -> list[EntryEffect]:
@@ -218,6 +223,7 @@
         if isinstance(body, Ping | Ack | ProbeRequest | MembersPull | MemberUpdates):
             return self._swim(sender, body, now)
         if isinstance(body, TargetUpdates):
+            self._gossip.receive(body)
             return self._target_effects(self._targets.handle(RecordsHeard(body.records), now), now)
         if isinstance(body, TargetsPull):
             return self._gossiped(self._gossip.pulled(sender, body.digests, now))
@@ -227,6 +233,8 @@
             return self._served(self._spread.handle(Subscribed(body), now))
         if isinstance(body, SnapshotPull):
             return self._served(self._spread.handle(SnapshotPulled(body), now))
+        if isinstance(body, Pins):
+            self._flows.handle(PinsHeard(body), now)
         return []
 
     def _swim(self, sender: HostName, body: SwimMessage, now: float) -> list[EntryEffect]:
@@ -249,9 +257,16 @@
             return []
         return self._follower_effects(self._follower.handle(event, now), now)
 
-    def _leave(self) -> list[EntryEffect]:
+    def _leave(self, now: float) -> list[EntryEffect]:
         goodbye = Goodbye(self._membership.me)
-        return [SendPeer(name, goodbye) for name in self._membership.neighbours]
+        handed_over = self._flow_effects(self._flows.handle(Leaving(), now))
+        return handed_over + [SendPeer(name, goodbye) for name in self._membership.neighbours]
+
+    def _flow_effects(self, effects: list[FlowEffect]) -> list[EntryEffect]:
+        return [
+            SendPeer(effect.host, effect.pins) if isinstance(effect, Replicate) else effect
+            for effect in effects
+        ]
 
     def _follower_effects(self, effects: list[FollowerEffect], now: float) -> list[EntryEffect]:
         done: list[EntryEffect] = []
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/flow_core.py
@@ -0,0 +1,300 @@
+"""The packet path: which host keeps a flow, and which target a packet of it goes to.
+
+Every packet of a flow goes to the flow's home, which alone decides. A home that does not know the
+flow of a packet asks, with the packet itself, the hosts that may have kept it before, and at last
+the targets; only a SYN may choose a target.
+"""
+
+from __future__ import annotations
+
+from .admission import AdmissionPolicy
+from .core import Core
+from .flow_keeper import FlowKeeper
+from .flow_table import CALLER_END, TARGET_END, WINDOW_BYTES, Flow, FlowState
+from .flow_types import (
+    ACK,
+    RST,
+    SEQUENCE_MASK,
+    SYN,
+    Drop,
+    DropReason,
+    FlowEffect,
+    FlowEvent,
+    FlowTick,
+    Leaving,
+    PinsHeard,
+    Relay,
+    Replicate,
+    Reset,
+    Segment,
+    SegmentArrived,
+    Stage,
+    ToCaller,
+    ToTarget,
+    VerdictReached,
+)
+from .flow_use import UseBook
+from .handover import next_hop
+from .health import HealthBook
+from .loads import LoadBook
+from .lookup import Looked, Lookup
+from .opening import Opener
+from .placement import PlacementPolicy
+from .routes import RouteBook
+from .silence import SilenceWatch
+from .types import Endpoint, FlowKey, HostName, Verdict
+from .view import KindRoute, RoutingView, TargetRoute
+
+RECENT_SECONDS = 5.0
+
+
+class FlowCore(Core[FlowEvent, FlowEffect]):
+    """Keeps the flows whose home is this host and relays the packets of others.
+
+    :param name: the name of this host.
+    :param view: the routing view to start with.
+    :param admission: decides on new flows.
+    :param placement: chooses their targets.
+    :param health: takes this host's evidence on targets.
+    """
+
+    def __init__(
+        self,
+        name: HostName,
+        view: RoutingView,
+        admission: AdmissionPolicy,
+        placement: PlacementPolicy,
+        health: HealthBook,
+    ) -> None:
+        self._name = name
+        self._is_leaving = False
+        self._health = health
+        loads = LoadBook()
+        uses = UseBook(admission, loads)
+        self._routes = RouteBook(view)
+        self._keeper = FlowKeeper(name, view, uses)
+        self._table = self._keeper.table
+        self._opener = Opener(self._keeper, self._routes, uses, loads, admission, placement, health)
+        self._lookup = Lookup(self._keeper, self._routes)
+        self._silence = SilenceWatch(self._keeper, health)
+
+    @property
+    def flow_count(self) -> int:
+        """How many flows this host keeps."""
+        return len(self._table)
+
+    @property
+    def pin_count(self) -> int:
+        """How many of this host's flows are on another target than the table gives."""
+        return self._keeper.pins.own_count
+
+    def handle(self, event: FlowEvent, now: float) -> list[FlowEffect]:
+        """Take one event; effects that name no packet concern the segment of the event."""
+        if isinstance(event, SegmentArrived):
+            return self._segment(event, now)
+        if isinstance(event, FlowTick):
+            return self._tick(now)
+        if isinstance(event, PinsHeard):
+            self._keeper.pins.heard(event.pins)
+            return []
+        if isinstance(event, Leaving):
+            return self._leave()
+        self._change_view(event.view, now)
+        return []
+
+    def _tick(self, now: float) -> list[FlowEffect]:
+        effects = self._opener.tick(now) + self._lookup.tick(now) + self._silence.tick(now)
+        return effects + list(self._keeper.tick(now))
+
+    def _change_view(self, view: RoutingView, now: float) -> None:
+        self._routes.update(view, now)
+        homes = view.homes
+        if homes.members == self._keeper.homes.members:
+            homes = self._keeper.homes
+        elif self._is_leaving and len(homes.members) > 1:
+            homes = homes.without(self._name)
+        self._keeper.change_view(view, homes)
+
+    def _leave(self) -> list[FlowEffect]:
+        self._is_leaving = True
+        homes = self._keeper.homes
+        if len(homes.members) > 1:
+            self._keeper.change_homes(homes.without(self._name))
+        return [Replicate(due.host, due.pins) for due in self._keeper.pins.flush()]
+
+    def _segment(self, event: SegmentArrived, now: float) -> list[FlowEffect]:
+        segment = event.segment
+        route = self._routes.route(segment.destination)
+        if route is not None:
+            return self._from_caller(event, route, now)
+        answer = self._routes.answer(segment.source)
+        if answer is not None:
+            return self._from_target(event, answer, now)
+        return [Drop(DropReason.FOREIGN)]
+
+    def _from_caller(self, event: SegmentArrived, route: KindRoute, now: float) -> list[FlowEffect]:
+        segment = event.segment
+        key = FlowKey(*segment.source, *segment.destination)
+        flow = self._table.get(key)
+        if segment.flags & (SYN | ACK) == SYN:
+            return self._syn(event, key, flow, route, now)
+        if flow is None or not flow.knows_caller(segment):
+            return self._unknown_to_home(event, key, flow, now)
+        if self._keeper.is_home(flow) or event.stage is Stage.HOME:
+            return self._serve_caller(flow, segment, now)
+        return self._tell_home(flow)
+
+    def _from_target(
+        self, event: SegmentArrived, answer: TargetRoute, now: float
+    ) -> list[FlowEffect]:
+        segment = event.segment
+        key = FlowKey(*segment.destination, *answer.service)
+        flow = self._table.get(key)
+        if flow is None or not flow.knows_target(segment):
+            return self._unknown_to_home(event, key, flow, now)
+        if self._keeper.is_home(flow) or event.stage is Stage.HOME:
+            return self._serve_target(flow, segment, answer.service, now)
+        return self._tell_home(flow)
+
+    def _tell_home(self, flow: Flow) -> list[FlowEffect]:
+        home = flow.homes.rank(flow.digest).home
+        return [Relay(home, Stage.FOUND, self._routes.tag(flow.target))]
+
+    def _syn(
+        self, event: SegmentArrived, key: FlowKey, flow: Flow | None, route: KindRoute, now: float
+    ) -> list[FlowEffect]:
+        if event.stage <= Stage.HOME:
+            home = self._keeper.homes.rank(self._keeper.digest(key)).home
+            if home != self._name:
+                stage = Stage.HOME if event.stage is Stage.FABRIC else Stage.SECOND
+                return [Relay(home, stage)]
+        if flow is None and not self._routes.is_current(event.segment.destination):
+            return [Drop(DropReason.FOREIGN)]
+        return self._opener.syn(event, key, route, now)
+
+    def _serve_caller(self, flow: Flow, segment: Segment, now: float) -> list[FlowEffect]:
+        flow.last_seen = now
+        if segment.flags & RST:
+            return self._caller_reset(flow, now)
+        if flow.state is FlowState.HALF_OPEN:
+            self._keeper.establish(flow, now)
+        flow.acknowledged_by_caller(segment.ack)
+        if flow.state is FlowState.CLOSED:
+            return [ToTarget(flow.endpoint)]
+        if segment.payload:
+            self._keeper.asked(flow, segment, now)
+        if flow.has_ended(segment, CALLER_END):
+            self._keeper.close(flow, now)
+        return [ToTarget(flow.endpoint)]
+
+    def _caller_reset(self, flow: Flow, now: float) -> list[FlowEffect]:
+        effects: list[FlowEffect] = [ToTarget(flow.endpoint)]
+        if flow.state is FlowState.HALF_OPEN:
+            effects.append(_verdict(flow, Verdict.NOT_RUN, "cancelled"))
+        elif flow.use.is_busy:
+            effects.append(_verdict(flow, Verdict.MAY_HAVE_RUN, "cancelled"))
+        self._keeper.close(flow, now)
+        return effects
+
+    def _serve_target(
+        self, flow: Flow, segment: Segment, service: Endpoint, now: float
+    ) -> list[FlowEffect]:
+        flow.last_seen = now
+        flow.probes = 0
+        if segment.flags & RST:
+            return self._target_reset(flow, service, now)
+        if flow.state is FlowState.HALF_OPEN and segment.flags & SYN:
+            self._syn_answered(flow, segment, now)
+        flow.acknowledged_by_target(segment.ack)
+        if flow.asked_at:
+            self._keeper.heard(flow)
+        if flow.state is FlowState.CLOSED:
+            return [ToCaller(service)]
+        if segment.payload:
+            self._silence.answered(flow.target, now)
+            self._keeper.answered(flow, now)
+        if flow.has_ended(segment, TARGET_END):
+            self._keeper.close(flow, now)
+        return [ToCaller(service)]
+
+    def _syn_answered(self, flow: Flow, segment: Segment, now: float) -> None:
+        flow.answer(segment)
+        self._table.unanswered.pop(flow.key, None)
+        self._health.syn_answered(flow.target, now)
+        self._silence.answered(flow.target, now)
+
+    def _target_reset(self, flow: Flow, service: Endpoint, now: float) -> list[FlowEffect]:
+        if flow.state is FlowState.CLOSED:
+            return [ToCaller(service)]
+        if flow.state is FlowState.HALF_OPEN and flow.target_isn is None:
+            return self._opener.refused(flow, now)
+        verdict = Verdict.MAY_HAVE_RUN if flow.has_payload else Verdict.NOT_RUN
+        self._keeper.close(flow, now)
+        return [ToCaller(service), _verdict(flow, verdict, "reset_by_target")]
+
+    def _unknown_to_home(
+        self, event: SegmentArrived, key: FlowKey, flow: Flow | None, now: float
+    ) -> list[FlowEffect]:
+        """Decide on a segment that this host's flow, if it has one, does not expect."""
+        rank = self._keeper.homes.rank(self._keeper.digest(key))
+        if event.stage is Stage.FABRIC and rank.home != self._name:
+            return [Relay(rank.home, Stage.HOME)]
+        if flow is not None and self._keeper.is_home(flow):
+            stray = self._stray(event.segment, flow, now)
+            if stray:
+                return stray
+        looked = self._look_up(event, key, now)
+        if looked is not None:
+            return self._carry_on(event.segment, looked, now)
+        hop = next_hop(self._name, rank, event.stage)
+        if hop is not None:
+            return [Relay(hop.host, hop.stage)]
+        return self._carry_on(event.segment, self._lookup.unknown(event, key, now), now)
+
+    def _look_up(self, event: SegmentArrived, key: FlowKey, now: float) -> Looked | None:
+        if event.stage is Stage.FOUND:
+            return self._lookup.found(event, key, now)
+        reply = self._lookup.reply(event, key, now)
+        return reply if reply is not None else self._lookup.pinned(event, key, now)
+
+    def _carry_on(self, segment: Segment, looked: Looked, now: float) -> list[FlowEffect]:
+        flow = looked.flow
+        if flow is None:
+            return looked.effects
+        if segment.source == (flow.key.caller, flow.key.caller_port):
+            served = self._serve_caller(flow, segment, now)
+        else:
+            service = Endpoint(flow.key.service, flow.key.service_port)
+            served = self._serve_target(flow, segment, service, now)
+        return served + looked.effects
+
+    def _stray(self, segment: Segment, flow: Flow, now: float) -> list[FlowEffect]:
+        """Return what happens to a segment of another incarnation; nothing if that is open."""
+        if segment.source == (flow.key.caller, flow.key.caller_port):
+            return self._stale(flow, DropReason.OLD_INCARNATION, now)
+        answer = self._routes.answer(segment.source)
+        if answer is not None and answer.target in flow.abandoned:
+            return [Drop(DropReason.ABANDONED_TARGET), *_forget_there(segment)]
+        if segment.source != flow.endpoint:
+            return self._stale(flow, DropReason.OTHER_TARGET, now)
+        if flow.state is not FlowState.HALF_OPEN:
+            return self._stale(flow, DropReason.OLD_INCARNATION, now)
+        if (segment.ack - flow.caller_floor) & SEQUENCE_MASK < WINDOW_BYTES:
+            return []
+        return [Drop(DropReason.OLD_INCARNATION), *_forget_there(segment)]
+
+    def _stale(self, flow: Flow, reason: DropReason, now: float) -> list[FlowEffect]:
+        if flow.state is FlowState.HALF_OPEN or now - flow.last_seen > RECENT_SECONDS:
+            return []
+        return [Drop(reason)]
+
+
+def _forget_there(segment: Segment) -> list[FlowEffect]:
+    """Return the reset with which a caller answers a segment that it does not expect."""
+    if segment.flags & RST:
+        return []
+    return [Reset(segment.destination, segment.source, segment.ack, 0, RST)]
+
+
+def _verdict(flow: Flow, verdict: Verdict, reason: str) -> VerdictReached:
+    return VerdictReached(flow.key, flow.target, verdict, reason)
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/flow_keeper.py
@@ -0,0 +1,176 @@
+"""Keeps the flow table, the books of load and admission and the pins in step."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from .flow_table import Flow, FlowState, FlowTable
+from .flow_types import Replicate, Segment
+from .flow_use import UseBook
+from .hashing import flow_hash
+from .homes import HomeTable
+from .pins import PinBook
+from .types import Endpoint, FlowKey, HostName, TargetName
+from .view import KindRoute, RoutingView
+
+CLOSED_SECONDS = 5.0
+REPINS_PER_TICK = 2000
+
+
+class FlowKeeper:
+    """All that changes when a flow opens, moves, closes or changes its home.
+
+    :param name: this host.
+    :param uses: takes note of what each flow uses.
+    """
+
+    def __init__(self, name: HostName, view: RoutingView, uses: UseBook) -> None:
+        self._name = name
+        self._uses = uses
+        self._view = view
+        self._repins: Iterator[FlowKey] = iter(())
+        self.homes: HomeTable = view.homes
+        self.table = FlowTable()
+        self.pins = PinBook(name)
+
+    def change_view(self, view: RoutingView, homes: HomeTable) -> None:
+        """Take a new view.
+
+        :param homes: the ranking to use, which may leave out this host.
+        """
+        self._view = view
+        if homes is not self.homes:
+            self.change_homes(homes)
+        self._repins = iter(self.table.keys())
+
+    def change_homes(self, homes: HomeTable) -> None:
+        """Take a new ranking of the hosts."""
+        self.pins.rehome(self.homes, homes)
+        self.homes = homes
+
+    def digest(self, key: FlowKey) -> int:
+        """Return the hash that decides on a flow's home and on the table's choice."""
+        flow = self.table.get(key)
+        return flow.digest if flow is not None else flow_hash(key)
+
+    def is_home(self, flow: Flow) -> bool:
+        """Return whether this host is the flow's home under the present ranking."""
+        if flow.homes is not self.homes:
+            flow.homes = self.homes
+            flow.is_home = self.homes.rank(flow.digest).home == self._name
+            if not flow.is_home:
+                self.answered(flow, flow.last_seen)
+        return flow.is_home
+
+    def open(
+        self, route: KindRoute, key: FlowKey, target: TargetName, endpoint: Endpoint, now: float
+    ) -> tuple[Flow, Flow | None]:
+        """Add a half-open flow.
+
+        :return: the flow, and the half-open flow that has to be given up for it, if any.
+        """
+        use, given_up = self._uses.opened(route, key, target, now)
+        flow = Flow(key, flow_hash(key), target, endpoint, use, self.homes, now)
+        self.table.add(flow)
+        self._pin(flow)
+        return flow, self.table.get(given_up) if given_up is not None else None
+
+    def adopt(
+        self,
+        route: KindRoute,
+        key: FlowKey,
+        target: TargetName,
+        endpoint: Endpoint,
+        now: float,
+    ) -> Flow:
+        """Add a flow that another host kept; the caller resumes its sequence numbers."""
+        known = self.table.get(key)
+        if known is not None:
+            self.forget(known, now)
+        flow, _ = self.open(route, key, target, endpoint, now)
+        self.establish(flow, now)
+        return flow
+
+    def establish(self, flow: Flow, now: float) -> None:
+        """Take note that the caller acknowledged the target's answer."""
+        flow.state = FlowState.ESTABLISHED
+        flow.syn = b""
+        self._uses.acknowledged(flow.use, flow.key, now)
+
+    def move(self, flow: Flow, target: TargetName, endpoint: Endpoint) -> None:
+        """Place a half-open flow on another target."""
+        flow.abandoned = (*flow.abandoned, flow.target)
+        flow.target = target
+        flow.endpoint = endpoint
+        self._uses.moved(flow.use, target)
+        self._pin(flow)
+
+    def asked(self, flow: Flow, segment: Segment, now: float) -> None:
+        """Take note of payload from the caller."""
+        flow.has_payload = True
+        if not flow.asked_at:
+            flow.asked_at = now
+            self.table.waiting[flow.key] = flow
+        self._uses.caller_sent(flow.use, now)
+
+    def heard(self, flow: Flow) -> None:
+        """Take note that the target said anything after the caller's payload."""
+        flow.asked_at = 0.0
+        self.table.waiting.pop(flow.key, None)
+
+    def answered(self, flow: Flow, now: float) -> None:
+        """Take note of payload from the target."""
+        self._uses.target_sent(flow.use, now)
+
+    def close(self, flow: Flow, now: float) -> None:
+        """End a flow but keep it for segments that are still under way."""
+        if flow.state is FlowState.CLOSED:
+            return
+        self._uses.ended(flow.use, flow.key, now)
+        self._unpin(flow)
+        self.table.remove(flow)
+        flow.state = FlowState.CLOSED
+        flow.last_seen = now
+        self.table.add(flow)
+        self.table.closed[flow.key] = flow
+
+    def forget(self, flow: Flow, now: float) -> None:
+        """End a flow and forget it."""
+        if flow.state is not FlowState.CLOSED:
+            self._uses.ended(flow.use, flow.key, now)
+            self._unpin(flow)
+        self.table.remove(flow)
+
+    def tick(self, now: float) -> list[Replicate]:
+        """Forget what closed a while ago, look for pins and return those that are due."""
+        late = []
+        for flow in self.table.closed.values():
+            if now - flow.last_seen < CLOSED_SECONDS:
+                break
+            late.append(flow)
+        for flow in late:
+            self.table.remove(flow)
+        for _, key in zip(range(REPINS_PER_TICK), self._repins, strict=False):
+            known = self.table.get(key)
+            if known is not None and known.state is not FlowState.CLOSED:
+                self._pin(known)
+        return [Replicate(due.host, due.pins) for due in self.pins.due(now)]
+
+    def expected(self, key: FlowKey) -> TargetName | None:
+        """Return the target that the current table gives a flow, or ``None``."""
+        route = self._view.routes.get(Endpoint(key.service, key.service_port))
+        return route.table.choose(flow_hash(key)) if route is not None else None
+
+    def _pin(self, flow: Flow) -> None:
+        if not self.is_home(flow):
+            return
+        pinned = flow.target != self.expected(flow.key)
+        if pinned:
+            self.pins.pin(flow.digest, flow.target, self.homes)
+        elif flow.is_pinned:
+            self.pins.unpin(flow.digest, self.homes)
+        flow.is_pinned = pinned
+
+    def _unpin(self, flow: Flow) -> None:
+        if flow.is_pinned and self.is_home(flow):
+            self.pins.unpin(flow.digest, self.homes)
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/flow_table.py
@@ -0,0 +1,224 @@
+"""The flows that a host keeps, with what it needs to tell one incarnation from the next."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+
+from .flow_types import ACK, FIN, RST, SEQUENCE_MASK, SYN, Segment
+from .flow_use import FlowUse
+from .homes import HomeTable
+from .types import Endpoint, FlowKey, TargetName
+
+WINDOW_BYTES = 1 << 24
+CALLER_END = 1
+TARGET_END = 2
+
+
+class FlowState(enum.IntEnum):
+    """How far a flow got."""
+
+    HALF_OPEN = 0
+    ESTABLISHED = 1
+    CLOSED = 2
+
+
+class Flow:
+    """One flow.
+
+    Sequence numbers of both ends are followed by a floor and by what the other end expects next.
+    A segment fits if its numbers lie within :data:`WINDOW_BYTES` above both floors, which start at
+    the initial sequence numbers, so that segments of an earlier incarnation fall below.
+    """
+
+    __slots__ = (
+        "key",
+        "digest",
+        "target",
+        "endpoint",
+        "use",
+        "state",
+        "isn",
+        "target_isn",
+        "caller_floor",
+        "target_floor",
+        "caller_next",
+        "target_next",
+        "opened_at",
+        "last_seen",
+        "asked_at",
+        "probed_at",
+        "probes",
+        "has_payload",
+        "fins",
+        "syn",
+        "sent_at",
+        "attempt",
+        "abandoned",
+        "previous_isn",
+        "homes",
+        "is_home",
+        "is_pinned",
+    )
+
+    def __init__(
+        self,
+        key: FlowKey,
+        digest: int,
+        target: TargetName,
+        endpoint: Endpoint,
+        use: FlowUse,
+        homes: HomeTable,
+        now: float,
+    ) -> None:
+        self.key = key
+        self.digest = digest
+        self.target = target
+        self.endpoint = endpoint
+        self.use = use
+        self.state = FlowState.HALF_OPEN
+        self.isn: int | None = None
+        self.target_isn: int | None = None
+        self.caller_floor = 0
+        self.target_floor = 0
+        self.caller_next = 0
+        self.target_next = 0
+        self.opened_at = now
+        self.last_seen = now
+        self.asked_at = 0.0
+        self.probed_at = now
+        self.probes = 0
+        self.has_payload = False
+        self.fins = 0
+        self.syn = b""
+        self.sent_at = now
+        self.attempt = 0
+        self.abandoned: tuple[TargetName, ...] = ()
+        self.previous_isn: int | None = None
+        self.homes = homes
+        self.is_home = True
+        self.is_pinned = False
+
+    def fits_caller(self, segment: Segment) -> bool:
+        """Return whether a segment of the caller belongs to this incarnation."""
+        if (segment.seq - self.caller_floor) & SEQUENCE_MASK >= WINDOW_BYTES:
+            return False
+        if not segment.flags & ACK:
+            return True
+        return (segment.ack - self.target_floor) & SEQUENCE_MASK < WINDOW_BYTES
+
+    def fits_target(self, segment: Segment) -> bool:
+        """Return whether a segment of the target belongs to this incarnation."""
+        if (segment.seq - self.target_floor) & SEQUENCE_MASK >= WINDOW_BYTES:
+            return False
+        if not segment.flags & ACK:
+            return True
+        return (segment.ack - self.caller_floor) & SEQUENCE_MASK < WINDOW_BYTES
+
+    def knows_caller(self, segment: Segment) -> bool:
+        """Return whether a segment of the caller is one that this host expects.
+
+        A half-open flow expects none but a reset until the target has answered: whatever else the
+        caller sends then speaks for a flow that another host established.
+        """
+        if self.state is FlowState.HALF_OPEN and self.target_isn is None:
+            return bool(segment.flags & RST) and segment.seq == self.caller_next
+        return self.fits_caller(segment)
+
+    def knows_target(self, segment: Segment) -> bool:
+        """Return whether a segment of a target is one that this host expects."""
+        if segment.source != self.endpoint:
+            return False
+        if self.state is FlowState.HALF_OPEN and self.target_isn is None:
+            return bool(segment.flags & (SYN | RST)) and segment.ack == self.caller_next
+        if segment.flags & RST:
+            return (segment.seq - self.target_floor) & SEQUENCE_MASK < WINDOW_BYTES
+        return self.fits_target(segment)
+
+    def start(self, segment: Segment, previous_isn: int | None) -> None:
+        """Begin with a caller's SYN."""
+        self.isn = segment.seq
+        self.caller_floor = segment.seq
+        self.caller_next = (segment.seq + 1) & SEQUENCE_MASK
+        self.previous_isn = previous_isn
+
+    def answer(self, segment: Segment) -> None:
+        """Take the target's SYN-ACK."""
+        self.target_isn = segment.seq
+        self.target_floor = segment.seq
+        self.target_next = (segment.seq + 1) & SEQUENCE_MASK
+
+    def resume(self, seq: int, target_seq: int) -> None:
+        """Continue a flow that another host kept.
+
+        :param seq: what the caller sends next.
+        :param target_seq: what the target sends next.
+        """
+        self.state = FlowState.ESTABLISHED
+        self.has_payload = True
+        self.caller_next = seq
+        self.target_next = target_seq
+        self.caller_floor = (seq - WINDOW_BYTES // 4) & SEQUENCE_MASK
+        self.target_floor = (target_seq - WINDOW_BYTES // 4) & SEQUENCE_MASK
+
+    def acknowledged_by_target(self, ack: int) -> None:
+        """Take note of what the target expects next."""
+        ahead = (ack - self.caller_next) & SEQUENCE_MASK
+        if 0 < ahead < WINDOW_BYTES:
+            self.caller_next = ack
+            if (ack - self.caller_floor) & SEQUENCE_MASK > WINDOW_BYTES // 2:
+                self.caller_floor = (ack - WINDOW_BYTES // 4) & SEQUENCE_MASK
+
+    def acknowledged_by_caller(self, ack: int) -> None:
+        """Take note of what the caller expects next."""
+        ahead = (ack - self.target_next) & SEQUENCE_MASK
+        if 0 < ahead < WINDOW_BYTES:
+            self.target_next = ack
+            if (ack - self.target_floor) & SEQUENCE_MASK > WINDOW_BYTES // 2:
+                self.target_floor = (ack - WINDOW_BYTES // 4) & SEQUENCE_MASK
+
+    def has_ended(self, segment: Segment, end: int) -> bool:
+        """Take note of an end's FIN; return whether both ends have sent theirs.
+
+        :param end: :data:`CALLER_END` or :data:`TARGET_END`.
+        """
+        if segment.flags & FIN:
+            self.fins |= end
+        return self.fins == CALLER_END | TARGET_END
+
+
+class FlowTable:
+    """All flows of a host, and those among them that are half open, waiting or closed.
+
+    Each of the latter keeps the order in which flows came to it, so that only its oldest entries
+    have to be looked at when time passes.
+    """
+
+    def __init__(self) -> None:
+        self._flows: dict[FlowKey, Flow] = {}
+        self.half_open: dict[FlowKey, Flow] = {}
+        self.unanswered: dict[FlowKey, Flow] = {}
+        self.waiting: dict[FlowKey, Flow] = {}
+        self.closed: dict[FlowKey, Flow] = {}
+        self.get = self._flows.get
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def __iter__(self) -> Iterator[Flow]:
+        return iter(self._flows.values())
+
+    def keys(self) -> list[FlowKey]:
+        """Return a copy of all keys."""
+        return list(self._flows)
+
+    def add(self, flow: Flow) -> None:
+        """Take in a flow."""
+        self._flows[flow.key] = flow
+
+    def remove(self, flow: Flow) -> None:
+        """Forget a flow."""
+        if self._flows.get(flow.key) is flow:
+            del self._flows[flow.key]
+        for subset in (self.half_open, self.unanswered, self.waiting, self.closed):
+            subset.pop(flow.key, None)
--- a/packages/core/src/lacewingrudder_core/flow_use.py
+++ b/packages/core/src/lacewingrudder_core/flow_use.py
@@ -46,6 +46,12 @@
         self._admission.opened(route, now)
         return use, self._half_open.add(use.service, use.kind, key, now)
 
+    def moved(self, use: FlowUse, target: TargetName) -> None:
+        """Take note that a half-open flow was placed on another target."""
+        self._loads.closed(use.target)
+        use.target = target
+        self._loads.opened(target)
+
     def acknowledged(self, use: FlowUse, key: FlowKey, now: float) -> None:
         """Take note that the caller acknowledged the target's answer to the SYN."""
         if use.is_half_open:
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/handover.py
@@ -0,0 +1,40 @@
+"""Where a packet of a flow that this host does not know goes next."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .flow_types import Stage
+from .homes import HomeRank
+from .types import HostName
+
+
+class Hop(NamedTuple):
+    """The next host to ask."""
+
+    host: HostName
+    stage: Stage
+
+
+def next_hop(name: HostName, rank: HomeRank, stage: Stage) -> Hop | None:
+    """Return who is asked next, or ``None`` if this host has to decide itself.
+
+    The home asks the second, which was home before a host joined; the second asks the heir, which
+    kept the flow while its zone was cut off; and the last of them tells the home that the flow is
+    not known.
+
+    :param name: this host.
+    :param stage: the stage at which this host got the packet.
+    """
+    if stage is Stage.FABRIC and rank.home != name:
+        return Hop(rank.home, Stage.HOME)
+    if stage <= Stage.HOME:
+        host = rank.second if rank.home == name else rank.home
+        if host is not None and host != name:
+            return Hop(host, Stage.SECOND)
+    if stage <= Stage.SECOND and rank.heir not in (None, name, rank.second):
+        assert rank.heir is not None
+        return Hop(rank.heir, Stage.HEIR)
+    if stage <= Stage.HEIR and rank.home != name:
+        return Hop(rank.home, Stage.UNKNOWN)
+    return None
--- a/packages/core/src/lacewingrudder_core/homes.py
+++ b/packages/core/src/lacewingrudder_core/homes.py
@@ -53,6 +53,10 @@
         """The names of the hosts in this table."""
         return frozenset(self._members)
 
+    def without(self, name: HostName) -> HomeTable:
+        """Return the ranking that follows when a host leaves."""
+        return HomeTable(member for member in self._members.values() if member.name != name)
+
     def rank(self, digest: int) -> HomeRank:
         """Return the hosts for a flow's 64-bit hash.
 
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/opening.py
@@ -0,0 +1,243 @@
+"""How a flow starts: admission, the choice of its target, and retries before the first payload."""
+
+from __future__ import annotations
+
+import enum
+
+from .admission import AdmissionPolicy, RefusalReason, Refused
+from .flow_keeper import FlowKeeper
+from .flow_table import Flow, FlowState
+from .flow_types import (
+    ACK,
+    RST,
+    SEQUENCE_MASK,
+    Drop,
+    DropReason,
+    FlowEffect,
+    Resend,
+    Reset,
+    Segment,
+    SegmentArrived,
+    ToCaller,
+    ToTarget,
+    VerdictReached,
+)
+from .flow_use import UseBook
+from .health import HealthBook
+from .loads import LoadBook
+from .placement import PlacementPolicy
+from .retry_budget import RetryBudget
+from .routes import RouteBook
+from .types import Endpoint, FlowKey, TargetName, Verdict
+from .view import KindRoute
+
+SYN_RETRY_SECONDS = 0.5
+SYN_DEADLINE_SECONDS = 3.0
+_CHOICES_PER_RETRY = 4
+
+
+class StartReason(enum.StrEnum):
+    """Why a flow did not start; the label of a metric."""
+
+    NO_TARGET = "no_target"
+    REFUSED_BY_TARGET = "refused_by_target"
+    UNANSWERED = "unanswered"
+
+
+class Opener:
+    """Decides on SYNs and on half-open flows.
+
+    :param keeper: takes in the flows.
+    :param uses: knows how long flows have been half open.
+    :param admission: decides on new flows.
+    :param placement: chooses their targets.
+    :param health: takes evidence on targets.
+    """
+
+    def __init__(
+        self,
+        keeper: FlowKeeper,
+        routes: RouteBook,
+        uses: UseBook,
+        loads: LoadBook,
+        admission: AdmissionPolicy,
+        placement: PlacementPolicy,
+        health: HealthBook,
+    ) -> None:
+        self._keeper = keeper
+        self._routes = routes
+        self._uses = uses
+        self._loads = loads
+        self._admission = admission
+        self._placement = placement
+        self._health = health
+        self._budget = RetryBudget()
+
+    def syn(
+        self, event: SegmentArrived, key: FlowKey, route: KindRoute, now: float
+    ) -> list[FlowEffect]:
+        """Decide on a caller's SYN at the flow's home."""
+        segment = event.segment
+        flow = self._keeper.table.get(key)
+        if flow is None:
+            return self._open(event, key, route, None, now)
+        if flow.isn == segment.seq:
+            return self._again(flow)
+        if flow.previous_isn == segment.seq:
+            return [Drop(DropReason.OLD_INCARNATION)]
+        ended = self._supersede(flow, now)
+        return ended + self._open(event, key, route, flow.isn, now)
+
+    def refused(self, flow: Flow, now: float) -> list[FlowEffect]:
+        """Decide on a target's reset in answer to a SYN."""
+        self._health.syn_failed(flow.target, now)
+        retry = self._retry(flow, now)
+        if retry:
+            return [Drop(DropReason.REFUSAL_RETRIED), *retry]
+        self._keeper.close(flow, now)
+        service = Endpoint(flow.key.service, flow.key.service_port)
+        return [ToCaller(service), _not_run(flow, StartReason.REFUSED_BY_TARGET)]
+
+    def tick(self, now: float) -> list[FlowEffect]:
+        """Retry or give up half-open flows."""
+        effects: list[FlowEffect] = []
+        for flow in self._due(now):
+            effects += self._unanswered(flow, now)
+        for key in self._uses.expired(now):
+            flow_or_none = self._keeper.table.get(key)
+            if flow_or_none is not None:
+                effects += self._give_up(flow_or_none, now)
+        return effects
+
+    def _again(self, flow: Flow) -> list[FlowEffect]:
+        if flow.state is FlowState.CLOSED:
+            return [Drop(DropReason.OLD_INCARNATION)]
+        return [ToTarget(flow.endpoint)]
+
+    def _open(
+        self,
+        event: SegmentArrived,
+        key: FlowKey,
+        route: KindRoute,
+        previous_isn: int | None,
+        now: float,
+    ) -> list[FlowEffect]:
+        segment = event.segment
+        outcome = self._admission.decide(route, self._loads, now)
+        if isinstance(outcome, Refused):
+            return _refuse(segment, key, outcome.reason)
+        digest = self._keeper.digest(key)
+        target = self._placement.choose(route, digest, 0, self._loads, now)
+        if target is None:
+            return _refuse(segment, key, StartReason.NO_TARGET)
+        endpoint = route.endpoints[target]
+        flow, given_up = self._keeper.open(route, key, target, endpoint, now)
+        flow.start(segment, previous_isn)
+        flow.syn = b"" if segment.payload else event.packet
+        self._keeper.table.unanswered[key] = flow
+        self._budget.attempted()
+        if given_up is None:
+            return [ToTarget(endpoint)]
+        self._keeper.forget(given_up, now)
+        return [
+            ToTarget(endpoint),
+            reset_target(given_up, given_up.endpoint),
+            _not_run(given_up, RefusalReason.TOO_MANY_HALF_OPEN),
+        ]
+
+    def _supersede(self, flow: Flow, now: float) -> list[FlowEffect]:
+        """End the earlier incarnation; its target is told before it gets the new SYN."""
+        if flow.state is FlowState.CLOSED:
+            self._keeper.forget(flow, now)
+            return []
+        ran = Verdict.MAY_HAVE_RUN if flow.has_payload else Verdict.NOT_RUN
+        verdict = VerdictReached(flow.key, flow.target, ran, "superseded")
+        self._keeper.forget(flow, now)
+        return [reset_target(flow, flow.endpoint), verdict]
+
+    def _due(self, now: float) -> list[Flow]:
+        due = []
+        for flow in self._keeper.table.unanswered.values():
+            if now - flow.sent_at < SYN_RETRY_SECONDS:
+                break
+            due.append(flow)
+        return due
+
+    def _unanswered(self, flow: Flow, now: float) -> list[FlowEffect]:
+        self._health.syn_failed(flow.target, now)
+        if now - flow.opened_at < SYN_DEADLINE_SECONDS:
+            retry = self._retry(flow, now)
+            if not retry:
+                self._wait(flow, now)
+            return retry
+        caller = Endpoint(flow.key.caller, flow.key.caller_port)
+        service = Endpoint(flow.key.service, flow.key.service_port)
+        self._keeper.close(flow, now)
+        return [
+            reset_target(flow, flow.endpoint),
+            Reset(service, caller, 0, flow.caller_next, RST | ACK),
+            _not_run(flow, StartReason.UNANSWERED),
+        ]
+
+    def _retry(self, flow: Flow, now: float) -> list[FlowEffect]:
+        """Place a flow on another target, or return nothing if that is not possible now."""
+        if not flow.syn or now - flow.opened_at >= SYN_DEADLINE_SECONDS:
+            return []
+        target = self._other_target(flow, now)
+        if target is None:
+            return []
+        endpoint = self._routes.endpoint(Endpoint(flow.key.service, flow.key.service_port), target)
+        if endpoint is None or not self._budget.spend():
+            return []
+        before = flow.endpoint
+        self._keeper.move(flow, target, endpoint)
+        self._wait(flow, now)
+        return [reset_target(flow, before), Resend(flow.syn, endpoint)]
+
+    def _wait(self, flow: Flow, now: float) -> None:
+        unanswered = self._keeper.table.unanswered
+        flow.sent_at = now
+        unanswered.pop(flow.key, None)
+        unanswered[flow.key] = flow
+
+    def _other_target(self, flow: Flow, now: float) -> TargetName | None:
+        route = self._routes.route(Endpoint(flow.key.service, flow.key.service_port))
+        if route is None:
+            return None
+        tried = (*flow.abandoned, flow.target)
+        for _ in range(_CHOICES_PER_RETRY):
+            flow.attempt += 1
+            target = self._placement.choose(route, flow.digest, flow.attempt, self._loads, now)
+            if target is not None and target not in tried:
+                return target
+        return None
+
+    def _give_up(self, flow: Flow, now: float) -> list[FlowEffect]:
+        """End a flow whose caller never acknowledged the target's answer."""
+        self._keeper.close(flow, now)
+        return [reset_target(flow, flow.endpoint)]
+
+
+def reset_target(flow: Flow, endpoint: Endpoint) -> Reset:
+    """Return the reset that makes a target forget a flow."""
+    caller = Endpoint(flow.key.caller, flow.key.caller_port)
+    return Reset(caller, endpoint, flow.caller_next, flow.target_next, RST | ACK)
+
+
+def reset_caller(flow: Flow) -> Reset:
+    """Return the reset that tells a caller that its flow ended."""
+    caller = Endpoint(flow.key.caller, flow.key.caller_port)
+    service = Endpoint(flow.key.service, flow.key.service_port)
+    return Reset(service, caller, flow.target_next, flow.caller_next, RST | ACK)
+
+
+def _not_run(flow: Flow, reason: str) -> VerdictReached:
+    return VerdictReached(flow.key, flow.target, Verdict.NOT_RUN, reason)
+
+
+def _refuse(segment: Segment, key: FlowKey, reason: str) -> list[FlowEffect]:
+    ack = (segment.seq + 1) & SEQUENCE_MASK
+    return [
+        Reset(segment.destination, segment.source, 0, ack, RST | ACK),
+        VerdictReached(key, "", Verdict.NOT_RUN, reason),
+    ]
--- a/packages/daemon/src/lacewingrudder_daemon/encapsulation.py
+++ b/packages/daemon/src/lacewingrudder_daemon/encapsulation.py
@@ -1,4 +1,8 @@
-"""GRE-in-UDP (RFC 8086) around IP packets; the GRE key (RFC 2890) carries the relay stage."""
+"""GRE-in-UDP (RFC 8086) around IP packets.
+
+Between entry hosts the GRE key (RFC 2890) carries the relay stage in its lowest four bits
+and, where a flow was found, the number of its target in the others.
+"""
 
 from __future__ import annotations
 
@@ -12,13 +16,19 @@
 _PLAIN = struct.Struct("!HH")
 _KEYED = struct.Struct("!HHI")
 _STAGES = {stage.value: stage for stage in Stage}
+_STAGE_BITS = 4
+_STAGE_MASK = (1 << _STAGE_BITS) - 1
 
 
 class Decapsulated(NamedTuple):
-    """An inner packet and the stage it was relayed in."""
+    """An inner packet and the stage it was relayed in.
+
+    :param tag: stands for the flow's target at :attr:`Stage.FOUND`.
+    """
 
     packet: bytes
     stage: Stage
+    tag: int = 0
 
 
 def encapsulate(packet: bytes | bytearray) -> bytes:
@@ -26,9 +36,9 @@
     return _PLAIN.pack(0, _PROTOCOL_IPV4) + packet
 
 
-def encapsulate_relay(packet: bytes | bytearray, stage: Stage) -> bytes:
+def encapsulate_relay(packet: bytes | bytearray, stage: Stage, tag: int = 0) -> bytes:
     """Return a datagram for another entry host."""
-    return _KEYED.pack(_FLAG_KEY, _PROTOCOL_IPV4, stage) + packet
+    return _KEYED.pack(_FLAG_KEY, _PROTOCOL_IPV4, tag << _STAGE_BITS | stage) + packet
 
 
 def decapsulate(datagram: bytes) -> Decapsulated | None:
@@ -42,7 +52,8 @@
         return Decapsulated(datagram[_PLAIN.size :], Stage.FABRIC)
     if flags != _FLAG_KEY or len(datagram) < _KEYED.size:
         return None
-    stage = _STAGES.get(_KEYED.unpack_from(datagram)[2])
+    key = _KEYED.unpack_from(datagram)[2]
+    stage = _STAGES.get(key & _STAGE_MASK)
     if stage is None:
         return None
-    return Decapsulated(datagram[_KEYED.size :], stage)
+    return Decapsulated(datagram[_KEYED.size :], stage, key >> _STAGE_BITS)
--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -117,15 +117,11 @@
         if parsed is None:
             return self._drop("malformed")
         stage = inner.stage if sender else flows.Stage.FABRIC
-        self._take(inner.packet, parsed, stage, sender)
-        return None
-
-    def _take(
-        self, packet: bytes, parsed: packets.ParsedPacket, stage: flows.Stage, sender: HostName
-    ) -> None:
-        self._bytes = packet
+        self._bytes = inner.packet
         self._packet = parsed
-        self.handle(flows.SegmentArrived(parsed.segment, stage, sender))
+        arrived = flows.SegmentArrived(parsed.segment, stage, sender, inner.packet, inner.tag)
+        self.handle(arrived)
+        return None
 
     def _carry_out(self, effect: entry.EntryEffect) -> None:
         match effect:
@@ -135,10 +131,14 @@
             case flows.ToCaller(service):
                 header = self._current().header_length
                 self._emit(packets.rewrite_source(self._bytes, header, service))
-            case flows.Relay(host, stage):
-                self._relay(host, stage)
+            case flows.Relay(host, stage, tag):
+                self._relay(host, stage, tag)
             case flows.Drop(reason):
                 self._drop(reason)
+            case flows.Resend(packet, endpoint):
+                self._resend(packet, endpoint)
+            case flows.Probe(source, destination, seq, ack):
+                self._emit(packets.build(source, destination, flows.ACK, seq, ack))
             case flows.Reset(source, destination, seq, ack, flags):
                 self._emit(packets.build(source, destination, flags, seq, ack))
             case _:
@@ -170,12 +170,17 @@
         assert self._packet is not None
         return self._packet
 
-    def _relay(self, host: HostName, stage: flows.Stage) -> None:
+    def _relay(self, host: HostName, stage: flows.Stage, tag: int) -> None:
         address = self._members.get(host)
-        if address is not None:
-            self._datagram(encapsulation.encapsulate_relay(self._bytes, stage), address)
-            return
-        self._take(self._bytes, self._current(), stage, host)
+        if address is None:
+            return self._drop("no_route")
+        self._datagram(encapsulation.encapsulate_relay(self._bytes, stage, tag), address)
+        return None
+
+    def _resend(self, packet: bytes, endpoint: Endpoint) -> None:
+        parsed = packets.parse(packet)
+        if parsed is not None:
+            self._emit(packets.rewrite_destination(packet, parsed.header_length, endpoint))
 
     def _emit(self, packet: bytes | bytearray) -> None:
         self._datagram(encapsulation.encapsulate(packet), self._fabric)
--- a/standins/tcp.py
+++ b/standins/tcp.py
@@ -90,6 +90,8 @@
             self._take_ack(segment.ack, now)
         if segment.payload or segment.flags & FIN:
             self._take_payload(segment)
+        elif self._offset(segment) < 0:
+            self._acknowledge()
 
     def tick(self, now: float) -> None:
         """Send again what was not acknowledged in time."""
@@ -166,6 +168,12 @@
             self._sent += 1
             self._arm(now)
 
+    def _offset(self, segment: InnerSegment) -> int:
+        """Return where a segment lies against what is expected; negative for a probe."""
+        assert self.peer_isn is not None
+        ahead = (segment.seq - self.peer_isn - 1 - self._expected) % _MODULUS
+        return ahead if ahead < _MODULUS // 2 else ahead - _MODULUS
+
     def _acknowledge(self) -> None:
         self._emit(ACK, self._sequence(self._sent), b"")
 
