--- a/packages/core/src/lacewingrudder_core/control.py
+++ b/packages/core/src/lacewingrudder_core/control.py
@@ -1,13 +1,31 @@
-"""The control host: takes notes and orders, keeps the log of changes and spreads it."""
+"""The control host: takes notes and orders, replicates them, and spreads what is committed."""
 
 from __future__ import annotations
 
 from typing import NamedTuple
 
 from .core import Core
-from .messages import OperatorReply, OperatorRequest, Status, StatusRequest, SubmitNote
-from .notes import Catalogue, Change, SubmitReply, SubmitTag
-from .spread import Advanced, SendHost, SnapshotPulled, SpreadCore, Subscribed
+from .messages import OperatorReply, OperatorRequest, Status, StatusRequest
+from .notes import Change
+from .replica import ReplicaCore
+from .replica_events import (
+    Answered,
+    Applied,
+    Installed,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Propose,
+    ReplicaEffect,
+    ReplicaEvent,
+    ReplicaHeard,
+    RoleChanged,
+    SendReplica,
+    Tick,
+)
+from .replica_messages import ForwardMessage, ForwardRequest
+from .spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
+from .submissions import OperatorAnswer, Submissions
 from .types import HostName
 
 
@@ -18,17 +36,23 @@
     request: OperatorRequest
 
 
-class Persisted(NamedTuple):
-    """A change is durable on this host's disk."""
+class ForwardHeard(NamedTuple):
+    """Another control host forwarded a request, or answered one."""
 
-    change: Change
-
-
-class Tick(NamedTuple):
-    """Time passed."""
+    sender: HostName
+    message: ForwardMessage
 
 
-ControlEvent = Requested | Subscribed | SnapshotPulled | Persisted | Tick
+ControlEvent = (
+    Requested
+    | ForwardHeard
+    | ReplicaHeard
+    | Subscribed
+    | SnapshotPulled
+    | Persisted
+    | PersistFailed
+    | Tick
+)
 
 
 class Reply(NamedTuple):
@@ -38,68 +62,108 @@
     body: OperatorReply | Status
 
 
-class Persist(NamedTuple):
-    """Write a change and sync it, then report :class:`Persisted`."""
+class Committed(NamedTuple):
+    """A change was committed and applied on this host."""
 
     change: Change
 
 
-ControlEffect = Reply | SendHost | Persist
+ControlEffect = Reply | SendHost | SendReplica | Persist | Committed | RoleChanged
 
 
 class ControlCore(Core[ControlEvent, ControlEffect]):
     """Decisions of a control host.
 
     :param name: the name of this host.
-    :param catalogue: the catalogue recovered from disk.
+    :param replica: this host's replica of the log.
     """
 
-    def __init__(self, name: HostName, catalogue: Catalogue) -> None:
+    def __init__(self, name: HostName, replica: ReplicaCore) -> None:
         self._name = name
-        self._catalogue = catalogue
-        self._spread = SpreadCore(catalogue)
-        self._pending: dict[int, int] = {}
+        self._replica = replica
+        self._catalogue = replica.catalogue
+        self._spread = SpreadCore(replica.catalogue)
+        self._submissions = Submissions()
+
+    @property
+    def replica(self) -> ReplicaCore:
+        """This host's replica of the log, to be read only."""
+        return self._replica
 
     def handle(self, event: ControlEvent, now: float) -> list[ControlEffect]:
         """Take one event."""
         if isinstance(event, Requested):
             return self._requested(event, now)
+        if isinstance(event, ForwardHeard):
+            return self._forward_heard(event, now)
         if isinstance(event, Subscribed | SnapshotPulled):
             return list(self._spread.handle(event, now))
-        if isinstance(event, Persisted):
-            return self._persisted(event.change, now)
-        return []
+        effects = self._feed(event, now)
+        if isinstance(event, Tick):
+            effects += self._expire(now)
+        return effects
 
     def _requested(self, event: Requested, now: float) -> list[ControlEffect]:
         request = event.request
         if isinstance(request, StatusRequest):
             return [Reply(event.token, self._status(now))]
-        revision = self._catalogue.revision
-        if self._pending:
-            reply = SubmitReply(SubmitTag.REFUSED, revision, "another change is being written")
-            return [Reply(event.token, OperatorReply(reply))]
-        if isinstance(request, SubmitNote):
-            problem = self._catalogue.check(request.note)
-            if problem is not None:
-                return [Reply(event.token, OperatorReply(problem))]
-            change = Change(revision + 1, request.note, None)
-        else:
-            change = Change(revision + 1, None, request.order)
-        self._pending[change.revision] = event.token
-        return [Persist(change)]
-
-    def _persisted(self, change: Change, now: float) -> list[ControlEffect]:
-        self._catalogue = self._catalogue.apply(change)
+        leader = self._replica.leader(now)
+        way = self._submissions.operator(
+            event.token, request, self._name, leader, self._catalogue.revision, now
+        )
+        if isinstance(way, Propose):
+            return self._feed(way, now)
+        return [_reply(way)]
+
+    def _forward_heard(self, event: ForwardHeard, now: float) -> list[ControlEffect]:
+        message = event.message
+        if isinstance(message, ForwardRequest):
+            return self._feed(self._submissions.forwarded(event.sender, message, now), now)
+        answer = self._submissions.answered(message.number, message.reply)
+        return [] if answer is None else [_reply(answer)]
+
+    def _expire(self, now: float) -> list[ControlEffect]:
+        late = self._submissions.expired(self._catalogue.revision, now)
+        return [_reply(answer) for answer in late]
+
+    def _feed(self, event: ReplicaEvent, now: float) -> list[ControlEffect]:
         effects: list[ControlEffect] = []
-        effects += self._spread.handle(Advanced(change, self._catalogue), now)
-        token = self._pending.pop(change.revision, None)
-        if token is not None:
-            reply = SubmitReply(SubmitTag.ACCEPTED, change.revision, "")
-            effects.append(Reply(token, OperatorReply(reply)))
+        for effect in self._replica.handle(event, now):
+            effects += self._replica_effect(effect, now)
+        return effects
+
+    def _replica_effect(self, effect: ReplicaEffect, now: float) -> list[ControlEffect]:
+        if isinstance(effect, Applied):
+            return self._applied(effect, now)
+        if isinstance(effect, Installed):
+            self._catalogue = effect.catalogue
+            return list(self._spread.handle(Replaced(effect.catalogue), now))
+        if isinstance(effect, Answered):
+            answer = self._submissions.answered(effect.token, effect.reply)
+            return [] if answer is None else [_reply(answer)]
+        return [effect]
+
+    def _applied(self, effect: Applied, now: float) -> list[ControlEffect]:
+        outcome = effect.outcome
+        effects: list[ControlEffect] = []
+        if outcome.change is not None:
+            self._catalogue = outcome.catalogue
+            effects.append(Committed(outcome.change))
+            effects += self._spread.handle(Advanced(outcome.change, outcome.catalogue), now)
+        if effect.token is not None:
+            answer = self._submissions.answered(effect.token, outcome.reply)
+            effects += [] if answer is None else [_reply(answer)]
         return effects
 
     def _status(self, now: float) -> Status:
         hosts = self._spread.hosts(now)
         revision = self._catalogue.revision
         missing = tuple(host.name for host in hosts if host.revision < revision)
-        return Status(revision, self._name, True, hosts, missing)
+        leader = self._replica.leader(now)
+        return Status(revision, leader, bool(leader), hosts, missing)
+
+
+def _reply(answer: OperatorAnswer | SendReplica) -> Reply | SendReplica:
+    if isinstance(answer, SendReplica):
+        return answer
+    return Reply(answer.token, OperatorReply(answer.reply))
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/durable.py
@@ -0,0 +1,75 @@
+"""What a replica keeps on its disk, and how each write changes it."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .log import EMPTY_SNAPSHOT, LogEntry, LogSnapshot
+
+
+class Write(NamedTuple):
+    """One write; a write is durable only if all writes before it are.
+
+    :param number: grows by one with each write of a process.
+    :param cluster: the cluster this host belongs to; empty before it joined one.
+    :param vote: identity that got this host's vote in the term, or empty.
+    :param commit: index up to which entries are known to be committed.
+    :param entries: replace everything from the first one's index on.
+    :param snapshot: replaces everything up to its index, after the entries are in; or ``None``.
+    """
+
+    number: int
+    cluster: str
+    term: int
+    vote: str
+    commit: int
+    entries: tuple[LogEntry, ...] = ()
+    snapshot: LogSnapshot | None = None
+
+
+class Durable(NamedTuple):
+    """The state of a replica's disk.
+
+    :param identity: random text that names this disk.
+    """
+
+    identity: str
+    cluster: str = ""
+    term: int = 0
+    vote: str = ""
+    commit: int = 0
+    snapshot: LogSnapshot = EMPTY_SNAPSHOT
+    entries: tuple[LogEntry, ...] = ()
+
+    @property
+    def last_index(self) -> int:
+        """The index of the last entry."""
+        return self.snapshot.last_index + len(self.entries)
+
+    def after(self, write: Write) -> Durable:
+        """Return the state after a write."""
+        entries = self.entries
+        if write.entries:
+            kept = write.entries[0].log_index - self.snapshot.last_index - 1
+            entries = entries[:kept] + write.entries
+        state = self._replace(
+            cluster=write.cluster,
+            term=write.term,
+            vote=write.vote,
+            commit=write.commit,
+            entries=entries,
+        )
+        return state if write.snapshot is None else state._with_snapshot(write.snapshot)
+
+    def _with_snapshot(self, snapshot: LogSnapshot) -> Durable:
+        return self._replace(snapshot=snapshot, entries=entries_after(self, snapshot))
+
+
+def entries_after(state: Durable, snapshot: LogSnapshot) -> tuple[LogEntry, ...]:
+    """Return the entries that stay after a snapshot: those that agree with it and follow it."""
+    at = snapshot.last_index - state.snapshot.last_index
+    if at <= 0:
+        return state.entries if at == 0 else ()
+    if at > len(state.entries) or state.entries[at - 1].term != snapshot.last_term:
+        return ()
+    return state.entries[at:]
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/following.py
@@ -0,0 +1,55 @@
+"""What a replica does with its leader's entries and snapshots."""
+
+from __future__ import annotations
+
+from .log import LogSnapshotPart, join_snapshot
+from .replica_messages import AppendReply, AppendRequest, SnapshotReply, SnapshotRequest
+from .replica_state import ReplicaState
+
+
+class Following:
+    """Takes entries and snapshots of the current term's leader."""
+
+    def __init__(self, state: ReplicaState) -> None:
+        self._state = state
+        self._parts: list[LogSnapshotPart] = []
+
+    def append(self, message: AppendRequest) -> None:
+        """Take entries if they follow on what is here, and answer."""
+        state = self._state
+        log = state.log
+        previous = message.previous_index
+        if previous > log.last_index:
+            self._answer(message, False, log.last_index)
+        elif previous >= log.base_index and log.term_at(previous) != message.previous_term:
+            self._answer(message, False, max(state.commit, log.first_of_term(previous) - 1))
+        else:
+            match = previous + len(message.entries)
+            state.merge(message.entries)
+            state.commit_to(min(message.commit, match))
+            self._answer(message, True, match)
+
+    def snapshot(self, message: SnapshotRequest) -> None:
+        """Take a part of a snapshot, install it with the last one, and answer."""
+        part = message.part
+        if part.last_index <= self._state.commit:
+            self._answer(message, True, part.last_index)
+            return
+        if part.number == 0 or not self._parts or self._parts[0].last_index != part.last_index:
+            self._parts = []
+        if part.number == len(self._parts):
+            self._parts.append(part)
+        if len(self._parts) == part.total:
+            self._state.install(join_snapshot(self._parts))
+            self._parts = []
+            self._answer(message, True, part.last_index)
+            return
+        sender = message.header.sender
+        expected = len(self._parts)
+        header = self._state.header(sender)
+        self._state.send(sender, SnapshotReply(header, message.sent, part.last_index, expected))
+
+    def _answer(self, message: AppendRequest | SnapshotRequest, accepted: bool, match: int) -> None:
+        sender = message.header.sender
+        header = self._state.header(sender)
+        self._state.send(sender, AppendReply(header, message.sent, accepted, match))
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/formation.py
@@ -0,0 +1,87 @@
+"""How blank control hosts form a cluster, and how a host without a leader makes itself known.
+
+A cluster is founded once: the first host by name founds it when *every* control host of its
+settings answers, with this host's identity, that its disk is blank. A host that lost its disk hears
+of the cluster from the others, so it founds nothing; it asks to be admitted.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from .log import LogEntry, Voter
+from .replica_events import SendReplica
+from .replica_messages import Found, Introduce, Introduced
+from .replica_state import ReplicaState
+from .types import HostName
+
+INTRODUCE_SECONDS = 0.5
+FIRST_TERM = 1
+
+
+class Formation:
+    """Founds a cluster, joins one, and answers those that want to.
+
+    :param names: all control hosts of the settings, this one among them.
+    """
+
+    def __init__(self, state: ReplicaState, names: Collection[HostName]) -> None:
+        self._state = state
+        self._names = frozenset(names)
+        self._due = float("-inf")
+        self._blank: dict[HostName, Voter] = {}
+
+    def tick(self, now: float) -> bool:
+        """Make this host known; return whether a cluster was founded just now."""
+        if now < self._due:
+            return False
+        self._due = now + INTRODUCE_SECONDS
+        state = self._state
+        for name in sorted(self._names - {state.me.name}):
+            self._state.emit(SendReplica(name, Introduce(state.me, state.cluster)))
+        return self._found_if_alone()
+
+    def introduce(self, sender: HostName, message: Introduce) -> None:
+        """Answer a host, and give it the first configuration if it is named there."""
+        state = self._state
+        reply = Introduced(state.me, state.cluster, message.voter.identity)
+        state.emit(SendReplica(sender, reply))
+        if state.cluster and not message.cluster and message.voter in state.log.voters:
+            state.emit(SendReplica(sender, Found(state.cluster, state.log.voters)))
+
+    def introduced(self, message: Introduced) -> bool:
+        """Take in what another host is; return whether a cluster was founded just now."""
+        state = self._state
+        if message.echo != state.me.identity or state.cluster:
+            return False
+        if message.cluster:
+            self._blank.pop(message.voter.name, None)
+            return False
+        self._blank[message.voter.name] = message.voter
+        return self._found_if_alone()
+
+    def found(self, message: Found) -> bool:
+        """Take the first configuration of a cluster; return whether this host joined it."""
+        named = {voter.name for voter in message.voters}
+        if self._state.cluster or named != self._names or self._state.me not in message.voters:
+            return False
+        self._join(message.cluster, message.voters)
+        return True
+
+    def _found_if_alone(self) -> bool:
+        state = self._state
+        me = state.me
+        others = self._names - {me.name}
+        if state.cluster or me.name != min(self._names) or others - set(self._blank):
+            return False
+        voters = tuple(sorted([me, *(self._blank[name] for name in others)]))
+        self._join(me.identity, voters)
+        for name in sorted(others):
+            state.emit(SendReplica(name, Found(state.cluster, voters)))
+        return True
+
+    def _join(self, cluster: str, voters: tuple[Voter, ...]) -> None:
+        self._state.join(cluster)
+        self._state.enter_term(FIRST_TERM)
+        self._state.merge((LogEntry(1, FIRST_TERM, voters=voters),))
+        self._state.commit_to(1)
--- a/packages/core/src/lacewingrudder_core/notes.py
+++ b/packages/core/src/lacewingrudder_core/notes.py
@@ -5,8 +5,11 @@
 import enum
 from typing import NamedTuple
 
+from .note_checks import NoteParts, catalogue_problem, parts_problem
 from .types import OrderAction, Service, TargetName, TargetOrder
 
+RECEIPTS_KEPT = 10_000
+
 
 class Note(NamedTuple):
     """A release note: all of it comes into force, or nothing.
@@ -23,6 +26,11 @@
     withdrawn: tuple[str, ...]
     digest: str
 
+    @property
+    def parts(self) -> NoteParts:
+        """What the note adds, changes and withdraws."""
+        return NoteParts(self.added, self.changed, self.withdrawn)
+
 
 class Change(NamedTuple):
     """One applied change: a note or an order, never both.
@@ -93,11 +101,26 @@
                 self.revision,
                 f"note builds on revision {note.base}, but revision {self.revision} is current",
             )
-        problem = _contents_problem(self, note)
-        if problem:
-            return SubmitReply(SubmitTag.INVALID, self.revision, problem)
+        services = {service.name: service for service in self.services}
+        problem = parts_problem(note.parts) or catalogue_problem(note.parts, services)
+        if problem is not None:
+            return SubmitReply(SubmitTag.INVALID, self.revision, str(problem))
         return None
 
+    def submit_note(self, note: Note) -> Outcome:
+        """Return what comes of a note; the same on every replica."""
+        problem = self.check(note)
+        if problem is not None:
+            return Outcome(problem, None, self)
+        return self._accept(Change(self.revision + 1, note, None))
+
+    def submit_order(self, order: TargetOrder) -> Outcome:
+        """Return what comes of an order; one that is in force already makes no new revision."""
+        wanted = None if order.action is OrderAction.RESTORE else order.action
+        if self.order(order.target) == wanted:
+            return Outcome(SubmitReply(SubmitTag.ACCEPTED, self.revision, ""), None, self)
+        return self._accept(Change(self.revision + 1, None, order))
+
     def apply(self, change: Change) -> Catalogue:
         """Return the catalogue after a change that :meth:`check` let pass."""
         if change.note is not None:
@@ -106,6 +129,10 @@
             return self._with_order(change.revision, change.order)
         return self._replace(revision=change.revision)
 
+    def _accept(self, change: Change) -> Outcome:
+        reply = SubmitReply(SubmitTag.ACCEPTED, change.revision, "")
+        return Outcome(reply, change, self.apply(change))
+
     def _repeated(self, note: Note, receipt: NoteReceipt) -> SubmitReply:
         if receipt.digest == note.digest:
             return SubmitReply(SubmitTag.ACCEPTED, receipt.revision, "")
@@ -125,7 +152,7 @@
         return self._replace(
             revision=revision,
             services=tuple(services[name] for name in sorted(services)),
-            receipts=(*self.receipts, receipt),
+            receipts=(*self.receipts[1 - RECEIPTS_KEPT :], receipt),
         )
 
     def _with_order(self, revision: int, order: TargetOrder) -> Catalogue:
@@ -134,21 +161,13 @@
         return self._replace(revision=revision, orders=others + kept)
 
 
-def _contents_problem(catalogue: Catalogue, note: Note) -> str:
-    known = {service.name for service in catalogue.services}
-    added = [service.name for service in note.added]
-    changed = [service.name for service in note.changed]
-    for name in added:
-        if name in known:
-            return f"added: service {name} exists already"
-    for name in (*changed, *note.withdrawn):
-        if name not in known:
-            return f"changed or withdrawn: there is no service {name}"
-    named = [*added, *changed, *note.withdrawn]
-    if len(set(named)) != len(named):
-        return "a service is named more than once"
-    after = catalogue.apply(Change(catalogue.revision + 1, note, None))
-    ports = [(service.address, kind.port) for service in after.services for kind in service.kinds]
-    if len(set(ports)) != len(ports):
-        return "two kinds of work share an address and port"
-    return ""
+class Outcome(NamedTuple):
+    """What came of a note or an order.
+
+    :param change: the change that was applied, or ``None``.
+    :param catalogue: the catalogue afterwards.
+    """
+
+    reply: SubmitReply
+    change: Change | None
+    catalogue: Catalogue
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/replica_events.py
@@ -0,0 +1,90 @@
+"""Events and effects of a replica."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .durable import Write
+from .notes import Catalogue, Note, Outcome, SubmitReply
+from .replica_messages import ForwardMessage, ReplicaMessage
+from .types import HostName, TargetOrder
+
+
+class ReplicaHeard(NamedTuple):
+    """Another control host sent a message."""
+
+    sender: HostName
+    message: ReplicaMessage
+
+
+class Propose(NamedTuple):
+    """Put a note or an order into the log; the outcome carries the token."""
+
+    token: int
+    note: Note | None
+    order: TargetOrder | None
+
+
+class Persisted(NamedTuple):
+    """All writes up to a number are durable on this host's disk."""
+
+    number: int
+
+
+class PersistFailed(NamedTuple):
+    """The disk refused the writes after the last :class:`Persisted`; its owner tries again."""
+
+    reason: str
+
+
+class Tick(NamedTuple):
+    """Time passed; due several times within a heartbeat."""
+
+
+ReplicaEvent = ReplicaHeard | Propose | Persisted | PersistFailed | Tick
+
+
+class SendReplica(NamedTuple):
+    """Send a message to another control host."""
+
+    host: HostName
+    message: ReplicaMessage | ForwardMessage
+
+
+class Persist(NamedTuple):
+    """Make a write durable after all earlier ones, then report :class:`Persisted`."""
+
+    write: Write
+
+
+class Applied(NamedTuple):
+    """A committed note or order was applied.
+
+    :param token: of the proposal, if it was made here.
+    """
+
+    token: int | None
+    outcome: Outcome
+
+
+class Installed(NamedTuple):
+    """The catalogue was replaced by a newer one of the leader's."""
+
+    catalogue: Catalogue
+
+
+class Answered(NamedTuple):
+    """A proposal ended here without being applied; the reply says whether it still may be."""
+
+    token: int
+    reply: SubmitReply
+
+
+class RoleChanged(NamedTuple):
+    """This replica has another role."""
+
+    role: str
+    term: int
+
+
+ReplicaEffect = SendReplica | Persist | Applied | Installed | Answered | RoleChanged
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/replica_state.py
@@ -0,0 +1,261 @@
+"""The state of a replica, and the order in which its effects may leave.
+
+An effect other than a write leaves only when every write that was issued before it is durable, so
+that nothing a crash could take back is ever told to anyone.
+"""
+
+from __future__ import annotations
+
+import collections
+
+from .durable import Durable, Write, entries_after
+from .log import LogEntry, LogSnapshot, ReplicaLog, Voter
+from .notes import Catalogue, Note, Outcome, SubmitReply, SubmitTag
+from .replica_events import Answered, Applied, Installed, Persist, ReplicaEffect, SendReplica
+from .replica_messages import Header, MemberMessage
+from .types import TargetOrder
+
+COMPACT_AFTER_ENTRIES = 256
+ENTRIES_KEPT = 64
+
+
+class ReplicaState:
+    """Term, vote, log and catalogue, with what still has to be written.
+
+    :param me: this host and the identity of its disk.
+    :param durable: what the disk holds.
+    """
+
+    def __init__(self, me: Voter, durable: Durable) -> None:
+        self._me = me
+        self._cluster = durable.cluster
+        self._term = durable.term
+        self._vote = durable.vote
+        self._log = ReplicaLog(durable.snapshot, durable.entries)
+        self._snapshot = durable.snapshot
+        self._catalogue = durable.snapshot.catalogue
+        self._commit = durable.snapshot.last_index
+        self._tokens: dict[int, int] = {}
+        self._issued = 0
+        self._durable = 0
+        self._durable_index = durable.last_index
+        self._writes: collections.deque[tuple[int, int]] = collections.deque()
+        self._held: collections.deque[tuple[int, ReplicaEffect]] = collections.deque()
+        self._out: list[ReplicaEffect] = []
+        self._dirty = False
+        self._changed_from: int | None = None
+        self._installed: LogSnapshot | None = None
+        self._apply_up_to(durable.commit)
+        self._out.clear()
+
+    @property
+    def me(self) -> Voter:
+        """This host and the identity of its disk."""
+        return self._me
+
+    @property
+    def cluster(self) -> str:
+        """The cluster this host belongs to; empty while its disk is blank."""
+        return self._cluster
+
+    @property
+    def term(self) -> int:
+        """The current term."""
+        return self._term
+
+    @property
+    def vote(self) -> str:
+        """Identity that has this host's vote in the term, or empty."""
+        return self._vote
+
+    @property
+    def log(self) -> ReplicaLog:
+        """The log; changed only through this state."""
+        return self._log
+
+    @property
+    def snapshot(self) -> LogSnapshot:
+        """The latest snapshot."""
+        return self._snapshot
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """The catalogue after all committed entries."""
+        return self._catalogue
+
+    @property
+    def commit(self) -> int:
+        """Index up to which entries are known to be committed."""
+        return self._commit
+
+    @property
+    def durable_index(self) -> int:
+        """Index up to which the log is on this host's disk."""
+        return self._durable_index
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this host is among the latest voters."""
+        return self._me in self._log.voters
+
+    @property
+    def waiting(self) -> int:
+        """How many proposals wait for their commit."""
+        return len(self._tokens)
+
+    @property
+    def has_writes(self) -> bool:
+        """Whether writes are not durable yet."""
+        return self._durable < self._issued
+
+    def emit(self, effect: ReplicaEffect) -> None:
+        """Have an effect leave once everything written so far is durable."""
+        self._out.append(effect)
+
+    def send(self, receiver: Voter, message: MemberMessage) -> None:
+        """Send a message to a member."""
+        self.emit(SendReplica(receiver.name, message))
+
+    def header(self, receiver: Voter) -> Header:
+        """Return the header of a message to a member."""
+        return Header(self._cluster, self._me, receiver.identity, self._term)
+
+    def join(self, cluster: str) -> None:
+        """Become a member of a cluster."""
+        self._cluster = cluster
+        self._dirty = True
+
+    def enter_term(self, term: int, vote: str = "") -> None:
+        """Go to a later term, or give the vote of this one."""
+        self._term, self._vote = term, vote
+        self._dirty = True
+
+    def append(
+        self,
+        note: Note | None = None,
+        order: TargetOrder | None = None,
+        voters: tuple[Voter, ...] = (),
+        token: int | None = None,
+    ) -> None:
+        """Add an entry of the current term."""
+        entry = LogEntry(self._log.last_index + 1, self._term, note, order, voters)
+        self._log.append(entry)
+        self._changed(entry.log_index)
+        if token is not None:
+            self._tokens[entry.log_index] = token
+
+    def merge(self, entries: tuple[LogEntry, ...]) -> None:
+        """Take a leader's entries."""
+        changed = self._log.merge(entries)
+        if changed is None:
+            return
+        assert changed > self._commit, "a committed entry can't change"
+        self._durable_index = min(self._durable_index, changed - 1)
+        self._writes = collections.deque((n, min(i, changed - 1)) for n, i in self._writes)
+        self._changed(changed)
+
+    def install(self, snapshot: LogSnapshot) -> None:
+        """Replace the catalogue by a newer one of the leader's."""
+        if snapshot.last_index <= self._commit:
+            return
+        known = Durable("", snapshot=self._log_base(), entries=self._log.slice(self._first))
+        self._log = ReplicaLog(snapshot, entries_after(known, snapshot))
+        self._snapshot = self._installed = snapshot
+        if snapshot.catalogue.revision > self._catalogue.revision:
+            self.emit(Installed(snapshot.catalogue))
+        self._catalogue = snapshot.catalogue
+        self._commit = snapshot.last_index
+        self._durable_index = min(self._durable_index, snapshot.last_index)
+        self._writes = collections.deque((n, min(i, snapshot.last_index)) for n, i in self._writes)
+        self._dirty = True
+
+    def commit_to(self, index: int) -> None:
+        """Apply entries up to an index that a majority holds."""
+        if index > self._commit:
+            self._apply_up_to(index)
+            self._dirty = True
+
+    def abandon(self, detail: str) -> None:
+        """Answer all waiting proposals as unknown."""
+        for token in self._tokens.values():
+            reply = SubmitReply(SubmitTag.UNKNOWN, self._catalogue.revision, detail)
+            self.emit(Answered(token, reply))
+        self._tokens.clear()
+
+    def persisted(self, number: int) -> None:
+        """Take in that writes are durable."""
+        self._durable = max(self._durable, number)
+        while self._writes and self._writes[0][0] <= number:
+            self._durable_index = self._writes.popleft()[1]
+
+    def drop_sends(self) -> None:
+        """Give up messages that wait for the disk, and let answers to operators go at once."""
+        kept = [item for item in self._held if not isinstance(item[1], SendReplica)]
+        urgent = [item for item in kept if isinstance(item[1], Answered)]
+        others = [item for item in kept if not isinstance(item[1], Answered)]
+        self._held = collections.deque([(0, effect) for _, effect in urgent] + others)
+
+    def finish(self) -> list[ReplicaEffect]:
+        """Return what may leave after one event."""
+        done: list[ReplicaEffect] = []
+        if self._dirty:
+            done.append(Persist(self._next_write()))
+        self._held.extend((self._issued, effect) for effect in self._out)
+        self._out = []
+        while self._held and self._held[0][0] <= self._durable:
+            done.append(self._held.popleft()[1])
+        return done
+
+    @property
+    def _first(self) -> int:
+        return self._log.base_index + 1
+
+    def _log_base(self) -> LogSnapshot:
+        term = self._log.term_at(self._log.base_index)
+        return LogSnapshot(self._log.base_index, term or 0, (), Catalogue())
+
+    def _changed(self, index: int) -> None:
+        self._dirty = True
+        before = self._changed_from
+        self._changed_from = index if before is None else min(before, index)
+
+    def _next_write(self) -> Write:
+        changed, installed = self._changed_from, self._installed
+        entries = () if changed is None else self._log.slice(changed)
+        self._dirty, self._changed_from, self._installed = False, None, None
+        self._issued += 1
+        self._writes.append((self._issued, self._log.last_index))
+        return Write(
+            self._issued,
+            self._cluster,
+            self._term,
+            self._vote,
+            self._commit,
+            entries,
+            installed or self._compact(),
+        )
+
+    def _compact(self) -> LogSnapshot | None:
+        log, commit = self._log, self._commit
+        if commit - self._snapshot.last_index < COMPACT_AFTER_ENTRIES or log.voters_index > commit:
+            return None
+        term = log.term_at(commit)
+        assert term is not None
+        self._snapshot = LogSnapshot(commit, term, log.voters, self._catalogue)
+        log.compact(max(log.base_index, commit - ENTRIES_KEPT), log.voters)
+        return self._snapshot
+
+    def _apply_up_to(self, index: int) -> None:
+        for entry in self._log.slice(self._commit + 1, index):
+            self._commit = entry.log_index
+            outcome = self._outcome(entry)
+            if outcome is not None:
+                self._catalogue = outcome.catalogue
+                self.emit(Applied(self._tokens.pop(entry.log_index, None), outcome))
+
+    def _outcome(self, entry: LogEntry) -> Outcome | None:
+        if entry.note is not None:
+            return self._catalogue.submit_note(entry.note)
+        if entry.order is not None:
+            return self._catalogue.submit_order(entry.order)
+        return None
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/submissions.py
@@ -0,0 +1,107 @@
+"""Where an operator's request goes, and who waits for its answer.
+
+A host that is not the leader forwards a request to the leader that it hears. Whatever then remains
+without an answer is unknown to the operator, who sends it again: a note or an order that was
+applied before gets the same answer.
+"""
+
+from __future__ import annotations
+
+import itertools
+from typing import NamedTuple
+
+from .log import note_weight
+from .messages import SubmitNote, SubmitOrder
+from .notes import Note, SubmitReply, SubmitTag
+from .replica import NO_QUORUM
+from .replica_events import Propose, SendReplica
+from .replica_messages import ForwardReply, ForwardRequest
+from .types import HostName
+
+ANSWER_SECONDS = 4.0
+NOTE_WEIGHT_LIMIT = 4000
+WAITING_LIMIT = 256
+
+
+class OperatorAnswer(NamedTuple):
+    """Answer the operator whose request carried the token."""
+
+    token: int
+    reply: SubmitReply
+
+
+class _Waiting(NamedTuple):
+    """Who waits for an answer: an operator here, or another control host.
+
+    :param host: empty for an operator.
+    :param number: the operator's token, or the other host's number.
+    """
+
+    host: HostName
+    number: int
+    due: float
+
+
+class Submissions:
+    """Keeps who waits for the outcome of which proposal."""
+
+    def __init__(self) -> None:
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, _Waiting] = {}
+
+    def operator(
+        self,
+        token: int,
+        request: SubmitNote | SubmitOrder,
+        me: HostName,
+        leader: HostName,
+        revision: int,
+        now: float,
+    ) -> Propose | SendReplica | OperatorAnswer:
+        """Take an operator's request and return where it goes.
+
+        :param leader: the leader that this host hears, or empty.
+        """
+        note = request.note if isinstance(request, SubmitNote) else None
+        order = request.order if isinstance(request, SubmitOrder) else None
+        problem = self._problem(note, leader)
+        if problem is not None:
+            return OperatorAnswer(token, problem._replace(revision=revision))
+        number = self._wait("", token, now)
+        if leader == me:
+            return Propose(number, note, order)
+        return SendReplica(leader, ForwardRequest(number, note, order))
+
+    def forwarded(self, sender: HostName, request: ForwardRequest, now: float) -> Propose:
+        """Take a request that another control host forwarded."""
+        return Propose(self._wait(sender, request.number, now), request.note, request.order)
+
+    def answered(self, number: int, reply: SubmitReply) -> SendReplica | OperatorAnswer | None:
+        """Return who gets the answer to a proposal or a forwarded request, if anyone waits."""
+        waiting = self._waiting.pop(number, None)
+        if waiting is None:
+            return None
+        if waiting.host:
+            return SendReplica(waiting.host, ForwardReply(waiting.number, reply))
+        return OperatorAnswer(waiting.number, reply)
+
+    def expired(self, revision: int, now: float) -> list[OperatorAnswer]:
+        """Return the answers to operators whose requests got none in time."""
+        late = [number for number, waiting in self._waiting.items() if waiting.due <= now]
+        reply = SubmitReply(SubmitTag.UNKNOWN, revision, "no answer in time; send it again")
+        answers = [self.answered(number, reply) for number in late]
+        return [answer for answer in answers if isinstance(answer, OperatorAnswer)]
+
+    def _problem(self, note: Note | None, leader: HostName) -> SubmitReply | None:
+        if note is not None and note_weight(note) > NOTE_WEIGHT_LIMIT:
+            return SubmitReply(SubmitTag.INVALID, 0, "(document): is too large; split it")
+        if not leader:
+            return SubmitReply(SubmitTag.REFUSED, 0, NO_QUORUM)
+        if len(self._waiting) >= WAITING_LIMIT:
+            return SubmitReply(SubmitTag.REFUSED, 0, "too many requests wait for answers")
+        return None
+
+    def _wait(self, host: HostName, number: int, now: float) -> int:
+        own = next(self._numbers)
+        self._waiting[own] = _Waiting(host, number, now + ANSWER_SECONDS)
+        return own
--- /dev/null
+++ b/packages/core/tests/replica_cluster.py
@@ -0,0 +1,393 @@
+"""A cluster of replicas driven step by step in one process, which checks safety on every step."""
+
+from __future__ import annotations
+
+import collections
+import random
+from typing import Any
+
+from lacewingrudder_core import replica_events as e
+from lacewingrudder_core.durable import Durable, Write
+from lacewingrudder_core.log import LogEntry, Voter
+from lacewingrudder_core.notes import Catalogue, Note, SubmitReply, SubmitTag
+from lacewingrudder_core.replica import LEADER, ReplicaCore
+from lacewingrudder_core.types import Kind, OrderAction, Service, TargetOrder
+from replica_chart import replica_chart
+
+CHART = replica_chart()
+TICK_SECONDS = 0.1
+ADDRESS = 167772161
+
+
+def make_note(number: int, base: int, digest: str = "") -> Note:
+    service = Service(f"s{number}", ADDRESS + number, "service-key", (Kind("k", 443, 0, True, 0),))
+    return Note(number, base, (service,), (), (), digest or f"digest-{number}")
+
+
+class Host:
+    """A replica, its disk, and the writes that the disk has not taken yet."""
+
+    def __init__(self, name: str, names: list[str], seed: int) -> None:
+        self.name = name
+        self._names = names
+        self._random = random.Random(f"{name}-{seed}")
+        self.lives = 0
+        self.revision = 0
+        self.writes: list[Write] = []
+        self.is_up = False
+        self.frozen_until = 0.0
+        self.disk_fails = False
+        self.clock_ahead = 0.0
+        self.lose_disk()
+
+    def lose_disk(self) -> None:
+        self.lives += 1
+        self.checked = 0
+        self.revision = 0
+        self.durable = Durable(f"{self.name}-{self.lives}")
+        self.start()
+
+    @property
+    def voter(self) -> Voter:
+        return Voter(self.name, self.durable.identity)
+
+    def start(self) -> None:
+        self.writes = []
+        self.is_up = True
+        rng = random.Random(self._random.random())
+        self.core = ReplicaCore(self.name, self._names, CHART, self.durable, rng)
+
+    def crash(self, survivors: int) -> None:
+        """Stop at once; only the first of the writes under way reach the disk."""
+        for write in self.writes[:survivors]:
+            self.durable = self.durable.after(write)
+        self.writes = []
+        self.is_up = False
+
+
+class Cluster:
+    """Hosts, the messages between them, and what has been seen to be committed.
+
+    :raises AssertionError: from any method, as soon as a property does not hold.
+    """
+
+    def __init__(self, size: int, seed: int = 0) -> None:
+        self.random = random.Random(seed)
+        self.names = [f"c{number}" for number in range(1, size + 1)]
+        self.hosts = {name: Host(name, self.names, seed) for name in self.names}
+        self.now = 0.0
+        self.messages: collections.deque[tuple[str, str, Any]] = collections.deque()
+        self.cuts: set[tuple[str, str]] = set()
+        self.history: dict[int, LogEntry] = {}
+        self.catalogues: dict[int, Catalogue] = {}
+        self.leaders: dict[int, Voter] = {}
+        self.lost: set[Voter] = set()
+        self.replies: dict[int, SubmitReply] = {}
+        self.accepted: dict[int, int] = {}
+        self._notes: dict[int, Note] = {}
+        self._token = 0
+
+    def up(self) -> list[Host]:
+        return [h for h in self.hosts.values() if h.is_up and h.frozen_until <= self.now]
+
+    def leader(self) -> Host | None:
+        """The leader of the highest term, if its lease holds."""
+        leading = [h for h in self.up() if h.core.leader(self.time(h)) == h.name]
+        return max(leading, key=lambda h: h.core.state.term, default=None)
+
+    def time(self, host: Host) -> float:
+        return self.now + host.clock_ahead
+
+    def feed(self, host: Host, event: e.ReplicaEvent) -> None:
+        for effect in host.core.handle(event, self.time(host)):
+            self._effect(host, effect)
+        self._check(host)
+
+    def tick(self, seconds: float = TICK_SECONDS) -> None:
+        self.now += seconds
+        for host in self.up():
+            self.feed(host, e.Tick())
+
+    def persist(self, host: Host, count: int | None = None) -> None:
+        """Let the disk take writes, or refuse them."""
+        if not host.writes:
+            return
+        if host.disk_fails:
+            self.feed(host, e.PersistFailed("No space left on device"))
+            return
+        done, host.writes = host.writes[:count], host.writes[len(host.writes[:count]) :]
+        for write in done:
+            host.durable = host.durable.after(write)
+        if done:
+            self.feed(host, e.Persisted(done[-1].number))
+
+    def deliver(self, position: int = 0, keep: bool = False) -> None:
+        """Hand over one message, unless its way is cut."""
+        sender, receiver, message = self.messages[position]
+        if not keep:
+            del self.messages[position]
+        host = self.hosts.get(receiver)
+        if (sender, receiver) in self.cuts or host is None or host not in self.up():
+            return
+        self.feed(host, e.ReplicaHeard(sender, message))
+
+    def propose(self, host: Host, note: Note | None, order: TargetOrder | None = None) -> int:
+        self._token += 1
+        if note is not None:
+            self._notes[self._token] = note
+        self.feed(host, e.Propose(self._token, note, order))
+        return self._token
+
+    def run(self, seconds: float) -> None:
+        """Let time pass with disks and messages in order and without delay."""
+        end = self.now + seconds
+        while self.now < end:
+            self.tick()
+            self.settle()
+
+    def settle(self) -> None:
+        for _ in range(10_000):
+            busy = [host for host in self.up() if host.writes and not host.disk_fails]
+            for host in busy:
+                self.persist(host)
+            for _ in range(len(self.messages)):
+                self.deliver()
+            if not busy and not self.messages:
+                return
+        raise AssertionError("the cluster does not settle")
+
+    def elect(self, seconds: float = 20.0) -> Host:
+        """Let time pass until there is a leader that may accept."""
+        end = self.now + seconds
+        while self.now < end:
+            self.run(TICK_SECONDS)
+            leader = self.leader()
+            if leader is not None and leader.core.state.commit >= 2:
+                return leader
+        raise AssertionError("there is no leader")
+
+    def submit(self, host: Host, note: Note, seconds: float = 3.0) -> SubmitReply | None:
+        token = self.propose(host, note)
+        end = self.now + seconds
+        self.settle()
+        while token not in self.replies and self.now < end:
+            self.run(TICK_SECONDS)
+        return self.replies.get(token)
+
+    def cut_off(self, host: Host) -> None:
+        for name in self.names:
+            self.cuts |= {(host.name, name), (name, host.name)}
+
+    def may_lose_disk(self, host: Host) -> bool:
+        """Whether a majority of every set of voters in use keeps its disks."""
+        lost = self.lost | {host.voter}
+        for other in self.hosts.values():
+            voters = other.core.state.log.voters
+            if not voters or len(lost & set(voters)) > (len(voters) - 1) // 2:
+                return False
+        return True
+
+    def lose_disk(self, host: Host) -> None:
+        self.lost.add(host.voter)
+        host.lose_disk()
+
+    def heal(self) -> None:
+        self.cuts.clear()
+        for host in self.hosts.values():
+            host.disk_fails = False
+            host.frozen_until = 0.0
+            if not host.is_up:
+                host.start()
+            elif host.writes:
+                self.persist(host)
+
+    def _effect(self, host: Host, effect: e.ReplicaEffect) -> None:
+        match effect:
+            case e.Persist(write):
+                host.writes.append(write)
+            case e.SendReplica(receiver, message):
+                self.messages.append((host.name, receiver, message))
+            case e.Applied(token, outcome):
+                if outcome.change is not None:
+                    self._show(host, outcome.change.revision)
+                if token is not None:
+                    self._answer(token, outcome.reply)
+            case e.Installed(catalogue):
+                self._show(host, catalogue.revision)
+            case e.Answered(token, reply):
+                assert reply.tag is not SubmitTag.ACCEPTED
+                self._answer(token, reply)
+
+    def _show(self, host: Host, revision: int) -> None:
+        assert revision > host.revision, f"{host.name} went from {host.revision} to {revision}"
+        host.revision = revision
+
+    def _answer(self, token: int, reply: SubmitReply) -> None:
+        assert token not in self.replies, "a request was answered twice"
+        self.replies[token] = reply
+        note = self._notes.get(token)
+        if reply.tag is SubmitTag.ACCEPTED and note is not None:
+            before = self.accepted.setdefault(note.number, reply.revision)
+            assert before == reply.revision, "a note was accepted at two revisions"
+
+    def _check(self, host: Host) -> None:
+        state = host.core.state
+        self._check_agreement(host)
+        assert state.catalogue.revision >= host.revision
+        if host.core.role == LEADER and self.leaders.get(state.term) is None:
+            self.leaders[state.term] = state.me
+            self._check_completeness(host)
+        if host.core.role == LEADER:
+            assert self.leaders[state.term] == state.me, "two leaders in one term"
+
+    def _check_agreement(self, host: Host) -> None:
+        state = host.core.state
+        if state.commit == host.checked:
+            return
+        first = max(host.checked, state.log.base_index) + 1
+        for entry in state.log.slice(first, state.commit):
+            known = self.history.setdefault(entry.log_index, entry)
+            assert known == entry, f"{host.name} committed another entry {entry.log_index}"
+        known_catalogue = self.catalogues.setdefault(state.commit, state.catalogue)
+        assert known_catalogue == state.catalogue, "catalogues differ at one index"
+        host.checked = state.commit
+
+    def _check_completeness(self, host: Host) -> None:
+        log = host.core.state.log
+        last = max(self.history, default=0)
+        assert log.last_index >= last, "a leader lacks committed entries"
+        for index, entry in self.history.items():
+            if index > log.base_index:
+                assert log.term_at(index) == entry.term, "a leader has another entry"
+
+    def check_end(self) -> None:
+        """Check that the healed cluster has one state, with all that was accepted in it."""
+        self.elect()
+        for _ in range(60):
+            self.run(1.0)
+            if self._converged():
+                break
+        assert self._converged(), "the healed cluster does not converge"
+        for host in self.hosts.values():
+            receipts = {r.number: r.revision for r in host.core.catalogue.receipts}
+            for number, revision in self.accepted.items():
+                assert receipts.get(number) == revision, f"note {number} was lost"
+
+    def _converged(self) -> bool:
+        states = [host.core.state for host in self.hosts.values()]
+        voters = {state.log.voters for state in states}
+        everyone = tuple(sorted(host.voter for host in self.hosts.values()))
+        return len({state.commit for state in states}) == 1 and voters == {everyone}
+
+
+class Schedule:
+    """One random schedule of faults over a cluster."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.cluster = Cluster(size, seed)
+        self._random = self.cluster.random
+        self._note = 0
+        self._actions = [
+            (60, self._deliver),
+            (30, self._persist),
+            (14, self._tick),
+            (14, self._submit),
+            (2, self._drop),
+            (2, self._duplicate),
+            (1, self._crash),
+            (4, self._restart),
+            (1, self._lose_disk),
+            (1, self._cut),
+            (4, self._heal),
+            (1, self._disk),
+            (1, self._freeze),
+            (0.3, self._jump),
+        ]
+
+    def run(self, steps: int) -> None:
+        weights = [weight for weight, _ in self._actions]
+        actions = [action for _, action in self._actions]
+        if self._random.random() < 0.9:
+            self.cluster.elect()
+        for action in self._random.choices(actions, weights, k=steps):
+            action()
+        self.cluster.heal()
+        self.cluster.check_end()
+
+    def _any(self) -> Host:
+        return self._random.choice(list(self.cluster.hosts.values()))
+
+    def _deliver(self) -> None:
+        for _ in range(self._random.randint(1, 6)):
+            if self.cluster.messages:
+                late = self._random.random() < 0.2
+                position = self._random.randrange(len(self.cluster.messages)) if late else 0
+                self.cluster.deliver(position)
+
+    def _drop(self) -> None:
+        if self.cluster.messages:
+            del self.cluster.messages[self._random.randrange(len(self.cluster.messages))]
+
+    def _duplicate(self) -> None:
+        if self.cluster.messages:
+            self.cluster.deliver(self._random.randrange(len(self.cluster.messages)), keep=True)
+
+    def _persist(self) -> None:
+        for host in self.cluster.up():
+            if self._random.random() < 0.7:
+                self.cluster.persist(host, self._random.choice([1, 2, None]))
+
+    def _tick(self) -> None:
+        self.cluster.tick(self._random.uniform(0.02, 0.25))
+
+    def _submit(self) -> None:
+        leading = [host for host in self.cluster.up() if host.core.role == LEADER]
+        if not leading and self._random.random() < 0.8:
+            return
+        host = self._random.choice(leading or [self._any()])
+        if not host.is_up:
+            return
+        if self._random.random() < 0.3:
+            action = self._random.choice(list(OrderAction))
+            self.cluster.propose(host, None, TargetOrder("t1", action))
+            return
+        if self._random.random() < 0.8:
+            self._note += 1
+        base = host.core.catalogue.revision
+        digest = "" if self._random.random() < 0.9 else "other"
+        self.cluster.propose(host, make_note(self._note, base, digest))
+
+    def _crash(self) -> None:
+        host = self._any()
+        if host.is_up:
+            host.crash(self._random.randint(0, len(host.writes)))
+
+    def _restart(self) -> None:
+        host = self._any()
+        if not host.is_up:
+            host.start()
+
+    def _lose_disk(self) -> None:
+        host = self._any()
+        if self.cluster.may_lose_disk(host):
+            self.cluster.lose_disk(host)
+
+    def _cut(self) -> None:
+        host = self._any()
+        if self._random.random() < 0.5:
+            self.cluster.cut_off(host)
+        else:
+            self.cluster.cuts.add((host.name, self._any().name))
+
+    def _heal(self) -> None:
+        self.cluster.cuts.clear()
+
+    def _disk(self) -> None:
+        host = self._any()
+        host.disk_fails = not host.disk_fails and self._random.random() < 0.5
+
+    def _freeze(self) -> None:
+        self._any().frozen_until = self.cluster.now + self._random.uniform(0.3, 3.0)
+
+    def _jump(self) -> None:
+        self._any().clock_ahead += self._random.uniform(0.5, 3600.0)
--- /dev/null
+++ b/packages/core/tests/test_replica_schedules.py
@@ -0,0 +1,38 @@
+import unittest
+from unittest import mock
+
+from lacewingrudder_core import replica_state
+from replica_cluster import Schedule
+
+STEPS = 300
+SEEDS_OF_THREE = range(2600)
+SEEDS_OF_FIVE = range(10_000, 10_400)
+ONCE_FAILED: tuple[tuple[int, int], ...] = ()
+
+
+class ScheduleTest(unittest.TestCase):
+    """Random schedules; the cluster checks safety on every step and convergence at the end."""
+
+    def setUp(self) -> None:
+        for name, value in (("COMPACT_AFTER_ENTRIES", 5), ("ENTRIES_KEPT", 2)):
+            patch = mock.patch.object(replica_state, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def explore(self, size: int, seed: int) -> None:
+        try:
+            Schedule(size, seed).run(STEPS)
+        except AssertionError as error:
+            self.fail(f"size {size}, seed {seed}: {error}")
+
+    def test_three_voters(self) -> None:
+        for seed in SEEDS_OF_THREE:
+            self.explore(3, seed)
+
+    def test_five_voters(self) -> None:
+        for seed in SEEDS_OF_FIVE:
+            self.explore(5, seed)
+
+    def test_seeds_that_failed_once(self) -> None:
+        for size, seed in ONCE_FAILED:
+            self.explore(size, seed)
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -5,27 +5,33 @@
 import asyncio
 import contextlib
 import random
+import secrets
 import time
 from typing import Any
 
 from aiohttp import web
 from lacewingrudder_core import control, entry, follower, spread
 from lacewingrudder_core import messages as m
+from lacewingrudder_core import replica_messages as r
+from lacewingrudder_core.replica import ReplicaCore
+from lacewingrudder_core.replica_events import ReplicaHeard
 from lacewingrudder_core.types import HostName, Member
 from lacewingrudder_wire.exceptions import LacewingrudderError
 from lacewingrudder_wire.resources import load_chart
 
 from .catalogue_store import CatalogueStore
 from .control_task import ControlTask
+from .disk import FolderDisk
 from .entry_task import EntryTask
 from .http import announcement_app, metrics_app, start_app
 from .links import Incoming, LinkHub
 from .metrics import ProcessMetrics
 from .recorder import Recorder
 from .settings import EntrySettings, Settings
-from .store import ChangeStore
+from .store import ReplicaStore
 
 STOP_SECONDS = 0.5
+IDENTITY_BYTES = 8
 
 _PEER_MESSAGES = (
     m.Ping,
@@ -43,6 +49,20 @@
 )
 _SPREAD_MESSAGES = (m.Standing, m.Changes, m.SnapshotPart)
 _OPERATOR_MESSAGES = (m.SubmitNote, m.SubmitOrder, m.StatusRequest)
+_REPLICA_MESSAGES = (
+    r.PreVoteRequest,
+    r.PreVoteReply,
+    r.VoteRequest,
+    r.VoteReply,
+    r.AppendRequest,
+    r.AppendReply,
+    r.SnapshotRequest,
+    r.SnapshotReply,
+    r.Introduce,
+    r.Introduced,
+    r.Found,
+)
+_FORWARD_MESSAGES = (r.ForwardRequest, r.ForwardReply)
 
 
 class Process:
@@ -93,8 +113,8 @@
             self._runners.append(await start_app(app, self._settings.metrics))
 
     async def _tick(self) -> None:
-        if self._entry is not None:
-            await self._entry.run()
+        tasks = [task.run() for task in (self._entry, self._control) if task is not None]
+        await asyncio.gather(*tasks)
 
     async def _close(self) -> None:
         for runner in self._runners:
@@ -107,9 +127,21 @@
         self._recorder.close()
 
     def _make_control(self) -> ControlTask:
-        assert self._settings.data_folder is not None
-        store = ChangeStore(self._settings.data_folder)
-        core = control.ControlCore(self._settings.name, store.recover())
+        name, folder = self._settings.name, self._settings.data_folder
+        assert folder is not None
+        try:
+            store = ReplicaStore(FolderDisk(folder))
+            durable = store.recover(secrets.token_hex(IDENTITY_BYTES))
+        except OSError as error:
+            raise LacewingrudderError(f"cannot use data folder {folder}: {error}") from error
+        replica = ReplicaCore(
+            name,
+            self._settings.controls,
+            load_chart("replica"),
+            durable,
+            random.Random(secrets.randbits(64)),
+        )
+        core = control.ControlCore(name, replica)
         return ControlTask(core, store, self._recorder, self._hub.send, self._hub.answer)
 
     def _make_entry(self, settings: EntrySettings) -> EntryTask:
@@ -143,10 +175,9 @@
             if self._control is not None and isinstance(body, _OPERATOR_MESSAGES):
                 self._control.handle(control.Requested(incoming.token, body))
             return
-        if isinstance(body, m.Subscribe) and self._control is not None:
-            self._control.handle(spread.Subscribed(body))
-        elif isinstance(body, m.SnapshotPull) and self._control is not None:
-            self._control.handle(spread.SnapshotPulled(body))
+        event = _control_event(incoming.sender, body)
+        if event is not None and self._control is not None:
+            self._control.handle(event)
         elif self._entry is not None:
             self._deliver_to_entry(self._entry, incoming.sender, body)
 
@@ -155,3 +186,16 @@
             task.handle(entry.PeerMessage(sender, body))
         elif isinstance(body, _SPREAD_MESSAGES):
             task.handle(follower.ControlMessage(sender, body))
+
+
+def _control_event(sender: HostName, body: Any) -> control.ControlEvent | None:
+    """Return the event that a message from another host is for a control host, if any."""
+    if isinstance(body, _REPLICA_MESSAGES):
+        return ReplicaHeard(sender, body)
+    if isinstance(body, _FORWARD_MESSAGES):
+        return control.ForwardHeard(sender, body)
+    if isinstance(body, m.Subscribe):
+        return spread.Subscribed(body)
+    if isinstance(body, m.SnapshotPull):
+        return spread.SnapshotPulled(body)
+    return None
--- a/packages/daemon/src/lacewingrudder_daemon/control_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/control_task.py
@@ -3,28 +3,39 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
+import logging
 from collections.abc import Callable
 from typing import Any
 
-from lacewingrudder_core import control as core
+from lacewingrudder_core import control as decisions
+from lacewingrudder_core import replica_events as replica
+from lacewingrudder_core.durable import Write
 from lacewingrudder_core.spread import SendHost
 from lacewingrudder_core.types import HostName
 
 from .recorder import Recorder
-from .store import ChangeStore
+from .store import ReplicaStore
+
+TICK_SECONDS = 0.05
+RETRY_SECONDS = 0.5
+
+_log = logging.getLogger(__name__)
 
 
 class ControlTask:
     """Feeds a control core and carries out its effects.
 
+    Writes go to the disk on a thread of their own, all that wait in one sync.
+
     :param send: sends a message to a host.
     :param answer: answers an operator's request.
     """
 
     def __init__(
         self,
-        control: core.ControlCore,
-        store: ChangeStore,
+        control: decisions.ControlCore,
+        store: ReplicaStore,
         recorder: Recorder,
         send: Callable[[HostName, Any], None],
         answer: Callable[[int, Any], None],
@@ -34,23 +45,69 @@
         self._recorder = recorder
         self._send = send
         self._answer = answer
+        self._writes: list[Write] = []
+        self._written = asyncio.Event()
+        self._thread = concurrent.futures.ThreadPoolExecutor(1, "disk")
+
+    @property
+    def core(self) -> decisions.ControlCore:
+        """The core, to be read only."""
+        return self._core
 
-    def handle(self, event: core.ControlEvent) -> None:
+    def handle(self, event: decisions.ControlEvent) -> None:
         """Hand an event to the core and carry out its effects."""
         for effect in self._core.handle(event, asyncio.get_running_loop().time()):
             self._carry_out(effect)
 
+    async def run(self) -> None:
+        """Let time pass in the core and bring its writes to the disk, until cancelled."""
+        writer = asyncio.create_task(self._write_all())
+        try:
+            while not writer.done():
+                self.handle(replica.Tick())
+                await asyncio.sleep(TICK_SECONDS)
+            writer.result()
+        finally:
+            writer.cancel()
+
     def close(self) -> None:
-        """Close the files."""
+        """End the thread and close the files."""
+        self._thread.shutdown()
         self._store.close()
 
-    def _carry_out(self, effect: core.ControlEffect) -> None:
+    async def _write_all(self) -> None:
+        while True:
+            await self._written.wait()
+            self._written.clear()
+            while self._writes:
+                await self._write_waiting()
+
+    async def _write_waiting(self) -> None:
+        writes = tuple(self._writes)
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.run_in_executor(self._thread, self._store.write, writes)
+        except OSError as error:
+            reason = error.strerror or str(error)
+            _log.error("the disk refuses writes: %s", reason)
+            self.handle(replica.PersistFailed(reason))
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        del self._writes[: len(writes)]
+        self.handle(replica.Persisted(writes[-1].number))
+
+    def _carry_out(self, effect: decisions.ControlEffect) -> None:
         match effect:
-            case core.Reply(token, body):
+            case decisions.Reply(token, body):
                 self._answer(token, body)
             case SendHost(host, body):
                 self._send(host, body)
-            case core.Persist(change):
-                self._store.append(change)
+            case replica.SendReplica(host, message):
+                self._send(host, message)
+            case replica.Persist(write):
+                self._writes.append(write)
+                self._written.set()
+            case decisions.Committed(change):
                 self._recorder.record("accepted", revision=change.revision)
-                self.handle(core.Persisted(change))
+            case replica.RoleChanged(role, term):
+                self._recorder.record(f"control_{role}", detail=f"term {term}")
--- /dev/null
+++ b/packages/daemon/src/lacewingrudder_daemon/disk.py
@@ -0,0 +1,122 @@
+"""Files under the data folder, behind a class that a test can replace."""
+
+from __future__ import annotations
+
+import abc
+import contextlib
+import fcntl
+import os
+from pathlib import Path
+
+LOCK_NAME = "lock"
+_TEMPORARY_SUFFIX = ".new"
+
+
+class Disk(abc.ABC):
+    """Named files; what is written lasts only once it is synced.
+
+    Each method raises :class:`OSError` if the disk is full or fails.
+    """
+
+    @abc.abstractmethod
+    def read(self, name: str) -> bytes | None:
+        """Return a file's contents, or ``None`` if there is no such file."""
+
+    @abc.abstractmethod
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file."""
+
+    @abc.abstractmethod
+    def sync(self, name: str) -> None:
+        """Make everything written to a file last."""
+
+    @abc.abstractmethod
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file off after its first bytes, and sync it."""
+
+    @abc.abstractmethod
+    def replace(self, name: str, data: bytes) -> None:
+        """Put a file in place as a whole and synced, or leave the one before."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close all files."""
+
+
+class FolderDisk(Disk):
+    """Files in one folder that no other process uses.
+
+    :param folder: created if missing.
+    :raises OSError: if the folder can't be used, or another process uses it.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self._open: dict[str, int] = {}
+        self._lock = os.open(folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self._lock)
+            raise OSError(f"{folder} is in use by another process") from error
+
+    def read(self, name: str) -> bytes | None:
+        """Return a file's contents, or ``None`` if there is no such file."""
+        with contextlib.suppress(FileNotFoundError):
+            return (self._folder / name).read_bytes()
+        return None
+
+    def append(self, name: str, data: bytes) -> None:
+        """Write at the end of a file."""
+        view = memoryview(data)
+        while view:
+            view = view[os.write(self._descriptor(name), view) :]
+
+    def sync(self, name: str) -> None:
+        """Make everything written to a file last."""
+        os.fsync(self._descriptor(name))
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file off after its first bytes, and sync it."""
+        os.ftruncate(self._descriptor(name), size)
+        self.sync(name)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Put a file in place as a whole and synced, or leave the one before."""
+        temporary = name + _TEMPORARY_SUFFIX
+        self._forget(temporary)
+        with contextlib.suppress(FileNotFoundError):
+            os.unlink(self._folder / temporary)
+        self.append(temporary, data)
+        self.sync(temporary)
+        self._forget(temporary)
+        self._forget(name)
+        os.replace(self._folder / temporary, self._folder / name)
+        self._sync_folder()
+
+    def close(self) -> None:
+        """Close all files."""
+        for name in list(self._open):
+            self._forget(name)
+        os.close(self._lock)
+
+    def _descriptor(self, name: str) -> int:
+        found = self._open.get(name)
+        if found is None:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            found = os.open(self._folder / name, flags, 0o600)
+            self._open[name] = found
+        return found
+
+    def _forget(self, name: str) -> None:
+        descriptor = self._open.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
