--- a/packages/core/src/lacewingrudder_core/gossip.py
+++ b/packages/core/src/lacewingrudder_core/gossip.py
@@ -30,7 +30,9 @@
 RECORDS_PER_PULL = 256
 PULLED_RECORDS_PER_SECOND = 512.0
 PULL_SECONDS = 0.5
+UNQUIET_PULL_SECONDS = 3.0
 QUIET_SECONDS = 1.0
+RUMOURS_KEPT = 256
 
 
 class SendTargets(NamedTuple):
@@ -55,6 +57,7 @@
         self._pull_budget = Budget(PULLED_RECORDS_PER_SECOND, PULLED_RECORDS_PER_SECOND)
         self._changed_at = float("-inf")
         self._pulled_at = float("-inf")
+        self._answered: frozenset[TargetName] = frozenset()
         self._digest = 0
 
     @property
@@ -62,6 +65,11 @@
         """Digest of all records."""
         return self._digest
 
+    def receive(self, body: TargetUpdates) -> None:
+        """Look at records before they are merged; those of an answer will be no rumours."""
+        answered = body.records if body.is_answer else ()
+        self._answered = frozenset(record.target.name for record in answered)
+
     def refresh(self, records: Iterable[TargetRecord], now: float) -> None:
         """Take the current records; those that changed become rumours."""
         current = {record.target.name: record for record in records}
@@ -86,7 +94,7 @@
             return []
         for name in names:
             del self._rumours[name]
-        body = TargetUpdates(tuple(self._records[name] for name in names))
+        body = TargetUpdates(tuple(self._records[name] for name in names), is_answer=False)
         return [SendTargets(host, body) for host in receivers]
 
     def compare(self, host: HostName, digest: int, now: float) -> list[SendTargets]:
@@ -94,10 +102,9 @@
 
         :param digest: what the host says of its own table.
         """
-        is_moving = bool(self._rumours) or now - self._changed_at < QUIET_SECONDS
-        if digest == self._digest or (is_moving and self._records):
-            return []
-        if now - self._pulled_at < PULL_SECONDS:
+        is_quiet = now - self._changed_at >= QUIET_SECONDS or not self._records
+        pause = PULL_SECONDS if is_quiet else UNQUIET_PULL_SECONDS
+        if digest == self._digest or now - self._pulled_at < pause:
             return []
         self._pulled_at = now
         digests = bucket_digests(self._fingerprints.values(), bucket_count(len(self._records)))
@@ -115,7 +122,7 @@
         records = [self._records[name] for name in names[:allowed]]
         starts = range(0, len(records), RECORDS_PER_MESSAGE)
         parts = [tuple(records[start : start + RECORDS_PER_MESSAGE]) for start in starts]
-        return [SendTargets(host, TargetUpdates(part)) for part in parts]
+        return [SendTargets(host, TargetUpdates(part, is_answer=True)) for part in parts]
 
     def _take_changed(self, names: Iterable[TargetName], now: float) -> None:
         for name in names:
@@ -123,8 +130,9 @@
             if self._fingerprints.get(name) == fingerprint:
                 continue
             self._fingerprints[name] = fingerprint
-            self._rumours[name] = None
             self._changed_at = now
+            if name not in self._answered and len(self._rumours) < RUMOURS_KEPT:
+                self._rumours[name] = None
 
 
 def _fingerprint(record: TargetRecord) -> Fingerprint:
--- a/packages/core/src/lacewingrudder_core/membership.py
+++ b/packages/core/src/lacewingrudder_core/membership.py
@@ -34,6 +34,7 @@
 CONTACT_SECONDS = 1.0
 SUSPICION_SECONDS = 0.6
 PULL_SECONDS = 0.5
+UNQUIET_PULL_SECONDS = 3.0
 QUIET_SECONDS = 1.5
 FROZEN_SECONDS = 1.5
 HELPERS = 3
@@ -227,7 +228,8 @@
     def _pull(self, sender: HostName, digest: int, now: float) -> list[MembershipEffect]:
         """Ask for what differs, unless news that travels on pings may still explain it."""
         is_quiet = now - self._table.changed_at > QUIET_SECONDS or len(self.members) <= 2
-        if digest == self.digest or not is_quiet or now - self._pulled < PULL_SECONDS:
+        pause = PULL_SECONDS if is_quiet else UNQUIET_PULL_SECONDS
+        if digest == self.digest or now - self._pulled < pause:
             return []
         self._pulled = now
         return [SendMember(sender, self._pull_request())]
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -93,9 +93,13 @@
 
 
 class TargetUpdates(NamedTuple):
-    """Target records that the sender believes the receiver may lack."""
+    """Target records that the sender believes the receiver may lack.
+
+    :param is_answer: whether they answer a :class:`TargetsPull`, and are no news to pass on.
+    """
 
     records: tuple[TargetRecord, ...]
+    is_answer: bool
 
 
 class Goodbye(NamedTuple):
--- /dev/null
+++ b/packages/core/tests/test_entry_freshness.py
@@ -0,0 +1,89 @@
+import unittest
+
+from lacewingrudder_core.entry import Tick
+from lacewingrudder_core.flows import Drop, Segment, SegmentArrived, Stage
+from lacewingrudder_core.readiness import FROZEN_SECONDS, WAIT_SECONDS, Readiness
+from lacewingrudder_core.types import Endpoint
+from standins.nodes import ControlNode, EntryNode, make_members
+from standins.stepping import Network
+from test_follower import catalogue, change
+
+SYN = 0x02
+ACK = 0x10
+
+
+def arrived(flags: int) -> SegmentArrived:
+    segment = Segment(Endpoint(1, 1024), Endpoint(2, 443), flags, 1, 0, 0)
+    return SegmentArrived(segment, Stage.FABRIC, "")
+
+
+class FreshnessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        members = make_members(3)
+        self.names = [member.name for member in members]
+        self.control = ControlNode()
+        self.entries = {m.name: EntryNode(m, self.names, ["control"]) for m in members}
+        self.network = Network(self.entries | {"control": self.control})
+        self.network.run(4.0)
+        self.core = self.entries["entry-1"].core
+
+    def is_held_back(self, flags: int = SYN) -> bool:
+        effects = self.core.handle(arrived(flags), self.network.now)
+        return effects == [Drop("not_ready")]
+
+    def test_running_host_opens_flows(self) -> None:
+        self.assertFalse(self.is_held_back())
+
+    def test_host_that_stood_still_opens_none_even_before_its_next_tick(self) -> None:
+        self.network.freeze("entry-1", 10.0)
+        self.network.run(9.9)
+        self.assertTrue(self.is_held_back())
+        self.assertFalse(self.is_held_back(ACK))
+
+    def test_host_that_stood_still_opens_flows_once_it_holds_what_peers_hold(self) -> None:
+        self.network.freeze("entry-1", 10.0)
+        self.network.run(9.0)
+        self.network.send("control", self.control.commit(change(1), self.network.now))
+        self.network.run_until(lambda: not self.is_held_back(), 5.0)
+        self.assertFalse(self.is_held_back())
+        self.assertEqual(self.core.revision, 1)
+        self.assertEqual(len(self.core.zones), 3)
+
+    def test_host_that_stood_still_and_is_cut_off_serves_on_after_a_wait(self) -> None:
+        self.network.block(lambda sender, receiver: "entry-1" in (sender, receiver))
+        self.network.freeze("entry-1", 10.0)
+        self.network.run(10.0 + WAIT_SECONDS - 0.3)
+        self.assertTrue(self.is_held_back())
+        self.network.run(0.6)
+        self.assertFalse(self.is_held_back())
+
+    def test_lone_host_never_waits(self) -> None:
+        lone = EntryNode(make_members(1)[0], ["entry-1"], [])
+        lone.handle(Tick(), 0.0)
+        effects = lone.core.handle(arrived(SYN), 30.0)
+        self.assertNotEqual(effects, [Drop("not_ready")])
+
+    def test_host_that_rejoins_with_an_old_catalogue_waits_for_the_new_one(self) -> None:
+        self.network.send("control", self.control.commit(change(1), self.network.now))
+        self.network.run(1.0)
+        self.network.kill("entry-1")
+        self.network.run(3.0)
+        node = EntryNode(make_members(1)[0], self.names, ["control"], catalogue(0), keeps=True)
+        self.network.add("entry-1", node)
+        self.core = node.core
+        self.network.run_until(lambda: not self.is_held_back(), 5.0)
+        self.assertEqual(self.core.revision, 1)
+
+
+class ReadinessTest(unittest.TestCase):
+    def test_old_agreement_does_not_count_without_a_new_answer(self) -> None:
+        readiness = Readiness(is_alone=False)
+        readiness.notice(0.0)
+        readiness.compare(is_caught_up=True)
+        self.assertFalse(readiness.is_ready(0.1))
+        readiness.confirm()
+        readiness.compare(is_caught_up=True)
+        self.assertTrue(readiness.is_ready(0.2))
+        self.assertTrue(readiness.notice(0.2 + FROZEN_SECONDS + 0.1))
+        readiness.compare(is_caught_up=True)
+        self.assertFalse(readiness.is_ready(2.0))
--- /dev/null
+++ b/packages/core/tests/test_spread.py
@@ -0,0 +1,155 @@
+import unittest
+
+from lacewingrudder_core.messages import Changes, SnapshotPart, Standing, Subscribe
+from lacewingrudder_core.snapshots import catalogue_digest
+from lacewingrudder_core.spread import (
+    CHANGES_KEPT,
+    CHANGES_PER_MESSAGE,
+    LEASE_SECONDS,
+    Advanced,
+    SpreadCore,
+    Subscribed,
+)
+from standins.nodes import ControlNode, EntryNode, make_members
+from standins.stepping import Network
+from test_follower import catalogue, change
+
+IN_FORCE_SECONDS = 4.0
+
+
+def subscribe(revision: int, digest: int = 0) -> Subscribed:
+    return Subscribed(Subscribe("entry-1", "adum", revision, digest))
+
+
+class SubscriptionTest(unittest.TestCase):
+    def advanced(self, count: int) -> SpreadCore:
+        core = SpreadCore(catalogue(0))
+        state = catalogue(0)
+        for number in range(1, count + 1):
+            state = state.apply(change(number))
+            core.handle(Advanced(change(number), state), 0.0)
+        return core
+
+    def test_deltas_are_bounded(self) -> None:
+        sends = self.advanced(CHANGES_KEPT).handle(subscribe(0), 1.0)
+        self.assertEqual([type(send.body) for send in sends], [Standing, Changes])
+        self.assertEqual(len(sends[1].body.changes), CHANGES_PER_MESSAGE)
+
+    def test_follower_far_behind_gets_a_snapshot(self) -> None:
+        sends = self.advanced(CHANGES_KEPT + 10).handle(subscribe(3), 1.0)
+        self.assertIsInstance(sends[1].body, SnapshotPart)
+
+    def test_other_contents_at_the_same_revision_are_repaired(self) -> None:
+        core = self.advanced(3)
+        same = core.handle(subscribe(3, catalogue_digest(catalogue(3))), 1.0)
+        self.assertEqual([type(send.body) for send in same], [Standing])
+        other = core.handle(subscribe(3, 1), 1.0)
+        self.assertEqual([type(send.body) for send in other], [Standing, SnapshotPart])
+
+    def test_lease_that_ran_out_gets_no_more(self) -> None:
+        core = self.advanced(1)
+        core.handle(subscribe(1), 0.0)
+        state = catalogue(2)
+        self.assertEqual(len(core.handle(Advanced(change(2), state), 1.0)), 1)
+        late = 1.0 + LEASE_SECONDS
+        self.assertEqual(core.handle(Advanced(change(3), catalogue(3)), late), [])
+        self.assertEqual([host.revision for host in core.hosts(late)], [1])
+
+
+class FleetSpreadTest(unittest.TestCase):
+    """Seven entry hosts over three zones with one control host in each zone."""
+
+    def setUp(self) -> None:
+        self.members = make_members(7)
+        self.names = [member.name for member in self.members]
+        self.controls = {f"control-{zone}": ControlNode() for zone in range(3)}
+        self.entries = {m.name: self.make_entry(m.name) for m in self.members}
+        self.network = Network(self.controls | self.entries)
+        self.network.run(3.0)
+
+    def make_entry(self, name: str, **changes: object) -> EntryNode:
+        member = next(member for member in self.members if member.name == name)
+        return EntryNode(member, self.names, list(self.controls), **changes)
+
+    def commit(self, revision: int, at: list[str] | None = None) -> None:
+        for name in at or list(self.controls):
+            sends = self.controls[name].commit(change(revision), self.network.now)
+            self.network.send(name, sends)
+
+    def run_until_in_force(self, revision: int) -> float:
+        live = [node for node in self.network.nodes.values() if isinstance(node, EntryNode)]
+        passed = self.network.run_until(
+            lambda: all(node.core.revision >= revision for node in live), 30.0
+        )
+        self.assertIsNotNone(passed)
+        return passed or 0.0
+
+    def assert_only_growing(self) -> None:
+        for node in self.entries.values():
+            self.assertEqual(node.in_force, sorted(set(node.in_force)))
+
+    def test_change_is_in_force_on_all_hosts_in_time(self) -> None:
+        self.commit(1)
+        self.assertLess(self.run_until_in_force(1), IN_FORCE_SECONDS)
+
+    def test_change_reaches_followers_of_a_killed_control_host_in_time(self) -> None:
+        self.network.kill("control-1")
+        del self.controls["control-1"]
+        self.commit(1)
+        self.assertLess(self.run_until_in_force(1), IN_FORCE_SECONDS)
+
+    def test_change_reaches_followers_of_an_isolated_control_host_in_time(self) -> None:
+        self.commit(1)
+        self.run_until_in_force(1)
+        self.commit(2, ["control-0", "control-2"])
+        self.assertLess(self.run_until_in_force(2), IN_FORCE_SECONDS)
+
+    def test_cut_zone_without_control_heals_forward_from_a_peer_ahead(self) -> None:
+        self.commit(1)
+        self.run_until_in_force(1)
+        near = {m.name for m in self.members if m.zone == "zone-1"}
+        ahead = min(near)
+        allowed = near - {ahead}
+        self.network.block(lambda s, r: s.startswith("control") and r in allowed)
+        self.commit(2)
+        self.assertLess(self.run_until_in_force(2), IN_FORCE_SECONDS)
+
+    def test_cut_zone_serves_on_and_heals_forward(self) -> None:
+        near = {m.name for m in self.members if m.zone == "zone-1"} | {"control-1"}
+        self.network.block(lambda s, r: (s in near) != (r in near))
+        self.network.run(5.0)
+        for number in range(1, 4):
+            self.commit(number, ["control-0", "control-2"])
+        self.network.run(5.0)
+        for name in near - {"control-1"}:
+            self.assertEqual(self.entries[name].core.revision, 0)
+        self.network.heal()
+        self.assertLess(self.run_until_in_force(3), 10.0)
+        self.assert_only_growing()
+
+    def test_restart_after_hundreds_of_changes_catches_up(self) -> None:
+        self.commit(1)
+        self.run_until_in_force(1)
+        kept = self.entries["entry-2"].core
+        self.network.kill("entry-2")
+        for number in range(2, 502):
+            self.commit(number)
+        self.network.run(1.0)
+        self.assertEqual(kept.revision, 1)
+        self.entries["entry-2"] = self.make_entry("entry-2", catalogue=catalogue(1), keeps=True)
+        self.network.add("entry-2", self.entries["entry-2"])
+        self.assertLess(self.run_until_in_force(501), IN_FORCE_SECONDS)
+        self.assert_only_growing()
+        self.assertEqual(self.entries["entry-2"].kept.revision, 501)
+
+    def test_host_without_a_disk_does_not_go_back_with_a_control_host_behind(self) -> None:
+        self.commit(1)
+        self.commit(2, ["control-0", "control-2"])
+        self.run_until_in_force(2)
+        behind = [m.name for m in self.members if m.zone == "zone-1"][0]
+        self.network.kill(behind)
+        self.network.run(3.0)
+        self.entries[behind] = self.make_entry(behind)
+        self.network.add(behind, self.entries[behind])
+        self.run_until_in_force(2)
+        self.assertEqual(self.entries[behind].in_force, [2])
