--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -67,7 +67,6 @@
 from .readiness import Readiness
 from .spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
 from .targets import (
-    WORKING_STATES,
     Announced,
     Answer,
     CatalogueChanged,
@@ -76,8 +75,8 @@
     TargetCore,
     TargetEffect,
 )
-from .types import HostName, Member, ZoneName
-from .view import build_view
+from .types import WORKING_STATES, HostName, Member, ZoneName
+from .view import ViewBuilder
 
 PeerBody = (
     SwimMessage
@@ -153,7 +152,8 @@
         self._targets.handle(CatalogueChanged(in_force), 0.0)
         self._health = HealthBook()
         placement = SparingPlacement(me.zone, self._health)
-        view = build_view([me], in_force, ())
+        self._views = ViewBuilder()
+        view = self._views.build([me], in_force, ())
         self._flows = FlowCore(me.name, view, AdmitAll(), placement, self._health)
 
     @property
@@ -324,6 +324,7 @@
         return [SendPeer(effect.host, effect.body) for effect in effects]
 
     def _refresh(self, now: float) -> None:
-        view = build_view(self._membership.members, self._follower.catalogue, self._targets.records)
+        members = sorted(self._membership.members)
+        view = self._views.build(members, self._follower.catalogue, self._targets.records)
         self._health.regroup(view.working_targets())
         self._flows.handle(ViewChanged(view), now)
--- a/packages/core/src/lacewingrudder_core/lease.py
+++ b/packages/core/src/lacewingrudder_core/lease.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from .announcements import Announcement
+from .types import FULL_WEIGHT
 
 LEASE_SECONDS = 3.0
 STEADY_SECONDS = LEASE_SECONDS / 2
 
-FULL_WEIGHT = 8
 DRAINED_WEIGHT = 0
 WARMING_WEIGHTS = (2, 4, FULL_WEIGHT)
 WARMING_STEP_SECONDS = 4.0
--- a/packages/core/src/lacewingrudder_core/maglev.py
+++ b/packages/core/src/lacewingrudder_core/maglev.py
@@ -13,7 +13,8 @@
 from .hashing import name_hash, pair_hash
 from .types import TargetName
 
-TABLE_SIZE = 2039
+TABLE_SIZES = (2039, 16381, 131071)
+SLOTS_PER_ENTRY = 50
 _OFFSET_SEED = 1
 _SKIP_SEED = 2
 _CHOICE_SEED = 0x9E3779B97F4A7C15
@@ -49,32 +50,39 @@
         """
         if not self._slots:
             return None
-        slot = pair_hash(digest, _CHOICE_SEED + attempt) % TABLE_SIZE
+        slot = pair_hash(digest, _CHOICE_SEED + attempt) % len(self._slots)
         return self._entries[self._slots[slot]].name
 
 
+def table_size(entries: int) -> int:
+    """Return the number of slots, a prime, for a number of targets."""
+    wanted = entries * SLOTS_PER_ENTRY
+    return next((size for size in TABLE_SIZES if size >= wanted), TABLE_SIZES[-1])
+
+
 def _fill(entries: Sequence[Entry]) -> list[int]:
     if not entries:
         return []
     heaviest = max(entry.weight for entry in entries)
-    offsets = [name_hash(entry.name, _OFFSET_SEED) % TABLE_SIZE for entry in entries]
-    skips = [name_hash(entry.name, _SKIP_SEED) % (TABLE_SIZE - 1) + 1 for entry in entries]
-    slots = [-1] * TABLE_SIZE
+    size = table_size(len(entries))
+    offsets = [name_hash(entry.name, _OFFSET_SEED) % size for entry in entries]
+    skips = [name_hash(entry.name, _SKIP_SEED) % (size - 1) + 1 for entry in entries]
+    slots = [-1] * size
     steps = [0] * len(entries)
     credit = [0.0] * len(entries)
     filled = 0
     while True:
         for index, entry in enumerate(entries):
             credit[index] += entry.weight / heaviest
-            if credit[index] < 1 - math.ulp(TABLE_SIZE):
+            if credit[index] < 1 - math.ulp(size):
                 continue
             credit[index] -= 1
-            slot = (offsets[index] + steps[index] * skips[index]) % TABLE_SIZE
+            slot = (offsets[index] + steps[index] * skips[index]) % size
             while slots[slot] >= 0:
                 steps[index] += 1
-                slot = (offsets[index] + steps[index] * skips[index]) % TABLE_SIZE
+                slot = (offsets[index] + steps[index] * skips[index]) % size
             slots[slot] = index
             steps[index] += 1
             filled += 1
-            if filled == TABLE_SIZE:
+            if filled == size:
                 return slots
--- a/packages/core/src/lacewingrudder_core/placement.py
+++ b/packages/core/src/lacewingrudder_core/placement.py
@@ -152,7 +152,7 @@
         """Return distinct choices: the table's first, then those of this zone, then others."""
         names = dict.fromkeys(route.table.choose(digest, salt) for salt in range(_SALTS))
         first, *others = [name for name in names if name is not None]
-        if len(others) < _CANDIDATES:
+        if len(others) + 1 < min(_SALTS, len(route.table.entries)):
             known = {first, *others}
             others += [entry.name for entry in route.table.entries if entry.name not in known]
         return [first, *sorted(others, key=lambda name: not self._is_near(route, name))]
--- a/packages/core/src/lacewingrudder_core/targets.py
+++ b/packages/core/src/lacewingrudder_core/targets.py
@@ -16,7 +16,6 @@
 from .core import Core
 from .lease import (
     DRAINED_WEIGHT,
-    FULL_WEIGHT,
     LEASE_SECONDS,
     WARMING_WEIGHTS,
     Lease,
@@ -41,6 +40,8 @@
     Tick,
 )
 from .types import (
+    FULL_WEIGHT,
+    WORKING_STATES,
     HostName,
     OrderAction,
     TargetName,
@@ -75,8 +76,6 @@
 ORPHAN_STAGGER_SECONDS = 0.5
 MOVE_SECONDS = 30.0
 
-WORKING_STATES = frozenset({TargetState.WARMING, TargetState.SERVING})
-
 
 class _Orphan(NamedTuple):
     """Since when the owner of a record's lease is gone."""
--- a/packages/core/src/lacewingrudder_core/types.py
+++ b/packages/core/src/lacewingrudder_core/types.py
@@ -97,6 +97,10 @@
     LOST = "lost"
 
 
+WORKING_STATES = frozenset({TargetState.WARMING, TargetState.SERVING})
+FULL_WEIGHT = 8
+
+
 class KindPort(NamedTuple):
     """The port on which a target takes one kind of work."""
 
@@ -146,7 +150,7 @@
     version: int
     load: float
     owner: HostName
-    weight: int = 8
+    weight: int = FULL_WEIGHT
     sequence: int = 0
     flaps: int = 0
 
--- /dev/null
+++ b/packages/core/tests/test_placement.py
@@ -0,0 +1,119 @@
+import unittest
+from collections import Counter
+
+from lacewingrudder_core.hashing import pair_hash
+from lacewingrudder_core.health import FAILURES_TO_EJECT, HealthBook
+from lacewingrudder_core.loads import LoadBook
+from lacewingrudder_core.maglev import Entry, PlacementTable, table_size
+from lacewingrudder_core.placement import SECOND_CHOICE_BURST, SparingPlacement
+from lacewingrudder_core.types import TargetRecord
+from lacewingrudder_core.view import KindRoute, build_view
+from target_fakes import CATALOGUE
+from test_view import EDITS, MEMBERS, RECORDS
+
+DIGESTS = [pair_hash(number, 1) for number in range(3000)]
+
+
+def route(records: list[TargetRecord] = RECORDS) -> KindRoute:
+    return build_view(MEMBERS, CATALOGUE, records).routes[EDITS]
+
+
+class TableTest(unittest.TestCase):
+    def test_shares_follow_weights(self) -> None:
+        table = PlacementTable([Entry("a", 3.0), Entry("b", 1.0), Entry("c", 2.0)])
+        counts = Counter(table.choose(digest) for digest in DIGESTS)
+        for name, weight in table.entries:
+            self.assertAlmostEqual(counts[name] / len(DIGESTS), weight / 6, delta=0.03)
+
+    def test_most_flows_stay_when_a_target_leaves(self) -> None:
+        entries = [Entry(f"target-{number}", 3.0) for number in range(7)]
+        before, after = PlacementTable(entries), PlacementTable(entries[1:])
+        moved = sum(
+            before.choose(digest) not in ("target-0", after.choose(digest)) for digest in DIGESTS
+        )
+        self.assertLess(moved / len(DIGESTS), 0.03)
+
+    def test_empty_table_has_no_choice(self) -> None:
+        self.assertIsNone(PlacementTable([Entry("a", 0.0)]).choose(1))
+
+    def test_size_grows_with_the_targets(self) -> None:
+        self.assertEqual([table_size(n) for n in (3, 40, 41, 5500)], [2039, 2039, 16381, 131071])
+
+
+class SparingPlacementTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.health = HealthBook()
+        self.loads = LoadBook()
+        self.policy = SparingPlacement("adum", self.health)
+        self.route = route()
+        self.names = {record.target.name for record in RECORDS}
+        self.health.regroup({"proofdesk": self.names})
+        self.first = self.route.table.choose(DIGESTS[0])
+        assert self.first is not None
+
+    def choose(self, attempt: int = 0, now: float = 1.0, digest: int = DIGESTS[0]) -> str | None:
+        return self.policy.choose(self.route, digest, attempt, self.loads, now)
+
+    def eject(self, name: str) -> None:
+        for _ in range(FAILURES_TO_EJECT):
+            self.health.syn_failed(name, 1.0)
+
+    def test_without_evidence_the_table_decides(self) -> None:
+        self.assertEqual(
+            [self.choose(digest=digest) for digest in DIGESTS],
+            [self.route.table.choose(digest) for digest in DIGESTS],
+        )
+
+    def test_ejected_target_gets_no_new_flow(self) -> None:
+        self.eject(self.first or "")
+        self.assertNotIn(self.first, {self.choose(digest=digest) for digest in DIGESTS})
+
+    def test_second_choice_prefers_this_zone(self) -> None:
+        self.eject(self.first or "")
+        moved = [d for d in DIGESTS if self.route.table.choose(d) == self.first]
+        zones = {self.route.records[self.choose(digest=d) or ""].target.zone for d in moved}
+        self.assertEqual(zones, {"adum"})
+
+    def test_target_at_its_connection_limit_is_passed_over(self) -> None:
+        for _ in range(2000 // len(MEMBERS)):
+            self.loads.opened(self.first or "")
+        self.assertNotEqual(self.choose(), self.first)
+
+    def test_busy_target_is_passed_over_for_a_free_one_only(self) -> None:
+        for _ in range(3):
+            self.loads.became_busy(self.first or "")
+        self.assertNotEqual(self.choose(), self.first)
+        for name in self.names - {self.first}:
+            self.loads.became_busy(name)
+        self.assertEqual(self.choose(), self.first)
+
+    def test_target_that_lies_about_its_load_is_judged_by_what_is_seen(self) -> None:
+        self.assertEqual(self.route.records[self.first or ""].load, 0.0)
+        for _ in range(3):
+            self.loads.became_busy(self.first or "")
+        self.assertNotEqual(self.choose(), self.first)
+
+    def test_target_that_calls_itself_full_without_work_keeps_its_flows(self) -> None:
+        self.route = route([record._replace(load=1.0) for record in RECORDS])
+        first = self.route.table.choose(DIGESTS[0])
+        self.assertEqual(self.choose(), first)
+
+    def test_second_choices_for_busy_slots_are_bounded(self) -> None:
+        for _ in range(3):
+            self.loads.became_busy(self.first or "")
+        moved = sum(self.choose() != self.first for _ in range(1000))
+        self.assertEqual(moved, SECOND_CHOICE_BURST)
+
+    def test_attempts_name_every_target_and_end(self) -> None:
+        tried = [self.choose(attempt) for attempt in range(len(RECORDS) + 1)]
+        self.assertEqual(set(tried[:-1]), self.names)
+        self.assertIsNone(tried[-1])
+
+    def test_service_with_every_target_ejected_still_places(self) -> None:
+        for name in self.names:
+            self.eject(name)
+        self.assertIsNotNone(self.choose())
+
+    def test_no_target_no_choice(self) -> None:
+        self.route = route([])
+        self.assertIsNone(self.choose())
