--- a/packages/core/src/lacewingrudder_core/flow_core.py
+++ b/packages/core/src/lacewingrudder_core/flow_core.py
@@ -178,7 +178,8 @@
             return self._caller_reset(flow, now)
         if flow.state is FlowState.HALF_OPEN:
             self._keeper.establish(flow, now)
-        flow.acknowledged_by_caller(segment.ack)
+        if flow.acknowledged_by_caller(segment.ack) and flow.asked_at is not None:
+            self._keeper.heard(flow)
         if flow.state is FlowState.CLOSED:
             return [ToTarget(flow.endpoint)]
         if segment.payload:
@@ -206,7 +207,7 @@
         if flow.state is FlowState.HALF_OPEN and segment.flags & SYN:
             self._syn_answered(flow, segment, now)
         flow.acknowledged_by_target(segment.ack)
-        if flow.asked_at:
+        if flow.asked_at is not None:
             self._keeper.heard(flow)
         if flow.state is FlowState.CLOSED:
             return [ToCaller(service)]
@@ -275,13 +276,14 @@
         answer = self._routes.answer(segment.source)
         if answer is not None and answer.target in flow.abandoned:
             return [Drop(DropReason.ABANDONED_TARGET), *_forget_there(segment)]
-        if segment.source != flow.endpoint:
-            return self._stale(flow, DropReason.OTHER_TARGET, now)
+        is_other = segment.source != flow.endpoint
         if flow.state is not FlowState.HALF_OPEN:
-            return self._stale(flow, DropReason.OLD_INCARNATION, now)
+            reason = DropReason.OTHER_TARGET if is_other else DropReason.OLD_INCARNATION
+            return self._stale(flow, reason, now)
         if (segment.ack - flow.caller_floor) & SEQUENCE_MASK < WINDOW_BYTES:
             return []
-        return [Drop(DropReason.OLD_INCARNATION), *_forget_there(segment)]
+        forgotten = [] if is_other else _forget_there(segment)
+        return [Drop(DropReason.OLD_INCARNATION), *forgotten]
 
     def _stale(self, flow: Flow, reason: DropReason, now: float) -> list[FlowEffect]:
         if flow.state is FlowState.HALF_OPEN or now - flow.last_seen > RECENT_SECONDS:
--- a/packages/core/src/lacewingrudder_core/flow_keeper.py
+++ b/packages/core/src/lacewingrudder_core/flow_keeper.py
@@ -108,14 +108,18 @@
     def asked(self, flow: Flow, segment: Segment, now: float) -> None:
         """Take note of payload from the caller."""
         flow.has_payload = True
-        if not flow.asked_at:
+        if flow.asked_at is not None:
+            flow.resent += segment.seq == flow.asked_seq
+        else:
             flow.asked_at = now
+            flow.asked_seq = segment.seq
+            flow.resent = 0
             self.table.waiting[flow.key] = flow
         self._uses.caller_sent(flow.use, now)
 
     def heard(self, flow: Flow) -> None:
-        """Take note that the target said anything after the caller's payload."""
-        flow.asked_at = 0.0
+        """Take note that the target did anything after the caller's payload."""
+        flow.asked_at = None
         self.table.waiting.pop(flow.key, None)
 
     def answered(self, flow: Flow, now: float) -> None:
--- a/packages/core/src/lacewingrudder_core/flow_table.py
+++ b/packages/core/src/lacewingrudder_core/flow_table.py
@@ -47,6 +47,8 @@
         "opened_at",
         "last_seen",
         "asked_at",
+        "asked_seq",
+        "resent",
         "probed_at",
         "probes",
         "has_payload",
@@ -85,7 +87,9 @@
         self.target_next = 0
         self.opened_at = now
         self.last_seen = now
-        self.asked_at = 0.0
+        self.asked_at: float | None = None
+        self.asked_seq = 0
+        self.resent = 0
         self.probed_at = now
         self.probes = 0
         self.has_payload = False
@@ -169,13 +173,15 @@
             if (ack - self.caller_floor) & SEQUENCE_MASK > WINDOW_BYTES // 2:
                 self.caller_floor = (ack - WINDOW_BYTES // 4) & SEQUENCE_MASK
 
-    def acknowledged_by_caller(self, ack: int) -> None:
-        """Take note of what the caller expects next."""
+    def acknowledged_by_caller(self, ack: int) -> bool:
+        """Take note of what the caller expects next; return whether it got anything new."""
         ahead = (ack - self.target_next) & SEQUENCE_MASK
-        if 0 < ahead < WINDOW_BYTES:
-            self.target_next = ack
-            if (ack - self.target_floor) & SEQUENCE_MASK > WINDOW_BYTES // 2:
-                self.target_floor = (ack - WINDOW_BYTES // 4) & SEQUENCE_MASK
+        if not 0 < ahead < WINDOW_BYTES:
+            return False
+        self.target_next = ack
+        if (ack - self.target_floor) & SEQUENCE_MASK > WINDOW_BYTES // 2:
+            self.target_floor = (ack - WINDOW_BYTES // 4) & SEQUENCE_MASK
+        return True
 
     def has_ended(self, segment: Segment, end: int) -> bool:
         """Take note of an end's FIN; return whether both ends have sent theirs.
--- a/packages/core/src/lacewingrudder_core/opening.py
+++ b/packages/core/src/lacewingrudder_core/opening.py
@@ -214,7 +214,7 @@
 
     def _give_up(self, flow: Flow, now: float) -> list[FlowEffect]:
         """End a flow whose caller never acknowledged the target's answer."""
-        self._keeper.close(flow, now)
+        self._keeper.forget(flow, now)
         return [reset_target(flow, flow.endpoint)]
 
 
--- a/packages/core/src/lacewingrudder_core/pins.py
+++ b/packages/core/src/lacewingrudder_core/pins.py
@@ -97,7 +97,8 @@
                 self._held[digest] = self._own.pop(digest)
                 self._queue(digest, target, [home])
                 continue
-            fresh = self._receivers(digest, after) - self._receivers(digest, before)
+            known = self._receivers(digest, before)
+            fresh = [name for name in self._receivers(digest, after) if name not in known]
             self._queue(digest, target, fresh)
 
     def due(self, now: float) -> list[DuePins]:
@@ -135,6 +136,7 @@
         for host in hosts:
             self._queues.setdefault(host, {})[digest] = target
 
-    def _receivers(self, digest: int, homes: HomeTable) -> set[HostName]:
+    def _receivers(self, digest: int, homes: HomeTable) -> list[HostName]:
         rank = homes.rank(digest)
-        return {name for name in (rank.second, rank.heir) if name and name != self._name}
+        names = dict.fromkeys((rank.second, rank.heir))
+        return [name for name in names if name is not None and name != self._name]
--- a/packages/core/src/lacewingrudder_core/silence.py
+++ b/packages/core/src/lacewingrudder_core/silence.py
@@ -50,9 +50,9 @@
     def _unanswered(self, now: float) -> list[FlowEffect]:
         silent = []
         for flow in self._keeper.table.waiting.values():
-            if now - flow.asked_at < SILENT_SECONDS:
+            if flow.asked_at is None or now - flow.asked_at < SILENT_SECONDS:
                 break
-            if self._answers_others(flow, flow.asked_at):
+            if flow.resent and self._answers_others(flow, flow.asked_at):
                 silent.append(flow)
         return [effect for flow in silent for effect in self._end(flow, now)]
 
--- /dev/null
+++ b/packages/core/tests/test_flow_sessions.py
@@ -0,0 +1,77 @@
+"""Replays golden sessions; each file states its outcome and all that the hosts do."""
+
+import unittest
+from pathlib import Path
+
+from flow_session import Session, play
+
+FOLDER = Path(__file__).parent / "sessions"
+
+
+class FlowSessionTest(unittest.TestCase):
+    maxDiff = None
+
+    def replay(self, name: str) -> Session:
+        text = (FOLDER / f"{name}.txt").read_text()
+        session = play(text)
+        self.assertEqual("\n".join(session.log) + "\n", text)
+        doubled = {flow: targets for flow, targets in session.paid.items() if len(targets) > 1}
+        self.assertEqual(doubled, {}, "payload of one incarnation reached two targets")
+        return session
+
+    def test_kill_of_the_home_mid_flow(self) -> None:
+        self.replay("kill_of_home")
+
+    def test_kill_of_the_home_and_a_second_later_of_its_successor(self) -> None:
+        self.replay("kill_of_home_and_successor")
+
+    def test_kill_while_a_target_drains(self) -> None:
+        self.replay("kill_while_target_drains")
+
+    def test_kill_before_the_pin_was_sent(self) -> None:
+        self.replay("kill_with_pin_lost")
+
+    def test_host_that_joins_with_an_older_generation(self) -> None:
+        self.replay("join_with_older_generation")
+
+    def test_two_membership_views_at_once(self) -> None:
+        self.replay("two_views")
+
+    def test_zone_cut_and_heal_with_the_flow_on_both_sides(self) -> None:
+        self.replay("zone_cut_and_heal")
+
+    def test_note_changes_targets_while_a_host_restarts(self) -> None:
+        self.replay("note_while_host_restarts")
+
+    def test_reuse_of_a_port_at_once_after_the_close(self) -> None:
+        self.replay("reuse_after_close")
+
+    def test_reuse_of_a_port_while_the_flow_is_open(self) -> None:
+        self.replay("reuse_while_open")
+
+    def test_duplicate_syn_at_two_hosts(self) -> None:
+        self.replay("duplicate_syn_at_two_hosts")
+
+    def test_late_syn_ack_of_an_abandoned_target(self) -> None:
+        self.replay("late_syn_ack")
+
+    def test_refused_syn_goes_to_another_target(self) -> None:
+        self.replay("refused_syn")
+
+    def test_unanswered_syn_is_not_run(self) -> None:
+        self.replay("unanswered_syn")
+
+    def test_silent_flow_is_reset_at_both_ends(self) -> None:
+        self.replay("silent_flow")
+
+    def test_idle_flow_is_probed_and_reset_when_forgotten(self) -> None:
+        self.replay("idle_flow")
+
+    def test_planned_stop_hands_the_flow_over(self) -> None:
+        self.replay("planned_stop")
+
+    def test_cancellation_is_passed_on(self) -> None:
+        self.replay("cancelled_request")
+
+    def test_flow_of_nobody_is_reset_last(self) -> None:
+        self.replay("flow_of_nobody")
