Tighten four tests that a wrong line survived

The load that jumps, the orphan timer, the tie between records and the preference for the own zone now fail one too.

--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -69,10 +69,11 @@
         self.assertNotIn(self.first, {self.choose(digest=digest) for digest in DIGESTS})
 
     def test_second_choice_prefers_this_zone(self) -> None:
+        self.policy = SparingPlacement("ahodwo", self.health)
         self.eject(self.first or "")
         moved = [d for d in DIGESTS if self.route.table.choose(d) == self.first]
         zones = {self.route.records[self.choose(digest=d) or ""].target.zone for d in moved}
-        self.assertEqual(zones, {"adum"})
+        self.assertEqual(zones, {"ahodwo"})
 
     def test_target_at_its_connection_limit_is_passed_over(self) -> None:
         for _ in range(2000 // len(MEMBERS)):
--- a/packages/core/tests/test_targets.py
+++ b/packages/core/tests/test_targets.py
@@ -172,10 +172,10 @@
         sequence = self.zone.keep(self.target, 12, 1)
         written = self.zone.written
         for second in range(240):
-            load = float(second % 2)
+            load = float(second // 15 % 2)
             self.zone.announce(announcement(self.target, sequence + second, load=load))
             self.zone.run(1)
-        self.assertLessEqual(self.zone.written - written, 2)
+        self.assertLessEqual(self.zone.written - written, 4)
 
     def test_lasting_load_shows_as_a_level(self) -> None:
         sequence = self.zone.keep(self.target, 12, 1)
@@ -270,8 +270,10 @@
 
     def test_wrong_loss_is_refuted_where_the_target_announces(self) -> None:
         sequence = self.zone.keep(self.target, 12, 1)
+        written = self.zone.written
         self.zone.send("entry-2", MembersSeen({"entry-2": "adum", "entry-3": "suame"}))
         self.zone.keep(self.target, 12, sequence)
+        self.assertEqual(self.zone.written, written + 2)
         for host in self.zone.cores:
             self.assertIs(self.zone.state(self.target, host), TargetState.SERVING)
         self.assert_converged()
@@ -308,10 +310,11 @@
         base.handle(Announced(1, announcement(self.target, 1)), 1.0)
         record = base.records[0]
         records = [
-            record._replace(state=state, version=version, owner=owner)
+            record._replace(state=state, version=version, owner=owner, weight=weight)
             for state in TargetState
             for version in (1, 2)
             for owner in TWO_HOSTS
+            for weight in (2, 8)
         ]
         outcomes = set()
         for _ in range(50):
