--- a/packages/core/tests/test_entry_freshness.py
+++ b/packages/core/tests/test_entry_freshness.py
@@ -2,11 +2,14 @@
 
 from lacewingrudder_core.entry import Tick
 from lacewingrudder_core.flows import Drop, Segment, SegmentArrived, Stage
+from lacewingrudder_core.follower import ControlMessage
+from lacewingrudder_core.messages import Changes
 from lacewingrudder_core.readiness import FROZEN_SECONDS, WAIT_SECONDS, Readiness
 from lacewingrudder_core.types import Endpoint
+from test_follower import catalogue, change
+
 from standins.nodes import ControlNode, EntryNode, make_members
 from standins.stepping import Network
-from test_follower import catalogue, change
 
 SYN = 0x02
 ACK = 0x10
@@ -63,6 +66,20 @@
         effects = lone.core.handle(arrived(SYN), 30.0)
         self.assertNotEqual(effects, [Drop("not_ready")])
 
+    def test_host_without_a_catalogue_takes_none_before_a_peer_could_tell_its_revision(
+        self,
+    ) -> None:
+        node = EntryNode(make_members(1)[0], self.names, ["control"])
+        first = ControlMessage("control", Changes((change(1),)))
+        node.handle(Tick(), 0.0)
+        node.handle(first, 0.1)
+        self.assertEqual(node.in_force, [])
+        node.handle(Tick(), 1.0)
+        node.handle(Tick(), 2.0)
+        node.handle(Tick(), 0.2 + WAIT_SECONDS)
+        node.handle(first, 0.2 + WAIT_SECONDS)
+        self.assertEqual(node.in_force, [1])
+
     def test_host_that_rejoins_with_an_old_catalogue_waits_for_the_new_one(self) -> None:
         self.network.send("control", self.control.commit(change(1), self.network.now))
         self.network.run(1.0)
--- a/packages/daemon/src/lacewingrudder_daemon/channel.py
+++ b/packages/daemon/src/lacewingrudder_daemon/channel.py
@@ -10,7 +10,7 @@
 from lacewingrudder_core.types import HostName
 from lacewingrudder_wire import handshake
 from lacewingrudder_wire.codec import MESSAGE_LIMIT_BYTES, Envelope, decode, encode
-from lacewingrudder_wire.exceptions import CodecError
+from lacewingrudder_wire.exceptions import CodecError, UnauthenticatedError
 from websockets.asyncio.connection import Connection
 
 from .link_counts import LinkCounts, purpose_of
@@ -21,10 +21,6 @@
 BUDGET_WAIT_SECONDS = 0.05
 
 
-class UnauthenticatedError(CodecError):
-    """The other side did not prove that it has the peer key."""
-
-
 class Channel:
     """Sends and receives messages on one connection, within a byte budget.
 
--- a/packages/daemon/src/lacewingrudder_daemon/link_counts.py
+++ b/packages/daemon/src/lacewingrudder_daemon/link_counts.py
@@ -7,6 +7,9 @@
 from typing import Any
 
 from lacewingrudder_wire.codec import tag_of
+from lacewingrudder_wire.exceptions import CodecError, UnauthenticatedError
+from websockets.exceptions import ConnectionClosed
+from websockets.frames import CloseCode
 
 
 class Purpose(enum.StrEnum):
@@ -33,6 +36,11 @@
     FAILED = "failed"
 
 
+_CLOSE_CODES: dict[int, Rejection] = {
+    CloseCode.MESSAGE_TOO_BIG: Rejection.OVERSIZED,
+    CloseCode.PROTOCOL_ERROR: Rejection.MALFORMED,
+    CloseCode.INVALID_DATA: Rejection.MALFORMED,
+}
 _FIRST_TAGS = (
     (1, Purpose.HANDSHAKE),
     (11, Purpose.TARGETS),
@@ -55,6 +63,15 @@
     return next(purpose for first, purpose in reversed(_FIRST_TAGS) if tag >= first)
 
 
+def rejection_of(error: ConnectionClosed | CodecError) -> Rejection | None:
+    """Return why a link ended, or ``None`` if this side did not refuse anything."""
+    if isinstance(error, UnauthenticatedError):
+        return Rejection.UNAUTHENTICATED
+    if isinstance(error, CodecError):
+        return Rejection.MALFORMED
+    return _CLOSE_CODES.get(error.sent.code) if error.sent is not None else None
+
+
 class LinkCounts:
     """Counters of a process's links; they only grow."""
 
--- a/packages/daemon/src/lacewingrudder_daemon/links.py
+++ b/packages/daemon/src/lacewingrudder_daemon/links.py
@@ -12,15 +12,15 @@
 
 from lacewingrudder_core.types import Endpoint, HostName
 from lacewingrudder_wire.codec import MESSAGE_LIMIT_BYTES
-from lacewingrudder_wire.exceptions import CodecError
+from lacewingrudder_wire.exceptions import CodecError, UnauthenticatedError
 from lacewingrudder_wire.handshake import Hello, OperatorHello
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
-from .channel import Channel, UnauthenticatedError
-from .link_counts import LinkCounts, Rejection
+from .channel import Channel
+from .link_counts import LinkCounts, Rejection, rejection_of
 from .outbox import Outbox
 from .recorder import Recorder
 
@@ -220,7 +220,7 @@
         except ConnectionRefusedError:
             self.counts.rejections[Rejection.TOO_MANY] += 1
         except (ConnectionClosed, CodecError) as error:
-            self._count(connection, error)
+            self._count(error)
 
     async def _first_message(self, channel: Channel) -> tuple[Any, bytes]:
         if self._strangers >= STRANGERS_LIMIT:
@@ -254,7 +254,7 @@
         except TimeoutError:
             _log.debug("link with %s is idle", host)
         except (ConnectionClosed, CodecError) as error:
-            self._count(channel.connection, error)
+            self._count(error)
             _log.debug("link with %s closed: %s", host, error)
         except Exception:
             self.counts.rejections[Rejection.FAILED] += 1
@@ -270,15 +270,10 @@
         if not links:
             self._links.pop(host, None)
 
-    def _count(self, connection: Connection, error: Exception) -> None:
-        if isinstance(error, UnauthenticatedError):
-            self.counts.rejections[Rejection.UNAUTHENTICATED] += 1
-        elif isinstance(error, CodecError):
-            self.counts.rejections[Rejection.MALFORMED] += 1
-        elif connection.protocol.close_code == 1009:
-            self.counts.rejections[Rejection.OVERSIZED] += 1
-        elif connection.protocol.close_code in (1002, 1007):
-            self.counts.rejections[Rejection.MALFORMED] += 1
+    def _count(self, error: ConnectionClosed | CodecError) -> None:
+        rejection = rejection_of(error)
+        if rejection is not None:
+            self.counts.rejections[rejection] += 1
 
 
 async def _close(connection: Connection) -> None:
--- a/packages/wire/src/lacewingrudder_wire/exceptions.py
+++ b/packages/wire/src/lacewingrudder_wire/exceptions.py
@@ -54,3 +54,7 @@
 
 class CodecError(LacewingrudderError):
     """Bytes from another process are no valid message."""
+
+
+class UnauthenticatedError(CodecError):
+    """The other process did not prove that it has the peer key."""
