Test the replicated log and its operators' side fault by fault

Two failed against the code as it was: a leader with a full disk left its operators without an answer, because the answers waited for the write that had failed. A refusal or an unknown outcome now leaves at once; only messages and applied changes wait for the disk.

An answer counted from its arrival was found by none, so a test of it was added.

--- a/packages/core/src/lacewingrudder_core/replica.py
+++ b/packages/core/src/lacewingrudder_core/replica.py
@@ -170,7 +170,6 @@
     def _persist_failed(self, event: PersistFailed) -> None:
         self._impaired_by = event.reason
         self._turn("fail")
-        self._state.emit(RoleChanged(self._role, self._state.term))
         self._state.drop_sends()
 
     def _propose(self, event: Propose) -> None:
--- a/packages/core/src/lacewingrudder_core/replica_state.py
+++ b/packages/core/src/lacewingrudder_core/replica_state.py
@@ -1,7 +1,8 @@
 """The state of a replica, and the order in which its effects may leave.
 
-An effect other than a write leaves only when every write that was issued before it is durable, so
-that nothing a crash could take back is ever told to anyone.
+Messages and applied changes leave only when every write that was issued before them is durable, so
+that nothing a crash could take back is ever told to anyone. A refusal tells nothing and leaves at
+once, also while the disk fails.
 """
 
 from __future__ import annotations
@@ -109,7 +110,7 @@
         return self._durable < self._issued
 
     def emit(self, effect: ReplicaEffect) -> None:
-        """Have an effect leave once everything written so far is durable."""
+        """Have an effect leave; a message or a change only once all writes so far are durable."""
         self._out.append(effect)
 
     def send(self, receiver: Voter, message: MemberMessage) -> None:
@@ -189,18 +190,22 @@
             self._durable_index = self._writes.popleft()[1]
 
     def drop_sends(self) -> None:
-        """Give up messages that wait for the disk, and let answers to operators go at once."""
-        kept = [item for item in self._held if not isinstance(item[1], SendReplica)]
-        urgent = [item for item in kept if isinstance(item[1], Answered)]
-        others = [item for item in kept if not isinstance(item[1], Answered)]
-        self._held = collections.deque([(0, effect) for _, effect in urgent] + others)
+        """Give up the messages that wait for the disk."""
+        self._out = [effect for effect in self._out if not isinstance(effect, SendReplica)]
+        self._held = collections.deque(
+            (number, effect) for number, effect in self._held if not isinstance(effect, SendReplica)
+        )
 
     def finish(self) -> list[ReplicaEffect]:
         """Return what may leave after one event."""
         done: list[ReplicaEffect] = []
         if self._dirty:
             done.append(Persist(self._next_write()))
-        self._held.extend((self._issued, effect) for effect in self._out)
+        for effect in self._out:
+            if isinstance(effect, SendReplica | Applied | Installed):
+                self._held.append((self._issued, effect))
+            else:
+                done.append(effect)
         self._out = []
         while self._held and self._held[0][0] <= self._durable:
             done.append(self._held.popleft()[1])
--- /dev/null
+++ b/packages/core/tests/test_control.py
@@ -0,0 +1,177 @@
+import collections
+import random
+import unittest
+from typing import Any
+
+from lacewingrudder_core import replica_events as e
+from lacewingrudder_core import replica_messages as m
+from lacewingrudder_core.control import Committed, ControlCore, ForwardHeard, Reply, Requested
+from lacewingrudder_core.durable import Durable
+from lacewingrudder_core.messages import (
+    OperatorReply,
+    Status,
+    StatusRequest,
+    SubmitNote,
+    SubmitOrder,
+)
+from lacewingrudder_core.notes import Note, SubmitReply, SubmitTag
+from lacewingrudder_core.replica import ReplicaCore
+from lacewingrudder_core.submissions import NOTE_WEIGHT_LIMIT
+from lacewingrudder_core.types import OrderAction, TargetOrder
+from replica_cluster import CHART, make_note
+
+NAMES = ["c1", "c2", "c3"]
+
+
+class ControlHosts:
+    """Three control hosts whose disks take every write at once."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.cores = {name: self._core(name) for name in NAMES}
+        self.messages: collections.deque[tuple[str, str, Any]] = collections.deque()
+        self.isolated: set[str] = set()
+        self.answers: dict[int, Any] = {}
+        self.committed: dict[str, list[int]] = collections.defaultdict(list)
+        self._token = 0
+
+    def _core(self, name: str) -> ControlCore:
+        replica = ReplicaCore(name, NAMES, CHART, Durable(f"{name}-1"), random.Random(name))
+        return ControlCore(name, replica)
+
+    def feed(self, name: str, event: Any) -> None:
+        for effect in self.cores[name].handle(event, self.now):
+            match effect:
+                case e.Persist(write):
+                    self.feed(name, e.Persisted(write.number))
+                case e.SendReplica(host, message):
+                    self.messages.append((name, host, message))
+                case Reply(token, body):
+                    assert token not in self.answers
+                    self.answers[token] = body
+                case Committed(change):
+                    self.committed[name].append(change.revision)
+
+    def settle(self) -> None:
+        while self.messages:
+            sender, receiver, message = self.messages.popleft()
+            if self.isolated & {sender, receiver}:
+                continue
+            forward = isinstance(message, m.ForwardRequest | m.ForwardReply)
+            heard = ForwardHeard if forward else e.ReplicaHeard
+            self.feed(receiver, heard(sender, message))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.1
+            for name in NAMES:
+                self.feed(name, e.Tick())
+            self.settle()
+
+    def request(self, name: str, request: Any) -> int:
+        self._token += 1
+        self.feed(name, Requested(self._token, request))
+        return self._token
+
+    def reply(self, token: int) -> SubmitReply:
+        body = self.answers[token]
+        assert isinstance(body, OperatorReply)
+        return body.reply
+
+    def status(self, name: str) -> Status:
+        status = self.answers[self.request(name, StatusRequest())]
+        assert isinstance(status, Status)
+        return status
+
+
+class ControlTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.hosts = ControlHosts()
+        self.hosts.run(5.0)
+        self.leader = self.hosts.status("c1").leader
+        self.follower, self.other = (name for name in NAMES if name != self.leader)
+
+    def submit(self, name: str, note: Note) -> SubmitReply:
+        token = self.hosts.request(name, SubmitNote(note))
+        self.hosts.settle()
+        return self.hosts.reply(token)
+
+    def test_every_host_names_the_same_leader(self) -> None:
+        statuses = [self.hosts.status(name) for name in NAMES]
+        self.assertEqual({(s.leader, s.accepting) for s in statuses}, {(self.leader, True)})
+
+    def test_note_at_a_follower_is_committed_on_all(self) -> None:
+        reply = self.submit(self.follower, make_note(1, 0))
+        self.hosts.run(0.5)
+        self.assertEqual(reply, SubmitReply(SubmitTag.ACCEPTED, 1, ""))
+        self.assertEqual(dict(self.hosts.committed), {name: [1] for name in NAMES})
+
+    def test_one_of_two_operators_that_race_under_one_number_wins(self) -> None:
+        tokens = [
+            self.hosts.request(name, SubmitNote(make_note(1, 0, f"from {name}")))
+            for name in (self.follower, self.other)
+        ]
+        self.hosts.settle()
+        tags = sorted(self.hosts.reply(token).tag for token in tokens)
+        self.assertEqual(tags, [SubmitTag.ACCEPTED, SubmitTag.CONFLICT])
+        self.hosts.run(0.5)
+        self.assertEqual(self.hosts.status(self.leader).revision, 1)
+
+    def test_lost_answer_is_unknown_and_resending_settles_it(self) -> None:
+        note = make_note(1, 0)
+        token = self.hosts.request(self.follower, SubmitNote(note))
+        sender, receiver, message = self.hosts.messages.popleft()
+        self.hosts.feed(receiver, ForwardHeard(sender, message))
+        self.hosts.isolated = {self.follower}
+        self.hosts.run(10.0)
+        self.assertEqual(self.hosts.reply(token).tag, SubmitTag.UNKNOWN)
+        self.assertEqual(self.submit(self.other, note), SubmitReply(SubmitTag.ACCEPTED, 1, ""))
+
+    def test_cut_off_host_says_so_and_refuses(self) -> None:
+        self.hosts.isolated = {self.leader}
+        early = self.hosts.request(self.leader, SubmitNote(make_note(1, 0)))
+        self.hosts.run(10.0)
+        late = self.submit(self.leader, make_note(2, 0))
+        self.assertEqual(self.hosts.reply(early).tag, SubmitTag.UNKNOWN)
+        self.assertEqual(late, SubmitReply(SubmitTag.REFUSED, 0, "no quorum"))
+        status = self.hosts.status(self.leader)
+        self.assertEqual((status.leader, status.accepting), ("", False))
+        self.assertTrue(self.hosts.status(self.follower).accepting)
+
+    def test_order_sent_again_gets_the_same_answer(self) -> None:
+        order = SubmitOrder(TargetOrder("10.0.0.1:80", OrderAction.WITHDRAW))
+        replies = []
+        for name in NAMES:
+            token = self.hosts.request(name, order)
+            self.hosts.settle()
+            replies.append(self.hosts.reply(token))
+        self.assertEqual(set(replies), {SubmitReply(SubmitTag.ACCEPTED, 1, "")})
+
+    def test_invalid_note_names_field_and_reason(self) -> None:
+        note = make_note(1, 0)._replace(withdrawn=("gone",))
+        reply = self.submit(self.follower, note)
+        self.assertEqual(reply.tag, SubmitTag.INVALID)
+        self.assertEqual(reply.detail, "withdrawn[0]: there is no service gone")
+
+    def test_note_too_large_for_a_message_is_refused_at_once(self) -> None:
+        note = make_note(1, 0)
+        large = note._replace(added=note.added * NOTE_WEIGHT_LIMIT)
+        reply = self.submit(self.follower, large)
+        self.assertEqual(reply.tag, SubmitTag.INVALID)
+        self.assertIn("too large", reply.detail)
+
+
+class ConfirmedTest(unittest.TestCase):
+    def test_nothing_leaves_before_its_write_is_durable(self) -> None:
+        replica = ReplicaCore("c1", ["c1"], CHART, Durable("c1-1"), random.Random(1))
+        core = ControlCore("c1", replica)
+        writes = [eff for eff in core.handle(e.Tick(), 0.0) if isinstance(eff, e.Persist)]
+        core.handle(e.Persisted(writes[-1].write.number), 0.0)
+        effects = core.handle(e.Tick(), 0.1)
+        effects += core.handle(Requested(1, SubmitNote(make_note(1, 0))), 0.1)
+        self.assertFalse([eff for eff in effects if isinstance(eff, Reply | Committed)])
+        for _ in range(4):
+            last = max(eff.write.number for eff in effects if isinstance(eff, e.Persist))
+            effects = [*effects, *core.handle(e.Persisted(last), 0.2)]
+        self.assertIn(Reply(1, OperatorReply(SubmitReply(SubmitTag.ACCEPTED, 1, ""))), effects)
--- /dev/null
+++ b/packages/core/tests/test_replica_faults.py
@@ -0,0 +1,322 @@
+import itertools
+import unittest
+from unittest import mock
+
+from lacewingrudder_core import replica_messages as m
+from lacewingrudder_core import replica_state
+from lacewingrudder_core.durable import Durable
+from lacewingrudder_core.election import LEASE_SECONDS, quorum_size
+from lacewingrudder_core.leading import Leading
+from lacewingrudder_core.log import LogEntry, Voter
+from lacewingrudder_core.notes import SubmitReply, SubmitTag
+from lacewingrudder_core.reconfiguration import next_voters
+from lacewingrudder_core.replica import LEADER, NO_QUORUM
+from lacewingrudder_core.replica_state import ReplicaState
+from lacewingrudder_core.types import OrderAction, TargetOrder
+from replica_cluster import Cluster, Host, make_note
+
+LONG_SECONDS = 60.0
+
+
+class ReplicaTestCase(unittest.TestCase):
+    size = 3
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(self.size)
+        self.leader = self.cluster.elect()
+
+    def followers(self) -> list[Host]:
+        return [host for host in self.cluster.hosts.values() if host is not self.leader]
+
+    def accept(self, *numbers: int) -> None:
+        for number in numbers:
+            leader = self.cluster.elect()
+            note = make_note(number, leader.core.catalogue.revision)
+            reply = self.cluster.submit(leader, note)
+            assert reply is not None
+            self.assertEqual(reply.tag, SubmitTag.ACCEPTED, reply)
+
+    def heal(self) -> None:
+        self.cluster.heal()
+        self.cluster.check_end()
+
+
+class LeaderLossTest(ReplicaTestCase):
+    def test_leader_killed_between_append_and_answer(self) -> None:
+        note = make_note(1, 0)
+        token = self.cluster.propose(self.leader, note)
+        self.cluster.persist(self.leader)
+        for _ in range(len(self.cluster.messages)):
+            self.cluster.deliver()
+        self.leader.crash(0)
+        self.cluster.settle()
+        self.assertNotIn(token, self.cluster.replies)
+        again = self.cluster.submit(self.cluster.elect(), note)
+        self.assertEqual(again, SubmitReply(SubmitTag.ACCEPTED, 1, ""))
+        self.heal()
+        self.assertEqual(self.leader.core.catalogue.revision, 1)
+
+    def test_leader_isolated_for_long_never_accepts(self) -> None:
+        self.accept(1)
+        old = self.leader
+        self.cluster.cut_off(old)
+        early = self.cluster.propose(old, make_note(2, 1))
+        self.cluster.run(LONG_SECONDS)
+        late = self.cluster.propose(old, make_note(3, 1))
+        self.cluster.run(1.0)
+        self.assertEqual(self.cluster.replies[early].tag, SubmitTag.UNKNOWN)
+        self.assertEqual(self.cluster.replies[late][::2], (SubmitTag.REFUSED, NO_QUORUM))
+        self.accept(4, 5)
+        self.heal()
+        self.assertEqual([r.number for r in old.core.catalogue.receipts], [1, 4, 5])
+
+    def test_leader_frozen_past_its_lease_refuses_when_it_goes_on(self) -> None:
+        old = self.leader
+        old.frozen_until = self.cluster.now + 2 * LEASE_SECONDS
+        self.cluster.now += 2 * LEASE_SECONDS
+        token = self.cluster.propose(old, make_note(1, 0))
+        self.cluster.settle()
+        self.assertEqual(self.cluster.replies[token][::2], (SubmitTag.REFUSED, NO_QUORUM))
+
+    def test_answers_that_waited_through_a_freeze_do_not_renew_the_lease(self) -> None:
+        old = self.leader
+        self.cluster.tick(0.3)
+        self.cluster.persist(old)
+        while self.cluster.messages and self.cluster.messages[0][0] == old.name:
+            self.cluster.deliver()
+        old.frozen_until = self.cluster.now + 2 * LEASE_SECONDS
+        self.cluster.now = old.frozen_until
+        self.cluster.settle()
+        self.assertEqual(old.core.leader(self.cluster.now), "")
+
+    def test_late_answer_renews_the_lease_from_when_its_request_left(self) -> None:
+        voters = tuple(Voter(name, name) for name in ("a", "b", "c"))
+        entries = (LogEntry(1, 1, voters=voters),)
+        state = ReplicaState(voters[0], Durable("a", "cluster", 4, entries=entries))
+        leading = Leading(state, {"a", "b", "c"}, 0.0)
+        late = m.AppendReply(m.Header("cluster", voters[1], "a", 4), 0.0, True, 1)
+        leading.append_answered(late, 2 * LEASE_SECONDS)
+        self.assertFalse(leading.lease_holds(2 * LEASE_SECONDS))
+
+    def test_entry_of_an_older_term_is_not_committed_by_counting(self) -> None:
+        """Figure 8 of the paper: it may still be replaced although a majority holds it."""
+        voters = tuple(Voter(name, name) for name in ("a", "b", "c"))
+        entries = (LogEntry(1, 1, voters=voters), LogEntry(2, 2, make_note(1, 0)))
+        state = ReplicaState(voters[0], Durable("a", "cluster", 4, entries=entries))
+        leading = Leading(state, {"a", "b", "c"}, 0.0)
+        state.finish()
+        state.persisted(1)
+        header = m.Header("cluster", voters[1], "a", 4)
+        leading.append_answered(m.AppendReply(header, 0.0, True, 2), 0.0)
+        self.assertEqual(state.commit, 0)
+        leading.append_answered(m.AppendReply(header, 0.0, True, 3), 0.0)
+        self.assertEqual(state.commit, 3)
+
+
+class FollowerLossTest(ReplicaTestCase):
+    def test_follower_killed_mid_write_catches_up(self) -> None:
+        follower = self.followers()[0]
+        self.cluster.propose(self.leader, make_note(1, 0))
+        self.cluster.persist(self.leader)
+        for _ in range(len(self.cluster.messages)):
+            self.cluster.deliver()
+        follower.crash(0)
+        self.accept(2)
+        follower.start()
+        self.heal()
+        self.assertEqual(follower.core.catalogue.revision, 2)
+
+    def test_second_host_lost_right_after_a_repair_loses_nothing(self) -> None:
+        self.accept(1, 2)
+        first, second = self.followers()
+        self.cluster.lose_disk(first)
+        self.assertFalse(self.cluster.may_lose_disk(second))
+        self.accept(3)
+        for _ in range(100):
+            self.cluster.run(0.1)
+            if self.cluster.may_lose_disk(second):
+                break
+        self.assertTrue(self.cluster.may_lose_disk(second))
+        self.cluster.lose_disk(second)
+        self.accept(4)
+        self.heal()
+        self.assertEqual([r.number for r in first.core.catalogue.receipts], [1, 2, 3, 4])
+
+    def test_host_that_lost_its_disk_does_not_vote_for_its_old_self(self) -> None:
+        self.accept(1)
+        lost, other = self.followers()
+        self.cluster.cut_off(other)
+        self.accept(2)
+        self.leader.crash(0)
+        self.cluster.lose_disk(lost)
+        self.cluster.cuts.clear()
+        self.cluster.run(LONG_SECONDS)
+        self.assertIsNone(self.cluster.leader())
+        self.heal()
+
+    def test_replaced_host_whose_old_disk_returns_counts_only_once_admitted(self) -> None:
+        self.accept(1)
+        host = self.followers()[0]
+        host.crash(0)
+        old = host.durable
+        self.cluster.lose_disk(host)
+        self.cluster.run(10.0)
+        new = host.voter
+        self.accept(2)
+        host.crash(0)
+        host.durable, host.revision, host.checked = old, 0, 0
+        host.start()
+        self.heal()
+        self.assertNotIn(new, self.leader.core.state.log.voters)
+
+
+class SeveredLinksTest(ReplicaTestCase):
+    def test_leader_that_hears_nobody_steps_down(self) -> None:
+        for follower in self.followers():
+            self.cluster.cuts.add((follower.name, self.leader.name))
+        self.cluster.run(5.0)
+        self.assertIsNot(self.cluster.elect(), self.leader)
+        self.accept(1)
+
+    def test_host_that_hears_nobody_does_not_disturb_the_leader(self) -> None:
+        deaf = self.followers()[0]
+        for name in self.cluster.names:
+            self.cluster.cuts.add((name, deaf.name))
+        term = self.leader.core.state.term
+        self.cluster.run(LONG_SECONDS)
+        self.assertEqual(self.leader.core.state.term, term)
+        self.assertEqual(self.leader.core.role, LEADER)
+        self.cluster.cuts.clear()
+        self.cluster.run(5.0)
+        self.assertEqual(self.leader.core.state.term, term)
+
+    def test_clock_that_jumps_loses_nothing(self) -> None:
+        self.accept(1)
+        for host in self.cluster.hosts.values():
+            host.clock_ahead += 3600.0
+            self.cluster.run(0.1)
+        self.accept(2)
+        self.heal()
+
+
+class ResendTest(ReplicaTestCase):
+    def test_same_note_gets_the_first_answer_after_leader_change_and_compaction(self) -> None:
+        with mock.patch.object(replica_state, "COMPACT_AFTER_ENTRIES", 10):
+            self.accept(*range(1, 31))
+            self.leader.crash(0)
+            leader = self.cluster.elect()
+            for host in self.cluster.up():
+                host.crash(len(host.writes))
+                host.start()
+            leader = self.cluster.elect()
+            self.assertGreater(leader.core.state.snapshot.last_index, 10)
+            first = self.cluster.submit(leader, make_note(1, 0))
+            other = self.cluster.submit(leader, make_note(1, 0, "another digest"))
+        self.assertEqual(first, SubmitReply(SubmitTag.ACCEPTED, 1, ""))
+        assert other is not None
+        self.assertEqual(other.tag, SubmitTag.CONFLICT)
+
+    def test_order_in_force_makes_no_new_revision(self) -> None:
+        order = TargetOrder("10.0.0.1:80", OrderAction.DRAIN)
+        replies = []
+        for _ in range(2):
+            token = self.cluster.propose(self.leader, None, order)
+            self.cluster.settle()
+            replies.append(self.cluster.replies[token])
+        self.assertEqual(replies, [SubmitReply(SubmitTag.ACCEPTED, 1, "")] * 2)
+
+    def test_restart_after_500_notes(self) -> None:
+        for number in range(1, 501):
+            reply = self.cluster.submit(self.leader, make_note(number, number - 1))
+            assert reply is not None
+            self.assertEqual(reply.tag, SubmitTag.ACCEPTED)
+        blank = self.followers()[0]
+        self.cluster.lose_disk(blank)
+        for host in self.cluster.hosts.values():
+            if host is not blank:
+                host.crash(len(host.writes))
+                host.start()
+                self.assertEqual(host.core.catalogue.revision, 500)
+        self.heal()
+        self.assertEqual(blank.core.catalogue.revision, 500)
+
+
+class DiskTest(ReplicaTestCase):
+    def test_leader_with_a_full_disk_accepts_nothing_and_recovers(self) -> None:
+        full = self.leader
+        full.disk_fails = True
+        token = self.cluster.propose(full, make_note(1, 0))
+        self.cluster.persist(full)
+        self.assertEqual(self.cluster.replies[token].tag, SubmitTag.UNKNOWN)
+        refused = self.cluster.propose(full, make_note(2, 0))
+        self.assertEqual(self.cluster.replies[refused].tag, SubmitTag.REFUSED)
+        self.assertIn("No space left", self.cluster.replies[refused].detail)
+        self.accept(3)
+        self.heal()
+        self.assertEqual([r.number for r in full.core.catalogue.receipts], [3])
+
+    def test_all_disks_full_then_one_more_note_after_space_returns(self) -> None:
+        for host in self.cluster.hosts.values():
+            host.disk_fails = True
+        self.cluster.propose(self.leader, make_note(1, 0))
+        self.cluster.persist(self.leader)
+        self.cluster.run(5.0)
+        self.assertIsNone(self.cluster.leader())
+        self.cluster.heal()
+        self.cluster.elect()
+        revision = self.cluster.elect().core.catalogue.revision
+        self.accept(2)
+        self.assertEqual(self.cluster.elect().core.catalogue.revision, revision + 1)
+
+
+class FormationTest(unittest.TestCase):
+    def test_no_cluster_before_all_hosts_answer(self) -> None:
+        cluster = Cluster(3)
+        cluster.hosts["c3"].is_up = False
+        cluster.run(10.0)
+        self.assertEqual({host.core.state.cluster for host in cluster.hosts.values()}, {""})
+        cluster.hosts["c3"].start()
+        cluster.elect()
+
+    def test_founder_that_lost_its_disk_founds_no_second_cluster(self) -> None:
+        cluster = Cluster(3)
+        cluster.elect()
+        name = cluster.hosts["c2"].core.state.cluster
+        cluster.hosts["c2"].crash(0)
+        cluster.lose_disk(cluster.hosts["c1"])
+        cluster.run(LONG_SECONDS)
+        self.assertEqual(cluster.hosts["c1"].core.state.cluster, "")
+        cluster.heal()
+        cluster.check_end()
+        self.assertEqual(cluster.hosts["c1"].core.state.cluster, name)
+
+    def test_host_with_a_new_name_takes_the_place_of_one_no_longer_named(self) -> None:
+        voters = tuple(Voter(name, f"{name}-1") for name in ("a", "b", "c"))
+        names = {"a", "b", "d"}
+        new = Voter("d", "d-1")
+        steps = []
+        while new not in voters:
+            found = next_voters(voters, names, new, lambda voter: False)
+            assert found is not None
+            voters = found
+            steps.append([voter.name for voter in voters])
+        self.assertEqual(steps, [["a", "b"], ["a", "b", "d"]])
+
+    def test_each_step_of_a_replacement_overlaps_the_majorities_before(self) -> None:
+        voters = tuple(Voter(name, f"{name}-1") for name in ("a", "b", "c", "d", "e"))
+        new = Voter("c", "c-2")
+        while new not in voters:
+            found = next_voters(voters, {v.name for v in voters} | {"c"}, new, lambda _: True)
+            assert found is not None
+            for before, after in itertools.product(_majorities(voters), _majorities(found)):
+                self.assertTrue(before & after)
+            voters = found
+
+    def test_voter_that_answers_is_not_replaced_by_a_namesake(self) -> None:
+        voters = tuple(Voter(name, f"{name}-1") for name in ("a", "b", "c"))
+        names = {"a", "b", "c"}
+        self.assertIsNone(next_voters(voters, names, Voter("c", "c-2"), lambda voter: False))
+
+
+def _majorities(voters: tuple[Voter, ...]) -> list[set[Voter]]:
+    return [set(group) for group in itertools.combinations(voters, quorum_size(voters))]
