Test the disk of a control host: torn, full, failing and damaged

The disk sits behind a class; the fake loses what was not synced, tears the write under way, fills up and fails.

--- /dev/null
+++ b/packages/daemon/tests/fake_disk.py
@@ -0,0 +1,69 @@
+"""A disk in memory that loses what was not synced, tears writes, fills up and fails."""
+
+from __future__ import annotations
+
+import errno
+
+from lacewingrudder_daemon.disk import Disk
+
+
+class FakeDisk(Disk):
+    """Files as the process sees them, and as they are after a crash.
+
+    :param capacity: bytes that all files together may take.
+    """
+
+    def __init__(self, capacity: int = 1 << 30) -> None:
+        self.capacity = capacity
+        self.fails = False
+        self.syncs = 0
+        self.synced: dict[str, bytes] = {}
+        self._seen: dict[str, bytes] = {}
+
+    def read(self, name: str) -> bytes | None:
+        return self._seen.get(name)
+
+    def append(self, name: str, data: bytes) -> None:
+        room = self.capacity - sum(map(len, self._seen.values()))
+        self._seen[name] = self._seen.get(name, b"") + data[: max(0, room)]
+        if room < len(data):
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+    def sync(self, name: str) -> None:
+        if self.fails:
+            raise OSError(errno.EIO, "Input/output error")
+        self.syncs += 1
+        self.synced[name] = self._seen[name]
+
+    def truncate(self, name: str, size: int) -> None:
+        self._seen[name] = self._seen[name][:size]
+        self.sync(name)
+
+    def replace(self, name: str, data: bytes) -> None:
+        before = self._seen.get(name)
+        try:
+            self._seen[name] = b""
+            self.append(name, data)
+            self.sync(name)
+        except OSError:
+            if before is None:
+                del self._seen[name]
+            else:
+                self._seen[name] = before
+            raise
+
+    def close(self) -> None:
+        pass
+
+    def crash(self, torn: int = 0) -> None:
+        """Keep what was synced, and the first bytes of what was written after it."""
+        for name, data in self._seen.items():
+            kept = len(self.synced.get(name, b""))
+            self._seen[name] = data[: kept + torn]
+        self.synced = dict(self._seen)
+
+    def flip(self, name: str, offset: int) -> None:
+        """Damage one byte."""
+        data = bytearray(self._seen[name])
+        data[offset] ^= 0xFF
+        self._seen[name] = bytes(data)
--- /dev/null
+++ b/packages/daemon/tests/test_store.py
@@ -0,0 +1,157 @@
+import contextlib
+import random
+import tempfile
+import unittest
+from pathlib import Path
+
+from fake_disk import FakeDisk
+from lacewingrudder_core.durable import Durable, Write
+from lacewingrudder_core.log import LogEntry, LogSnapshot, Voter
+from lacewingrudder_core.notes import Catalogue, Note
+from lacewingrudder_core.types import Kind, OrderAction, Service, TargetOrder
+from lacewingrudder_daemon.disk import FolderDisk
+from lacewingrudder_daemon.store import LOG_NAME, CorruptLogError, ReplicaStore
+
+VOTERS = (Voter("c1", "one"), Voter("c2", "two"))
+
+
+def entry(index: int) -> LogEntry:
+    service = Service(f"s{index}", index, "service-key", (Kind("k", 443, 0, True, 0.5),))
+    return LogEntry(index, 1, Note(index, 0, (service,), (), (), f"digest-{index}"))
+
+
+def write(number: int, *entries: LogEntry, snapshot: LogSnapshot | None = None) -> Write:
+    return Write(number, "cluster", 1, "one", number, entries, snapshot)
+
+
+class StoreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.disk = FakeDisk()
+        self.store, self.state = self.open()
+
+    def open(self) -> tuple[ReplicaStore, Durable]:
+        store = ReplicaStore(self.disk)
+        return store, store.recover("fresh identity")
+
+    def test_identity_of_a_blank_disk_lasts(self) -> None:
+        self.disk.crash()
+        self.assertEqual(ReplicaStore(self.disk).recover("another").identity, "fresh identity")
+
+    def test_everything_written_is_there_after_a_crash(self) -> None:
+        writes = [
+            write(1, LogEntry(1, 1, voters=VOTERS)),
+            write(2, entry(2), entry(3)),
+            write(3, LogEntry(3, 1, order=TargetOrder("t", OrderAction.DRAIN))),
+        ]
+        expected = self.state
+        for one in writes:
+            self.store.write([one])
+            expected = expected.after(one)
+        self.disk.crash()
+        self.assertEqual(self.open()[1], expected)
+
+    def test_writes_of_one_call_share_a_sync(self) -> None:
+        before = self.disk.syncs
+        self.store.write([write(1, entry(1)), write(2, entry(2)), write(3, entry(3))])
+        self.assertEqual(self.disk.syncs - before, 1)
+
+    def test_snapshot_begins_the_file_anew(self) -> None:
+        for number in range(1, 200):
+            self.store.write([write(number, entry(number))])
+        size = len(self.disk.synced[LOG_NAME])
+        snapshot = LogSnapshot(199, 1, VOTERS, Catalogue(199))
+        self.store.write([write(200, entry(200), snapshot=snapshot)])
+        self.disk.crash()
+        state = self.open()[1]
+        self.assertEqual((state.snapshot, state.entries), (snapshot, (entry(200),)))
+        self.assertLess(len(self.disk.synced[LOG_NAME]), size / 10)
+
+    def test_torn_tail_is_cut_off_and_the_next_write_lasts(self) -> None:
+        self.store.write([write(1, entry(1))])
+        self.disk.fails = True
+        with self.assertRaises(OSError):
+            self.store.write([write(2, entry(2))])
+        self.disk.fails = False
+        self.disk.crash(torn=20)
+        store, state = self.open()
+        self.assertEqual(state.entries, (entry(1),))
+        store.write([write(2, entry(2))])
+        self.disk.crash()
+        self.assertEqual(self.open()[1].entries, (entry(1), entry(2)))
+
+    def test_damage_before_the_last_frame_is_refused(self) -> None:
+        for number in (1, 2, 3):
+            self.store.write([write(number, entry(number))])
+        self.disk.flip(LOG_NAME, len(self.disk.synced[LOG_NAME]) // 2)
+        with self.assertRaisesRegex(CorruptLogError, "is damaged at byte"):
+            self.open()
+
+    def test_damage_in_the_first_frame_is_refused(self) -> None:
+        self.disk.flip(LOG_NAME, 0)
+        with self.assertRaises(CorruptLogError):
+            self.open()
+
+    def test_full_disk_takes_the_same_writes_when_space_returns(self) -> None:
+        self.store.write([write(1, entry(1))])
+        self.disk.capacity = len(self.disk.synced[LOG_NAME]) + 10
+        for _ in range(3):
+            with self.assertRaisesRegex(OSError, "No space left"):
+                self.store.write([write(2, entry(2))])
+        self.disk.capacity = 1 << 30
+        self.store.write([write(2, entry(2)), write(3, entry(3))])
+        self.disk.crash()
+        self.assertEqual(self.open()[1].entries, (entry(1), entry(2), entry(3)))
+
+    def test_random_crashes_lose_nothing_that_was_synced(self) -> None:
+        for seed in range(200):
+            self._crash_at_random(random.Random(seed))
+
+    def _crash_at_random(self, rng: random.Random) -> None:
+        self.disk = FakeDisk()
+        store, state = self.open()
+        for number in range(1, 30):
+            first = rng.randint(state.snapshot.last_index + 1, state.last_index + 1)
+            snapshot = LogSnapshot(first, 1, VOTERS, Catalogue(first)) if not number % 9 else None
+            one = write(number, entry(first), snapshot=snapshot)
+            self.disk.fails = rng.random() < 0.3
+            with contextlib.suppress(OSError):
+                store.write([one])
+                state = state.after(one)
+            self.disk.fails = False
+            if rng.random() < 0.4:
+                self.disk.crash(torn=rng.randint(0, 40))
+                store, found = self.open()
+                self.assertEqual(found, state)
+
+
+class FolderDiskTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "data"
+
+    def test_store_on_a_real_folder(self) -> None:
+        disk = FolderDisk(self.folder)
+        store = ReplicaStore(disk)
+        store.recover("identity")
+        store.write([write(1, entry(1))])
+        store.write([write(2, snapshot=LogSnapshot(1, 1, VOTERS, Catalogue(1)))])
+        store.write([write(3, entry(2))])
+        store.close()
+        state = ReplicaStore(FolderDisk(self.folder)).recover("another")
+        self.assertEqual(state.identity, "identity")
+        self.assertEqual((state.snapshot.last_index, state.entries), (1, (entry(2),)))
+
+    def test_second_process_is_refused(self) -> None:
+        disk = FolderDisk(self.folder)
+        with self.assertRaisesRegex(OSError, "in use"):
+            FolderDisk(self.folder)
+        disk.close()
+        FolderDisk(self.folder).close()
+
+    def test_left_over_of_a_broken_replacement_does_no_harm(self) -> None:
+        disk = FolderDisk(self.folder)
+        (self.folder / "file.new").write_bytes(b"left over")
+        disk.replace("file", b"whole")
+        self.assertEqual(disk.read("file"), b"whole")
+        disk.close()
