Retry and reset nothing while another host may be home of the flow

Now only the home retries, and nobody for 5 s after a membership change, which also holds back verdicts of silence; only established flows are pinned; a pin decides only where no flow is known; a target that answers a search with other sequence numbers denies the flow. A half-open flow that expires or gives way is forgotten without a verdict, since a caller that did finish its handshake is found again at its target.

--- a/packages/core/src/lacewingrudder_core/flow_core.py
+++ b/packages/core/src/lacewingrudder_core/flow_core.py
@@ -38,14 +38,15 @@
 from .health import HealthBook
 from .loads import LoadBook
 from .lookup import Looked, Lookup
-from .opening import Opener
+from .opening import Opener, reset_caller
 from .placement import PlacementPolicy
 from .routes import RouteBook
 from .silence import SilenceWatch
-from .types import Endpoint, FlowKey, HostName, Verdict
+from .types import Endpoint, FlowKey, HostName, TargetName, Verdict
 from .view import KindRoute, RoutingView, TargetRoute
 
 RECENT_SECONDS = 5.0
+TARGET_MOVED = "target_moved"
 
 
 class FlowCore(Core[FlowEvent, FlowEffect]):
@@ -69,7 +70,7 @@
         self._name = name
         self._is_leaving = False
         self._health = health
-        loads = LoadBook()
+        self._loads = loads = LoadBook()
         uses = UseBook(admission, loads)
         self._routes = RouteBook(view)
         self._keeper = FlowKeeper(name, view, uses)
@@ -88,6 +89,11 @@
         """How many of this host's flows are on another target than the table gives."""
         return self._keeper.pins.own_count
 
+    @property
+    def targets_in_use(self) -> frozenset[TargetName]:
+        """The targets that have flows of this host."""
+        return self._loads.in_use
+
     def handle(self, event: FlowEvent, now: float) -> list[FlowEffect]:
         """Take one event; effects that name no packet concern the segment of the event."""
         if isinstance(event, SegmentArrived):
@@ -98,28 +104,40 @@
             self._keeper.pins.heard(event.pins)
             return []
         if isinstance(event, Leaving):
-            return self._leave()
-        self._change_view(event.view, now)
-        return []
+            return self._leave(now)
+        return self._change_view(event.view, now)
 
     def _tick(self, now: float) -> list[FlowEffect]:
         effects = self._opener.tick(now) + self._lookup.tick(now) + self._silence.tick(now)
         return effects + list(self._keeper.tick(now))
 
-    def _change_view(self, view: RoutingView, now: float) -> None:
-        self._routes.update(view, now)
+    def _change_view(self, view: RoutingView, now: float) -> list[FlowEffect]:
+        moved = self._routes.update(view, now)
         homes = view.homes
         if homes.members == self._keeper.homes.members:
             homes = self._keeper.homes
         elif self._is_leaving and len(homes.members) > 1:
             homes = homes.without(self._name)
-        self._keeper.change_view(view, homes)
+        self._keeper.change_view(view, homes, now)
+        return self._end_flows_on(moved, now) if moved else []
+
+    def _end_flows_on(self, moved: frozenset[Endpoint], now: float) -> list[FlowEffect]:
+        """End what is left on endpoints that serve another service now; it must not reach it."""
+        effects: list[FlowEffect] = []
+        for flow in list(map(self._table.get, self._table.keys())):
+            if flow is None or flow.endpoint not in moved:
+                continue
+            self._keeper.forget(flow, now)
+            if flow.state is not FlowState.CLOSED:
+                ran = Verdict.MAY_HAVE_RUN if flow.has_payload else Verdict.NOT_RUN
+                effects += [reset_caller(flow), _verdict(flow, ran, TARGET_MOVED)]
+        return effects
 
-    def _leave(self) -> list[FlowEffect]:
+    def _leave(self, now: float) -> list[FlowEffect]:
         self._is_leaving = True
         homes = self._keeper.homes
         if len(homes.members) > 1:
-            self._keeper.change_homes(homes.without(self._name))
+            self._keeper.change_homes(homes.without(self._name), now)
         return [Replicate(due.host, due.pins) for due in self._keeper.pins.flush()]
 
     def _segment(self, event: SegmentArrived, now: float) -> list[FlowEffect]:
@@ -154,6 +172,8 @@
             return self._unknown_to_home(event, key, flow, now)
         if self._keeper.is_home(flow) or event.stage is Stage.HOME:
             return self._serve_target(flow, segment, answer.service, now)
+        if flow.state is FlowState.HALF_OPEN and segment.flags & SYN:
+            self._syn_answered(flow, segment, now)
         return self._tell_home(flow)
 
     def _tell_home(self, flow: Flow) -> list[FlowEffect]:
@@ -256,7 +276,9 @@
         if event.stage is Stage.FOUND:
             return self._lookup.found(event, key, now)
         reply = self._lookup.reply(event, key, now)
-        return reply if reply is not None else self._lookup.pinned(event, key, now)
+        if reply is not None or key in self._table:
+            return reply
+        return self._lookup.pinned(event, key, now)
 
     def _carry_on(self, segment: Segment, looked: Looked, now: float) -> list[FlowEffect]:
         flow = looked.flow
--- a/packages/core/src/lacewingrudder_core/flow_keeper.py
+++ b/packages/core/src/lacewingrudder_core/flow_keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 
 from .flow_table import Flow, FlowState, FlowTable
@@ -14,6 +15,7 @@
 from .view import KindRoute, RoutingView
 
 CLOSED_SECONDS = 5.0
+SETTLE_SECONDS = 5.0
 REPINS_PER_TICK = 2000
 
 
@@ -29,25 +31,35 @@
         self._uses = uses
         self._view = view
         self._repins: Iterator[FlowKey] = iter(())
+        self._settled_at = -math.inf
         self.homes: HomeTable = view.homes
         self.table = FlowTable()
         self.pins = PinBook(name)
 
-    def change_view(self, view: RoutingView, homes: HomeTable) -> None:
+    def change_view(self, view: RoutingView, homes: HomeTable, now: float) -> None:
         """Take a new view.
 
         :param homes: the ranking to use, which may leave out this host.
         """
         self._view = view
         if homes is not self.homes:
-            self.change_homes(homes)
+            self.change_homes(homes, now)
         self._repins = iter(self.table.keys())
 
-    def change_homes(self, homes: HomeTable) -> None:
+    def change_homes(self, homes: HomeTable, now: float) -> None:
         """Take a new ranking of the hosts."""
+        self._settled_at = now + SETTLE_SECONDS
         self.pins.rehome(self.homes, homes)
         self.homes = homes
 
+    def is_settled(self, now: float) -> bool:
+        """Return whether the membership has been the same for a while.
+
+        Until then another host may act as home of the same flow and get a part of its packets, so
+        that silence proves nothing.
+        """
+        return now >= self._settled_at
+
     def digest(self, key: FlowKey) -> int:
         """Return the hash that decides on a flow's home and on the table's choice."""
         flow = self.table.get(key)
@@ -72,7 +84,6 @@
         use, given_up = self._uses.opened(route, key, target, now)
         flow = Flow(key, flow_hash(key), target, endpoint, use, self.homes, now)
         self.table.add(flow)
-        self._pin(flow)
         return flow, self.table.get(given_up) if given_up is not None else None
 
     def adopt(
@@ -96,6 +107,7 @@
         flow.state = FlowState.ESTABLISHED
         flow.syn = b""
         self._uses.acknowledged(flow.use, flow.key, now)
+        self._pin(flow)
 
     def move(self, flow: Flow, target: TargetName, endpoint: Endpoint) -> None:
         """Place a half-open flow on another target."""
@@ -103,7 +115,6 @@
         flow.target = target
         flow.endpoint = endpoint
         self._uses.moved(flow.use, target)
-        self._pin(flow)
 
     def asked(self, flow: Flow, segment: Segment, now: float) -> None:
         """Take note of payload from the caller."""
@@ -156,7 +167,7 @@
             self.table.remove(flow)
         for _, key in zip(range(REPINS_PER_TICK), self._repins, strict=False):
             known = self.table.get(key)
-            if known is not None and known.state is not FlowState.CLOSED:
+            if known is not None and known.state is FlowState.ESTABLISHED:
                 self._pin(known)
         return [Replicate(due.host, due.pins) for due in self.pins.due(now)]
 
--- a/packages/core/src/lacewingrudder_core/flow_table.py
+++ b/packages/core/src/lacewingrudder_core/flow_table.py
@@ -211,6 +211,9 @@
     def __len__(self) -> int:
         return len(self._flows)
 
+    def __contains__(self, key: FlowKey) -> bool:
+        return key in self._flows
+
     def __iter__(self) -> Iterator[Flow]:
         return iter(self._flows.values())
 
--- a/packages/core/src/lacewingrudder_core/opening.py
+++ b/packages/core/src/lacewingrudder_core/opening.py
@@ -4,7 +4,7 @@
 
 import enum
 
-from .admission import AdmissionPolicy, RefusalReason, Refused
+from .admission import AdmissionPolicy, Refused
 from .flow_keeper import FlowKeeper
 from .flow_table import Flow, FlowState
 from .flow_types import (
@@ -104,9 +104,9 @@
         for flow in self._due(now):
             effects += self._unanswered(flow, now)
         for key in self._uses.expired(now):
-            flow_or_none = self._keeper.table.get(key)
-            if flow_or_none is not None:
-                effects += self._give_up(flow_or_none, now)
+            late = self._keeper.table.get(key)
+            if late is not None:
+                self._keeper.forget(late, now)
         return effects
 
     def _again(self, flow: Flow) -> list[FlowEffect]:
@@ -136,14 +136,9 @@
         flow.syn = b"" if segment.payload else event.packet
         self._keeper.table.unanswered[key] = flow
         self._budget.attempted()
-        if given_up is None:
-            return [ToTarget(endpoint)]
-        self._keeper.forget(given_up, now)
-        return [
-            ToTarget(endpoint),
-            reset_target(given_up, given_up.endpoint),
-            _not_run(given_up, RefusalReason.TOO_MANY_HALF_OPEN),
-        ]
+        if given_up is not None:
+            self._keeper.forget(given_up, now)
+        return [ToTarget(endpoint)]
 
     def _supersede(self, flow: Flow, now: float) -> list[FlowEffect]:
         """End the earlier incarnation; its target is told before it gets the new SYN."""
@@ -161,7 +156,10 @@
             if now - flow.sent_at < SYN_RETRY_SECONDS:
                 break
             due.append(flow)
-        return due
+        for flow in due:
+            if not self._keeper.is_home(flow):
+                del self._keeper.table.unanswered[flow.key]
+        return [flow for flow in due if self._keeper.is_home(flow)]
 
     def _unanswered(self, flow: Flow, now: float) -> list[FlowEffect]:
         self._health.syn_failed(flow.target, now)
@@ -183,6 +181,8 @@
         """Place a flow on another target, or return nothing if that is not possible now."""
         if not flow.syn or now - flow.opened_at >= SYN_DEADLINE_SECONDS:
             return []
+        if not self._keeper.is_settled(now):
+            return []
         target = self._other_target(flow, now)
         if target is None:
             return []
@@ -212,11 +212,6 @@
                 return target
         return None
 
-    def _give_up(self, flow: Flow, now: float) -> list[FlowEffect]:
-        """End a flow whose caller never acknowledged the target's answer."""
-        self._keeper.forget(flow, now)
-        return [reset_target(flow, flow.endpoint)]
-
 
 def reset_target(flow: Flow, endpoint: Endpoint) -> Reset:
     """Return the reset that makes a target forget a flow."""
--- a/packages/core/src/lacewingrudder_core/search.py
+++ b/packages/core/src/lacewingrudder_core/search.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from .flow_table import WINDOW_BYTES
-from .flow_types import RST, SEQUENCE_MASK, FlowEffect, Probe, Segment
+from .flow_types import RST, SEQUENCE_MASK, SYN, FlowEffect, Probe, Segment
 from .types import Endpoint, FlowKey, TargetName
 
 SEARCHES_MAX = 1024
@@ -50,15 +50,16 @@
 
     def is_answered_by(self, segment: Segment) -> bool:
         """Return whether a target's segment shows that the target keeps the flow."""
-        if segment.flags & RST:
+        if segment.flags & (SYN | RST):
             return False
-        ahead = (segment.ack - self.segment.seq + WINDOW_BYTES // 2) & SEQUENCE_MASK
-        return ahead < WINDOW_BYTES
+        return _near(segment.ack, self.segment.seq) and _near(segment.seq, self.segment.ack)
 
     def is_denied_by(self, segment: Segment) -> bool:
-        """Return whether a target's segment shows that the asked target lacks the flow."""
+        """Return whether a segment shows that the asked target lacks the flow or has another."""
         asked = self.asked
-        return bool(segment.flags & RST) and asked is not None and asked.endpoint == segment.source
+        if asked is None or asked.endpoint != segment.source:
+            return False
+        return not self.is_answered_by(segment)
 
 
 class SearchBook:
@@ -131,3 +132,7 @@
         for key in late:
             del self._sightings[key]
         return effects
+
+
+def _near(number: int, other: int) -> bool:
+    return (number - other + WINDOW_BYTES // 2) & SEQUENCE_MASK < WINDOW_BYTES
--- a/packages/core/src/lacewingrudder_core/silence.py
+++ b/packages/core/src/lacewingrudder_core/silence.py
@@ -45,7 +45,8 @@
 
     def tick(self, now: float) -> list[FlowEffect]:
         """Return probes and resets that are due."""
-        return self._unanswered(now) + self._idle(now)
+        silent = self._unanswered(now) if self._keeper.is_settled(now) else []
+        return silent + self._idle(now)
 
     def _unanswered(self, now: float) -> list[FlowEffect]:
         silent = []
--- a/packages/core/tests/test_flow_sessions.py
+++ b/packages/core/tests/test_flow_sessions.py
@@ -55,6 +55,9 @@
     def test_late_syn_ack_of_an_abandoned_target(self) -> None:
         self.replay("late_syn_ack")
 
+    def test_home_moves_during_the_handshake(self) -> None:
+        self.replay("home_moves_during_handshake")
+
     def test_refused_syn_goes_to_another_target(self) -> None:
         self.replay("refused_syn")
 
