Admit new flows by guaranteed shares

A flood of one kind of work took all slots of its service. ShareAdmission splits the targets' slots and connection limits over the live homes, keeps each kind's share of flows free, lends its slots, and orders the rest by urgency without strict priority. Ruled out: counting a share in requests a second (needs the cost of a request, which waiting inflates), and comparing a kind's busy flows with its own part alone (a lost target's stuck flows then count against the kinds that did not flood).

--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from . import follower, membership, targets
-from .admission import AdmitAll
+from .admission import AdmissionPolicy
 from .chart import Chart
 from .core import Core
 from .flows import (
@@ -65,6 +65,7 @@
 from .notes import Catalogue
 from .placement import SparingPlacement
 from .readiness import Readiness
+from .shares import ShareAdmission
 from .spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
 from .targets import (
     Announced,
@@ -128,6 +129,7 @@
     :param controls: names of the control hosts.
     :param keeps: whether this host makes a catalogue durable before it is in force.
     :param rng: source of random choices in gossip.
+    :param admission: decides on new flows; by guaranteed shares if ``None``.
     """
 
     def __init__(
@@ -139,6 +141,7 @@
         controls: tuple[HostName, ...] = (),
         keeps: bool = False,
         rng: random.Random | None = None,
+        admission: AdmissionPolicy | None = None,
     ) -> None:
         self._me = me
         rng = rng or random.Random(me.name)
@@ -154,7 +157,9 @@
         placement = SparingPlacement(me.zone, self._health)
         self._views = ViewBuilder()
         view = self._views.build([me], in_force, ())
-        self._flows = FlowCore(me.name, view, AdmitAll(), placement, self._health)
+        self._flows = FlowCore(
+            me.name, view, admission or ShareAdmission(), placement, self._health
+        )
 
     @property
     def revision(self) -> int:
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -7,14 +7,17 @@
 import random
 import secrets
 import time
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
 from lacewingrudder_core import control, entry, follower, spread
 from lacewingrudder_core import messages as m
 from lacewingrudder_core import replica_messages as r
+from lacewingrudder_core.admission import AdmissionPolicy, AdmitAll
 from lacewingrudder_core.replica import ReplicaCore
 from lacewingrudder_core.replica_events import ReplicaHeard
+from lacewingrudder_core.shares import ShareAdmission, SharedLimitAdmission
 from lacewingrudder_core.types import HostName, Member
 from lacewingrudder_wire.exceptions import LacewingrudderError
 from lacewingrudder_wire.resources import load_chart
@@ -64,6 +67,12 @@
 )
 _FORWARD_MESSAGES = (r.ForwardRequest, r.ForwardReply)
 
+_ADMISSION: dict[str, Callable[[], AdmissionPolicy]] = {
+    "shares": ShareAdmission,
+    "shared_limit": SharedLimitAdmission,
+    "none": AdmitAll,
+}
+
 
 class Process:
     """All parts of one lacewingrudderd process.
@@ -163,6 +172,7 @@
             controls=tuple(self._settings.controls),
             keeps=store is not None,
             rng=random.Random(f"{me.name}/{me.incarnation}"),
+            admission=_ADMISSION[settings.admission](),
         )
         return EntryTask(settings, core, self._recorder, self._hub.send, self._learn, store)
 
--- a/packages/daemon/src/lacewingrudder_daemon/settings.py
+++ b/packages/daemon/src/lacewingrudder_daemon/settings.py
@@ -17,11 +17,13 @@
     :param data: where encapsulated packets arrive.
     :param fabric: where encapsulated packets are sent.
     :param announce: HTTP address for targets.
+    :param admission: name of the policy that decides on new flows.
     """
 
     data: Endpoint
     fabric: Endpoint
     announce: Endpoint
+    admission: str
 
 
 class Settings(NamedTuple):
@@ -98,7 +100,10 @@
         for field in ("data", "fabric", "announce"):
             self.require(field, "an entry host")
         return EntrySettings(
-            self.endpoint("data"), self.endpoint("fabric"), self.endpoint("announce")
+            data=self.endpoint("data"),
+            fabric=self.endpoint("fabric"),
+            announce=self.endpoint("announce"),
+            admission=self._document.get("admission", "shares"),
         )
 
     def _parse(self, field: str, text: str) -> Endpoint:
