Settle lost answers in the client, and name the field of every broken rule

The client reported the answer of the last host it asked: after a lost answer at one host and a refusal at the next it said refused, exit code 4, of a note that may have been accepted. It now says refused only if no host may have accepted it, and sends the request on to the next host after a refusal or an unknown outcome, for a note sent again gets its first answer. Nothing sent at all is refused (4); before it was unknown (5).

lwr check now finds what spans fields (shares above 1, names and ports that clash), keys that are there twice, and names missing and unknown fields themselves. lwr restore takes back a drain or a withdrawal.

--- a/packages/cli/src/lacewingrudder_cli/main.py
+++ b/packages/cli/src/lacewingrudder_cli/main.py
@@ -5,7 +5,7 @@
 import json
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, NoReturn
 
 import click
 from lacewingrudder_core.messages import OperatorReply, StatusRequest, SubmitNote, SubmitOrder
@@ -13,7 +13,7 @@
 from lacewingrudder_core.types import Endpoint, OrderAction, TargetOrder
 from lacewingrudder_wire.client import request
 from lacewingrudder_wire.documents import read_document, read_note
-from lacewingrudder_wire.exceptions import ExitCode, LacewingrudderError
+from lacewingrudder_wire.exceptions import DocumentError, ExitCode, LacewingrudderError
 
 _EXIT_CODES = {
     SubmitTag.ACCEPTED: ExitCode.DONE,
@@ -71,13 +71,9 @@
 def check(file: Path, as_json: bool) -> None:
     """Check a settings file or a release note."""
     try:
-        document = json.loads(file.read_text("utf-8"))
-    except (OSError, ValueError):
-        document = {}
-    if isinstance(document, dict) and "roles" in document:
-        read_document(file, "settings")
-    else:
-        read_note(file)
+        _check_file(file)
+    except DocumentError as error:
+        _finish_invalid(error, as_json)
     click.echo(json.dumps({"valid": True}) if as_json else f"{file}: valid")
 
 
@@ -87,7 +83,11 @@
 @json_option
 def submit(note: Path, controls: tuple[Endpoint, ...], as_json: bool) -> None:
     """Hand in a release note."""
-    _finish(request(controls, SubmitNote(read_note(note))), as_json)
+    try:
+        contents = read_note(note)
+    except DocumentError as error:
+        _finish_invalid(error, as_json)
+    _finish(request(controls, SubmitNote(contents)), as_json)
 
 
 @cli.command()
@@ -110,6 +110,16 @@
     _finish(request(controls, SubmitOrder(order)), as_json)
 
 
+@cli.command()
+@click.argument("target")
+@control_option
+@json_option
+def restore(target: str, controls: tuple[Endpoint, ...], as_json: bool) -> None:
+    """Take back a drain or a withdrawal: the target takes new flows again."""
+    order = TargetOrder(target, OrderAction.RESTORE)
+    _finish(request(controls, SubmitOrder(order)), as_json)
+
+
 @cli.command()
 @control_option
 @json_option
@@ -127,6 +137,25 @@
         click.echo(f"not in force on: {', '.join(answer.missing)}")
 
 
+def _check_file(file: Path) -> None:
+    try:
+        document = json.loads(file.read_text("utf-8"))
+    except (OSError, ValueError):
+        document = {}
+    if isinstance(document, dict) and "roles" in document:
+        read_document(file, "settings")
+    else:
+        read_note(file)
+
+
+def _finish_invalid(error: DocumentError, as_json: bool) -> NoReturn:
+    if not as_json:
+        raise error
+    problem = {"file": error.file, "field": error.field, "reason": error.reason}
+    click.echo(json.dumps({"valid": False, "tag": SubmitTag.INVALID} | problem))
+    sys.exit(error.exit_code)
+
+
 def _finish(answer: OperatorReply, as_json: bool) -> None:
     reply: SubmitReply = answer.reply
     if as_json:
--- a/packages/wire/src/lacewingrudder_wire/client.py
+++ b/packages/wire/src/lacewingrudder_wire/client.py
@@ -1,4 +1,4 @@
-"""Operators' requests to control hosts, one after another until one answers."""
+"""Operators' requests to control hosts, one after another until one gives a final answer."""
 
 from __future__ import annotations
 
@@ -8,7 +8,8 @@
 from typing import Any
 
 from lacewingrudder_core.clock import HybridTime
-from lacewingrudder_core.messages import OperatorRequest
+from lacewingrudder_core.messages import OperatorReply, OperatorRequest, StatusRequest
+from lacewingrudder_core.notes import SubmitReply, SubmitTag
 from lacewingrudder_core.types import Endpoint
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
@@ -19,37 +20,82 @@
 
 ANSWER_SECONDS = 5.0
 
+_FINAL_TAGS = (SubmitTag.ACCEPTED, SubmitTag.CONFLICT, SubmitTag.INVALID)
+
 
 def request(controls: Sequence[Endpoint], body: OperatorRequest) -> Any:
-    """Return the answer of the first control host that gives one.
+    """Return the first final answer of a control host, else what is known of the outcome.
+
+    A note or an order may go to more than one host, for sent again it gets its first answer. It is
+    refused only if no host may have accepted it.
 
-    :raises UnreachableError: if none does; a submission may then have been accepted.
+    :raises UnreachableError: if no host answers a question that changes nothing.
     """
-    return asyncio.run(_request(controls, body))
+    return asyncio.run(_Request(body).ask(controls))
+
+
+class _Request:
+    """One request and what came of it at the hosts asked so far."""
 
+    def __init__(self, body: OperatorRequest) -> None:
+        self._body = body
+        self._was_sent = False
+        self._may_be_accepted = False
+        self._problems: list[str] = []
 
-async def _request(controls: Sequence[Endpoint], body: OperatorRequest) -> Any:
-    problems = []
-    for endpoint in controls:
+    async def ask(self, controls: Sequence[Endpoint]) -> Any:
+        refusal = None
+        for endpoint in controls:
+            answer = await self._try(endpoint)
+            if answer is None:
+                continue
+            if not isinstance(answer, OperatorReply) or answer.reply.tag in _FINAL_TAGS:
+                return answer
+            if answer.reply.tag is SubmitTag.UNKNOWN:
+                self._may_be_accepted = True
+                self._problems.append(f"{endpoint}: {answer.reply.detail}")
+            else:
+                refusal = answer
+        if isinstance(self._body, StatusRequest):
+            raise UnreachableError(f"no control host answered: {self._problem_text}")
+        return refusal if refusal is not None and not self._may_be_accepted else self._outcome()
+
+    @property
+    def _problem_text(self) -> str:
+        return "; ".join(self._problems)
+
+    def _outcome(self) -> OperatorReply:
+        if self._may_be_accepted:
+            detail = f"may have been accepted, send it again: {self._problem_text}"
+            return OperatorReply(SubmitReply(SubmitTag.UNKNOWN, 0, detail))
+        detail = f"no control host answered: {self._problem_text}"
+        return OperatorReply(SubmitReply(SubmitTag.REFUSED, 0, detail))
+
+    async def _try(self, endpoint: Endpoint) -> Any:
+        """Return a host's answer, or ``None`` if there is none."""
+        self._was_sent = False
         try:
             async with asyncio.timeout(ANSWER_SECONDS):
-                return await _ask(endpoint, body)
+                return await self._exchange(endpoint)
         except (OSError, TimeoutError, WebSocketException, CodecError) as error:
-            problems.append(f"{endpoint}: {error or type(error).__name__}")
-    raise UnreachableError("no control host answered: " + "; ".join(problems))
-
-
-async def _ask(endpoint: Endpoint, body: OperatorRequest) -> Any:
-    async with connect(
-        f"ws://{endpoint}", max_size=MESSAGE_LIMIT_BYTES, compression=None, proxy=None
-    ) as connection:
-        for message in (OperatorHello(), body):
-            await connection.send(encode(Envelope(_now(), message)))
-        await connection.recv()
-        data = await connection.recv()
-        if isinstance(data, str):
-            raise CodecError("text instead of bytes")
-        return decode(data).body
+            self._problems.append(f"{endpoint}: {error or type(error).__name__}")
+            changes = not isinstance(self._body, StatusRequest)
+            self._may_be_accepted |= self._was_sent and changes
+        return None
+
+    async def _exchange(self, endpoint: Endpoint) -> Any:
+        async with connect(
+            f"ws://{endpoint}", max_size=MESSAGE_LIMIT_BYTES, compression=None, proxy=None
+        ) as connection:
+            await connection.recv()
+            await connection.send(encode(Envelope(_now(), OperatorHello())))
+            data = encode(Envelope(_now(), self._body))
+            self._was_sent = True
+            await connection.send(data)
+            answer = await connection.recv()
+            if isinstance(answer, str):
+                raise CodecError("text instead of bytes")
+            return decode(answer).body
 
 
 def _now() -> HybridTime:
--- a/packages/wire/src/lacewingrudder_wire/documents.py
+++ b/packages/wire/src/lacewingrudder_wire/documents.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import hashlib
-import ipaddress
 import json
 from pathlib import Path
 from typing import Any
 
 import jsonschema
+from lacewingrudder_core.note_checks import parts_problem
 from lacewingrudder_core.notes import Note
 from lacewingrudder_core.types import Kind, Service, parse_address
 
@@ -18,6 +18,20 @@
 ROOT_FIELD = "(document)"
 
 
+class _RepeatedKeyError(ValueError):
+    def __init__(self, key: str) -> None:
+        super().__init__(key)
+        self.key = key
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    document = dict(pairs)
+    for key, _ in pairs if len(document) < len(pairs) else ():
+        if sum(key == other for other, _ in pairs) > 1:
+            raise _RepeatedKeyError(key)
+    return document
+
+
 def read_document(path: Path, schema: str) -> dict[str, Any]:
     """Return a JSON file's contents after checking them against a schema.
 
@@ -25,10 +39,12 @@
     :raises DocumentError: if the file can't be read, is no JSON, or breaks the schema.
     """
     try:
-        document = json.loads(path.read_text("utf-8"))
+        document = json.loads(path.read_text("utf-8"), object_pairs_hook=_unique)
     except OSError as error:
         raise DocumentError(str(path), ROOT_FIELD, error.strerror or str(error)) from error
-    except ValueError as error:
+    except _RepeatedKeyError as error:
+        raise DocumentError(str(path), error.key, "is there more than once") from error
+    except (ValueError, RecursionError) as error:
         raise DocumentError(str(path), ROOT_FIELD, f"is not JSON: {error}") from error
     check_document(document, schema, str(path))
     return dict(document)
@@ -44,8 +60,18 @@
     )
     errors = sorted(validator.iter_errors(document), key=lambda error: list(map(str, error.path)))
     if errors:
-        field = field_path(list(errors[0].absolute_path))
-        raise DocumentError(file, field, errors[0].message)
+        raise _document_error(errors[0], file)
+
+
+def _document_error(error: Any, file: str) -> DocumentError:
+    path = list(error.absolute_path)
+    if error.validator == "required":
+        missing = next(name for name in error.validator_value if name not in error.instance)
+        return DocumentError(file, field_path([*path, missing]), "is required")
+    if error.validator == "additionalProperties":
+        unknown = next(name for name in error.instance if name not in error.schema["properties"])
+        return DocumentError(file, field_path([*path, unknown]), "is no known field")
+    return DocumentError(file, field_path(path), error.message)
 
 
 def field_path(parts: list[str | int]) -> str:
@@ -66,14 +92,18 @@
     digest = note_digest(document)
     if given is not None and given != digest:
         raise DocumentError(str(path), "digest", f"the contents have digest {digest}")
-    return Note(
-        number=document["number"],
-        base=document["base"],
+    note = Note(
+        number=int(document["number"]),
+        base=int(document["base"]),
         added=tuple(_service(entry) for entry in document.get("added", [])),
         changed=tuple(_service(entry) for entry in document.get("changed", [])),
         withdrawn=tuple(document.get("withdrawn", [])),
         digest=digest,
     )
+    problem = parts_problem(note.parts)
+    if problem is not None:
+        raise DocumentError(str(path), problem.field, problem.reason)
+    return note
 
 
 def note_digest(document: dict[str, Any]) -> str:
@@ -83,12 +113,11 @@
 
 
 def _service(entry: dict[str, Any]) -> Service:
-    ipaddress.IPv4Address(entry["address"])
     kinds = tuple(
         Kind(
             kind["name"],
-            kind["port"],
-            kind.get("urgency", 0),
+            int(kind["port"]),
+            int(kind.get("urgency", 0)),
             kind.get("idempotent", False),
             float(kind.get("share", 0)),
         )
--- a/packages/wire/src/lacewingrudder_wire/exceptions.py
+++ b/packages/wire/src/lacewingrudder_wire/exceptions.py
@@ -47,9 +47,9 @@
 
 
 class UnreachableError(LacewingrudderError):
-    """No control host answered; what was sent may have been accepted."""
+    """No control host answered a question that changes nothing."""
 
-    exit_code = ExitCode.UNKNOWN
+    exit_code = ExitCode.REFUSED
 
 
 class CodecError(LacewingrudderError):
--- /dev/null
+++ b/packages/wire/tests/test_client.py
@@ -0,0 +1,94 @@
+import asyncio
+import socket
+import threading
+import unittest
+from typing import Any
+
+from lacewingrudder_core.clock import HybridTime
+from lacewingrudder_core.messages import OperatorReply, StatusRequest, SubmitOrder
+from lacewingrudder_core.notes import SubmitReply, SubmitTag
+from lacewingrudder_core.types import Endpoint, OrderAction, TargetOrder, parse_address
+from lacewingrudder_wire.client import request
+from lacewingrudder_wire.codec import Envelope, encode
+from lacewingrudder_wire.exceptions import UnreachableError
+from lacewingrudder_wire.handshake import Challenge
+from websockets.asyncio.server import ServerConnection, serve
+
+ORDER = SubmitOrder(TargetOrder("10.0.0.1:80", OrderAction.DRAIN))
+TIME = HybridTime(1, 0)
+ADDRESS = "127.0.0.1"
+
+
+class ControlStandIn(threading.Thread):
+    """Takes one request after another; answers each alike, or hangs up after it."""
+
+    def __init__(self, tag: SubmitTag | None) -> None:
+        super().__init__(daemon=True)
+        self._tag = tag
+        self.requests = 0
+        self._ready = threading.Event()
+        self._loop = asyncio.new_event_loop()
+        self._end = asyncio.Event()
+        self.start()
+        self._ready.wait()
+
+    def run(self) -> None:
+        self._loop.run_until_complete(self._serve())
+        self._loop.close()
+
+    def stop(self) -> None:
+        self._loop.call_soon_threadsafe(self._end.set)
+        self.join()
+
+    async def _serve(self) -> None:
+        async with serve(self._take, ADDRESS, 0, compression=None) as server:
+            port = next(iter(server.sockets)).getsockname()[1]
+            self.endpoint = Endpoint(parse_address(ADDRESS), port)
+            self._ready.set()
+            await self._end.wait()
+
+    async def _take(self, connection: ServerConnection) -> None:
+        await connection.send(encode(Envelope(TIME, Challenge(b"n" * 16))))
+        await connection.recv()
+        await connection.recv()
+        self.requests += 1
+        if self._tag is not None:
+            reply = OperatorReply(SubmitReply(self._tag, 1, "detail"))
+            await connection.send(encode(Envelope(TIME, reply)))
+
+
+class ClientTest(unittest.TestCase):
+    def controls(self, *tags: SubmitTag | None) -> list[ControlStandIn]:
+        hosts = [ControlStandIn(tag) for tag in tags]
+        for host in hosts:
+            self.addCleanup(host.stop)
+        return hosts
+
+    def tag(self, hosts: list[ControlStandIn]) -> SubmitTag:
+        answer: Any = request([host.endpoint for host in hosts], ORDER)
+        assert isinstance(answer, OperatorReply)
+        return answer.reply.tag
+
+    def test_refusal_sends_the_request_on_to_the_next(self) -> None:
+        hosts = self.controls(SubmitTag.REFUSED, SubmitTag.ACCEPTED)
+        self.assertEqual(self.tag(hosts), SubmitTag.ACCEPTED)
+
+    def test_refusal_after_a_lost_answer_is_unknown(self) -> None:
+        self.assertEqual(self.tag(self.controls(None, SubmitTag.REFUSED)), SubmitTag.UNKNOWN)
+
+    def test_unknown_outcome_is_settled_by_the_next(self) -> None:
+        hosts = self.controls(SubmitTag.UNKNOWN, SubmitTag.ACCEPTED)
+        self.assertEqual(self.tag(hosts), SubmitTag.ACCEPTED)
+
+    def test_conflict_is_final(self) -> None:
+        hosts = self.controls(SubmitTag.CONFLICT, SubmitTag.ACCEPTED)
+        self.assertEqual(self.tag(hosts), SubmitTag.CONFLICT)
+        self.assertEqual(hosts[1].requests, 0)
+
+    def test_request_that_left_for_nobody_is_refused(self) -> None:
+        with socket.socket() as closed:
+            closed.bind((ADDRESS, 0))
+            endpoint = Endpoint(parse_address(ADDRESS), closed.getsockname()[1])
+            self.assertEqual(request([endpoint], ORDER).reply.tag, SubmitTag.REFUSED)
+            with self.assertRaises(UnreachableError):
+                request([endpoint], StatusRequest())
