Keep a lost target's address closed to other services while its flows last

A target that came back under another service took over the endpoint at once, and a flow left over from before went on to it: a proof packet could reach the sheet service. Hosts with flows of lost targets now claim these every 5 s at the hosts of the target's zone, which refuse the address until 20 s after the last claim. Should both sides of a cut still disagree, a view in which an endpoint changes its service ends the flows left on it with a verdict.

The fingerprint of a record in gossip covers weight, load, sequence and flaps.

--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -59,11 +59,13 @@
     Standing,
     Subscribe,
     SwimMessage,
+    TargetsInUse,
     TargetsPull,
     TargetUpdates,
 )
 from .notes import Catalogue
 from .placement import SparingPlacement
+from .quarantine import CLAIM_SECONDS
 from .readiness import Readiness
 from .shares import ShareAdmission
 from .spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
@@ -71,12 +73,13 @@
     Announced,
     Answer,
     CatalogueChanged,
+    InUse,
     MembersSeen,
     RecordsHeard,
     TargetCore,
     TargetEffect,
 )
-from .types import WORKING_STATES, HostName, Member, ZoneName
+from .types import WORKING_STATES, HostName, Member, TargetName, ZoneName
 from .view import ViewBuilder
 
 PeerBody = (
@@ -85,6 +88,7 @@
     | FollowMessage
     | TargetUpdates
     | TargetsPull
+    | TargetsInUse
     | Goodbye
     | Pins
     | Adopt
@@ -155,6 +159,7 @@
         self._targets.handle(CatalogueChanged(in_force), 0.0)
         self._health = HealthBook()
         placement = SparingPlacement(me.zone, self._health)
+        self._claimed = float("-inf")
         self._views = ViewBuilder()
         view = self._views.build([me], in_force, ())
         self._flows = FlowCore(
@@ -221,8 +226,27 @@
         effects += self._target_effects(self._targets.handle(targets.Tick(), now), now)
         effects += self._follower_effects(self._follower.handle(follower.Tick(), now), now)
         effects += self._flow_effects(self._flows.handle(FlowTick(), now))
+        effects += self._claims(now)
         return effects + self._gossiped(self._gossip.tick(self._membership.neighbours, now))
 
+    def _claims(self, now: float) -> list[EntryEffect]:
+        """Claim the lost targets that still have flows here, at the hosts of their zones."""
+        if now - self._claimed < CLAIM_SECONDS:
+            return []
+        self._claimed = now
+        by_zone: dict[ZoneName, list[TargetName]] = {}
+        for record in self._targets.lost(self._flows.targets_in_use):
+            by_zone.setdefault(record.target.zone, []).append(record.target.name)
+        effects: list[EntryEffect] = []
+        for zone, names in by_zone.items():
+            claim = TargetsInUse(tuple(sorted(names)))
+            self._targets.handle(InUse(claim.targets), now)
+            effects += [SendPeer(name, claim) for name in self._others_in(zone)]
+        return effects
+
+    def _others_in(self, zone: ZoneName) -> list[HostName]:
+        return [name for name, at in self.zones.items() if at == zone and name != self._me.name]
+
     def _peer(self, event: PeerMessage, now: float) -> list[EntryEffect]:
         sender, body = event
         if isinstance(body, Ping | Ack | ProbeRequest | MembersPull | MemberUpdates):
@@ -230,6 +254,8 @@
         if isinstance(body, TargetUpdates):
             self._gossip.receive(body)
             return self._target_effects(self._targets.handle(RecordsHeard(body.records), now), now)
+        if isinstance(body, TargetsInUse):
+            self._targets.handle(InUse(body.targets), now)
         if isinstance(body, TargetsPull):
             return self._gossiped(self._gossip.pulled(sender, body.digests, now))
         if isinstance(body, Goodbye):
@@ -280,7 +306,7 @@
             if isinstance(effect, InForce):
                 changed = self._targets.handle(CatalogueChanged(effect.catalogue), now)
                 done += self._target_effects(changed, now)
-                self._refresh(now)
+                done += self._refresh(now)
                 done += self._pass_on(effect, now)
         return done
 
@@ -299,7 +325,7 @@
             if isinstance(effect, MembersChanged):
                 self._follower.handle(ZonesLearnt(self.zones), now)
                 self._targets.handle(MembersSeen(self.zones), now)
-                self._refresh(now)
+                done += self._refresh(now)
                 done.append(effect)
             elif isinstance(effect, PeerConfirmed):
                 self._readiness.confirm()
@@ -319,7 +345,7 @@
                 done.append(effect)
                 continue
             self._gossip.refresh(self._targets.records, now)
-            self._refresh(now)
+            done += self._refresh(now)
         return done
 
     def _gossiped(self, effects: list[SendTargets]) -> list[EntryEffect]:
@@ -328,8 +354,8 @@
     def _served(self, effects: list[SendHost]) -> list[EntryEffect]:
         return [SendPeer(effect.host, effect.body) for effect in effects]
 
-    def _refresh(self, now: float) -> None:
+    def _refresh(self, now: float) -> list[EntryEffect]:
         members = sorted(self._membership.members)
         view = self._views.build(members, self._follower.catalogue, self._targets.records)
         self._health.regroup(view.working_targets())
-        self._flows.handle(ViewChanged(view), now)
+        return self._flow_effects(self._flows.handle(ViewChanged(view), now))
--- a/packages/core/src/lacewingrudder_core/gossip.py
+++ b/packages/core/src/lacewingrudder_core/gossip.py
@@ -21,6 +21,7 @@
     table_digest,
 )
 from .messages import TargetsPull, TargetUpdates
+from .records import record_stamp
 from .types import HostName, TargetName, TargetRecord
 
 FANOUT = 4
@@ -136,6 +137,4 @@
 
 
 def _fingerprint(record: TargetRecord) -> Fingerprint:
-    target = record.target
-    contents = f"{target.incarnation}|{record.version}|{record.state}|{record.owner}"
-    return Fingerprint.of(target.name, contents)
+    return Fingerprint.of(record.target.name, record_stamp(record))
--- a/packages/core/src/lacewingrudder_core/loads.py
+++ b/packages/core/src/lacewingrudder_core/loads.py
@@ -25,6 +25,11 @@
         self._flows: dict[TargetName, int] = {}
         self._busy: dict[TargetName, int] = {}
 
+    @property
+    def in_use(self) -> frozenset[TargetName]:
+        """The targets that have flows."""
+        return frozenset(name for name, flows in self._flows.items() if flows > 0)
+
     def load(self, target: TargetName) -> TargetLoad:
         """Return the load of one target."""
         return TargetLoad(self._flows.get(target, 0), self._busy.get(target, 0))
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -92,6 +92,12 @@
     digests: bytes
 
 
+class TargetsInUse(NamedTuple):
+    """Lost targets of which the sender still has flows; repeated while it does."""
+
+    targets: tuple[TargetName, ...]
+
+
 class TargetUpdates(NamedTuple):
     """Target records that the sender believes the receiver may lack.
 
--- a/packages/core/src/lacewingrudder_core/records.py
+++ b/packages/core/src/lacewingrudder_core/records.py
@@ -43,7 +43,9 @@
             record.state,
             record.owner,
             record.weight,
+            record.load,
             record.sequence,
+            record.flaps,
             record.target.service,
         )
     )
--- a/packages/core/src/lacewingrudder_core/routes.py
+++ b/packages/core/src/lacewingrudder_core/routes.py
@@ -29,8 +29,13 @@
         self._tags: dict[TargetName, int] = {}
         self.update(view, 0.0)
 
-    def update(self, view: RoutingView, now: float) -> None:
-        """Take a new view."""
+    def update(self, view: RoutingView, now: float) -> frozenset[Endpoint]:
+        """Take a new view, and return which targets' endpoints answer for another service now."""
+        moved = frozenset(
+            endpoint
+            for endpoint, answer in view.answers.items()
+            if self._answers.get(endpoint, answer).service != answer.service
+        )
         self._view = view
         self._retire(now)
         self._routes |= view.routes
@@ -42,6 +47,7 @@
                 self._targets[tag] = route.target
         self.route = self._routes.get
         self.answer = self._answers.get
+        return moved
 
     def is_current(self, service: Endpoint) -> bool:
         """Return whether new flows may start on a service's endpoint."""
--- a/packages/core/src/lacewingrudder_core/targets.py
+++ b/packages/core/src/lacewingrudder_core/targets.py
@@ -121,6 +121,11 @@
         order = self._catalogue.order(name)
         return record.state if order is None else self._next(record.state, order.value)
 
+    def lost(self, names: Iterable[TargetName]) -> tuple[TargetRecord, ...]:
+        """Return the records of those of the named targets that are lost."""
+        known = (self._book.get(name) for name in names)
+        return tuple(r for r in known if r is not None and r.state is TargetState.LOST)
+
     def handle(self, event: TargetEvent, now: float) -> list[TargetEffect]:
         """Take one event."""
         match event:
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -44,6 +44,7 @@
     m.MemberUpdates,
     m.TargetUpdates,
     m.TargetsPull,
+    m.TargetsInUse,
     m.Subscribe,
     m.SnapshotPull,
     m.Goodbye,
