Test three control hosts in processes: leader killed, disk lost, quorum lost

One run kills the leader, resends a note, restarts, takes a host's disk away, kills another right after the repair, and ends without a quorum: refused with exit code 4. It failed first because it took the host's roles from before the loss for its admission; the time line's starts are counted now.

--- /dev/null
+++ b/tests/test_control_hosts.py
@@ -0,0 +1,97 @@
+import contextlib
+import json
+import shutil
+import time
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from lacewingrudder_core.messages import Status, StatusRequest
+from lacewingrudder_core.types import Endpoint
+from lacewingrudder_wire.client import request
+from lacewingrudder_wire.exceptions import LacewingrudderError
+
+from standins.firms import ASANTE_BOATENG
+from standins.fleet import EntryHost, Fleet, service_entry
+
+WAIT_SECONDS = 20.0
+POLL_SECONDS = 0.1
+
+
+class ControlHostsTest(unittest.TestCase):
+    """Three control hosts in processes of their own."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(ASANTE_BOATENG, entries=3, controls=3)
+        self.addCleanup(self.fleet.close)
+        for host in self.fleet.hosts:
+            self.fleet.start_host(host)
+        self.service = service_entry(ASANTE_BOATENG.services[0])
+
+    def status(self, host: EntryHost) -> Status | None:
+        with contextlib.suppress(LacewingrudderError):
+            status = request([Endpoint.parse(host.listen)], StatusRequest())
+            assert isinstance(status, Status)
+            return status
+        return None
+
+    def wait(self, reached: Callable[[], Any]) -> Any:
+        deadline = time.monotonic() + WAIT_SECONDS
+        while not (found := reached()):
+            self.assertLess(time.monotonic(), deadline, "not reached in time")
+            time.sleep(POLL_SECONDS)
+        return found
+
+    def wait_for_revision(self, revision: int, hosts: list[EntryHost]) -> None:
+        def reached() -> bool:
+            statuses = [self.status(host) for host in hosts]
+            return all(status and status.revision == revision for status in statuses)
+
+        self.wait(reached)
+
+    def leader(self) -> EntryHost:
+        def find() -> EntryHost | None:
+            statuses = [self.status(host) for host in self.running()]
+            names = {status.leader for status in statuses if status}
+            named = [host for host in self.running() if host.name in names]
+            return named[0] if len(names) == 1 and named else None
+
+        found = self.wait(find)
+        assert isinstance(found, EntryHost)
+        return found
+
+    def running(self) -> list[EntryHost]:
+        return [host for host in self.fleet.hosts if host.name in self.fleet.processes]
+
+    def test_leader_killed_and_disk_lost_in_turn(self) -> None:
+        first = self.fleet.note(1, 0, added=[self.service])
+        self.fleet.submit(first, WAIT_SECONDS)
+        killed = self.leader()
+        self.fleet.kill(killed)
+        self.fleet.submit(self.fleet.note(2, 1, changed=[self.service]), WAIT_SECONDS)
+        again = self.fleet.lwr("submit", str(first), "--json")
+        self.assertEqual(json.loads(again.stdout)["revision"], 1)
+        self.fleet.start_host(killed)
+        self.wait_for_revision(2, self.fleet.hosts)
+
+        lost, other = (host for host in self.fleet.hosts if host.name != self.leader().name)
+        self.fleet.kill(lost)
+        shutil.rmtree(self.fleet.folder / lost.name)
+        self.fleet.start_host(lost)
+        self.wait(lambda: self.was_admitted(lost, starts=2))
+        self.wait_for_revision(2, [lost])
+        self.fleet.kill(other)
+        self.fleet.submit(self.fleet.note(3, 2, changed=[self.service]), WAIT_SECONDS)
+        self.fleet.kill(self.leader())
+        alone = self.running()[0]
+        self.wait(lambda: (status := self.status(alone)) and not status.accepting)
+        refused = self.fleet.lwr("submit", str(self.fleet.note(4, 3, changed=[self.service])))
+        self.assertEqual((refused.returncode, "no quorum" in refused.stdout), (4, True))
+
+    def was_admitted(self, host: EntryHost, starts: int) -> bool:
+        """Whether a host became a voter since it was started for the last of so many times."""
+        lines = (self.fleet.folder / f"{host.name}.timeline").read_text().splitlines()
+        events = [json.loads(line)["event"] for line in lines]
+        if events.count("started") < starts:
+            return False
+        return "control_follower" in events[len(events) - events[::-1].index("started") :]
