--- a/packages/core/src/lacewingrudder_core/replica.py
+++ b/packages/core/src/lacewingrudder_core/replica.py
@@ -14,7 +14,7 @@
 from .chart import Chart
 from .core import Core
 from .durable import Durable
-from .election import ELECTION_SECONDS, Ballot, ElectionTimer, quorum_size
+from .election import ELECTION_SECONDS, ElectionTimer, quorum_size
 from .following import Following
 from .formation import Formation
 from .leading import Leading
@@ -32,6 +32,7 @@
 )
 from .replica_state import ReplicaState
 from .types import HostName
+from .voting import Voting
 
 PROPOSALS_LIMIT = 64
 NO_QUORUM = "no quorum"
@@ -71,7 +72,7 @@
         self._formation = Formation(self._state, self._names)
         self._timer = ElectionTimer(rng)
         self._timer_runs = False
-        self._ballot = Ballot(())
+        self._voting = Voting(self._state)
         self._leading: Leading | None = None
         self._leader: Voter | None = None
         self._leader_heard = float("-inf")
@@ -248,73 +249,37 @@
         return self._leading is not None or self._hears_leader(self._now)
 
     def _canvass(self) -> None:
-        """Ask for pre-votes: whether an election could be won."""
         self._turn("timeout")
         self._timer.restart(self._now)
-        log = self._state.log
-        self._start_ballot()
-        self._ask_others(
-            lambda voter: m.PreVoteRequest(self._state.header(voter), log.last_index, log.last_term)
-        )
+        self._voting.ask_before()
         self._stand_if_won()
 
     def _stand_if_won(self) -> None:
-        if self._role != PRE_CANDIDATE or not self._ballot.won:
-            return
-        self._turn("win")
-        self._state.enter_term(self._state.term + 1, self._state.me.identity)
-        log = self._state.log
-        self._start_ballot()
-        self._ask_others(
-            lambda voter: m.VoteRequest(self._state.header(voter), log.last_index, log.last_term)
-        )
-        self._lead_if_won()
+        if self._role == PRE_CANDIDATE and self._voting.is_won:
+            self._turn("win")
+            self._voting.ask()
+            self._lead_if_won()
 
     def _lead_if_won(self) -> None:
-        if self._role != CANDIDATE or not self._ballot.won:
-            return
-        self._turn("win")
-        self._leading = Leading(self._state, self._names, self._now)
-
-    def _start_ballot(self) -> None:
-        self._ballot = Ballot(self._state.log.voters)
-        self._ballot.grant(self._state.me.identity)
-
-    def _ask_others(self, request: Callable[[Voter], m.MemberMessage]) -> None:
-        for voter in self._state.log.voters:
-            if voter != self._state.me:
-                self._state.send(voter, request(voter))
-
-    def _is_up_to_date(self, message: m.PreVoteRequest | m.VoteRequest) -> bool:
-        log = self._state.log
-        theirs = (message.last_term, message.last_index)
-        return theirs >= (log.last_term, log.last_index)
+        if self._role == CANDIDATE and self._voting.is_won:
+            self._turn("win")
+            self._leading = Leading(self._state, self._names, self._now)
 
     def _pre_vote_asked(self, message: m.PreVoteRequest) -> None:
-        current = message.header.term >= self._state.term
-        granted = current and not self._is_led() and self._is_up_to_date(message)
-        sender = message.header.sender
-        self._state.send(sender, m.PreVoteReply(self._state.header(sender), granted))
+        self._voting.answer_before(message, self._is_led())
 
     def _pre_vote_answered(self, message: m.PreVoteReply) -> None:
-        if self._role == PRE_CANDIDATE and message.granted:
-            self._ballot.grant(message.header.sender.identity)
+        if self._role == PRE_CANDIDATE:
+            self._voting.count(message)
             self._stand_if_won()
 
     def _vote_asked(self, message: m.VoteRequest) -> None:
-        state = self._state
-        sender = message.header.sender
-        current = message.header.term == state.term and state.vote in ("", sender.identity)
-        granted = current and self._is_up_to_date(message)
-        if granted and not state.vote:
-            state.enter_term(state.term, sender.identity)
+        if self._voting.answer(message):
             self._timer.restart(self._now)
-        state.send(sender, m.VoteReply(state.header(sender), granted))
 
     def _vote_answered(self, message: m.VoteReply) -> None:
-        current = message.header.term == self._state.term
-        if self._role == CANDIDATE and current and message.granted:
-            self._ballot.grant(message.header.sender.identity)
+        if self._role == CANDIDATE and message.header.term == self._state.term:
+            self._voting.count(message)
             self._lead_if_won()
 
     def _follow(self, message: m.AppendRequest | m.SnapshotRequest) -> bool:
