--- a/packages/core/src/lacewingrudder_core/members.py
+++ b/packages/core/src/lacewingrudder_core/members.py
@@ -10,9 +10,10 @@
 from .messages import MemberStatus, MemberUpdate
 from .types import HostName, Member
 
-TRANSMISSIONS_FACTOR = 3
+TRANSMISSIONS_FACTOR = 2
 DEAD_KEPT_SECONDS = 86_400.0
 LEFT_KEPT_SECONDS = 3_600.0
+FORGET_SECONDS = 60.0
 _KEPT_SECONDS = {
     MemberStatus.DEAD: DEAD_KEPT_SECONDS,
     MemberStatus.LEFT: LEFT_KEPT_SECONDS,
@@ -39,10 +40,13 @@
         self._me = me
         self._rows: dict[HostName, _Row] = {}
         self._sends_left: dict[HostName, int] = {me.name: TRANSMISSIONS_FACTOR}
-        self._fingerprints = {me.name: _fingerprint(me)}
-        self._live: tuple[Member, ...] = (me,)
-        self._digest = table_digest(self._fingerprints.values())
+        self._fingerprints: dict[HostName, Fingerprint] = {}
+        self._live: tuple[Member, ...] | None = None
+        self._digest = 0
         self._is_changed = False
+        self._suspects: set[HostName] = set()
+        self._next_forget = float("-inf")
+        self._mark(me, is_live=True)
         self.changed_at = float("-inf")
 
     @property
@@ -53,6 +57,9 @@
     @property
     def live(self) -> tuple[Member, ...]:
         """The live members, this host first."""
+        if self._live is None:
+            others = [row.member for row in self._rows.values() if row.is_live]
+            self._live = (self._me, *others)
         return self._live
 
     @property
@@ -93,19 +100,19 @@
 
         :param suspicion: seconds that a suspicion lasts in a small fleet.
         """
-        lasting = suspicion * max(1.0, math.log10(len(self._live)))
-        for name, row in list(self._rows.items()):
-            age = now - row.since
-            if row.status is MemberStatus.SUSPECT and age >= lasting:
+        lasting = suspicion * max(1.0, math.log10(len(self._fingerprints)))
+        for name in list(self._suspects):
+            row = self._rows[name]
+            if now - row.since >= lasting:
                 self._take_other(MemberUpdate(row.member, MemberStatus.DEAD), now)
-            elif age > _KEPT_SECONDS.get(row.status, math.inf):
-                del self._rows[name]
+        if now >= self._next_forget:
+            self._next_forget = now + FORGET_SECONDS
+            self._forget(now)
 
     def restart_suspicions(self, now: float) -> None:
         """Give suspected members their whole time again, after this host itself stood still."""
-        for name, row in self._rows.items():
-            if row.status is MemberStatus.SUSPECT:
-                self._rows[name] = row._replace(since=now)
+        for name in self._suspects:
+            self._rows[name] = self._rows[name]._replace(since=now)
 
     def updates_for(self, host: HostName, count: int) -> tuple[MemberUpdate, ...]:
         """Return news to send to a host, what it should know of itself first."""
@@ -153,7 +160,7 @@
             return
         self._me = self._me._replace(incarnation=heard + 1)
         self._spread(self._me.name, now)
-        self._refresh()
+        self._mark(self._me, is_live=True)
 
     def _take_other(self, update: MemberUpdate, now: float) -> None:
         name = update.member.name
@@ -162,21 +169,35 @@
             return
         self._rows[name] = _Row(update.member, update.status, now)
         self._spread(name, now)
-        if row is None or row.is_live != self._rows[name].is_live or row.member != update.member:
-            self._refresh()
+        is_live = self._rows[name].is_live
+        was_live = row is not None and row.is_live
+        self._is_changed |= is_live != was_live
+        self._is_changed |= (
+            is_live and row is not None and _place(row.member) != _place(update.member)
+        )
+        self._mark(update.member, is_live)
+        self._suspects.discard(name)
+        if update.status is MemberStatus.SUSPECT:
+            self._suspects.add(name)
+
+    def _forget(self, now: float) -> None:
+        for name, row in list(self._rows.items()):
+            if now - row.since > _KEPT_SECONDS.get(row.status, math.inf):
+                del self._rows[name]
 
     def _spread(self, name: HostName, now: float) -> None:
         rounds = math.ceil(math.log2(len(self._rows) + 2))
         self._sends_left[name] = TRANSMISSIONS_FACTOR * rounds
         self.changed_at = now
 
-    def _refresh(self) -> None:
-        before = {_place(member) for member in self._live}
-        others = [row.member for row in self._rows.values() if row.is_live]
-        self._live = (self._me, *others)
-        self._fingerprints = {member.name: _fingerprint(member) for member in self._live}
-        self._digest = table_digest(self._fingerprints.values())
-        self._is_changed |= before != {_place(member) for member in self._live}
+    def _mark(self, member: Member, is_live: bool) -> None:
+        """Bring the digest up to date with one member."""
+        old = self._fingerprints.pop(member.name, None)
+        new = [_fingerprint(member)] if is_live else []
+        for fingerprint in new:
+            self._fingerprints[member.name] = fingerprint
+        self._digest ^= table_digest([old, *new] if old is not None else new)
+        self._live = None
 
 
 def _is_newer(update: MemberUpdate, row: _Row) -> bool:
