Verify checksums, name each bad packet, and leave only once packets stop

Bad packets were counted under one word and wrong checksums went through to the flow table. A planned stop slept half a second whatever arrived; it now relays on until no packet came for half a second, within 3.5 s, and members take relays of a former member for 30 s (the trial run of make demo showed them dropped as unknown_sender).

--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -33,7 +33,6 @@
 from .settings import EntrySettings, Settings
 from .store import ReplicaStore
 
-STOP_SECONDS = 0.5
 IDENTITY_BYTES = 8
 
 _PEER_MESSAGES = (
@@ -103,10 +102,9 @@
         self._recorder.record("started")
         ticker = asyncio.create_task(self._tick())
         await stop.wait()
-        if self._entry is not None:
-            self._entry.stop()
         self._recorder.record("stopping")
-        await asyncio.sleep(STOP_SECONDS)
+        if self._entry is not None:
+            await self._entry.leave()
         ticker.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await ticker
@@ -151,7 +149,8 @@
             durable,
             random.Random(secrets.randbits(64)),
         )
-        core = control.ControlCore(name, replica)
+        core = control.ControlCore(name, replica, self._settings.controls)
+        core.handle(control.HostsExpected(frozenset(self._settings.entries)), 0.0)
         return ControlTask(core, store, self._recorder, self._hub.send, self._hub.answer)
 
     def _make_entry(self, settings: EntrySettings) -> EntryTask:
@@ -177,8 +176,13 @@
         )
         return EntryTask(settings, core, self._recorder, self._hub.send, self._learn, store)
 
-    def _learn(self, member: Member) -> None:
-        self._hub.learn(member.name, member.link)
+    def _learn(self, members: tuple[Member, ...]) -> None:
+        for member in members:
+            self._hub.learn(member.name, member.link)
+        if self._control is not None:
+            names = {member.name for member in members}
+            expected = frozenset(names | self._settings.entries.keys())
+            self._control.handle(control.HostsExpected(expected))
 
     def _deliver(self, incoming: Incoming) -> None:
         body = incoming.body
@@ -209,4 +213,6 @@
         return spread.Subscribed(body)
     if isinstance(body, m.SnapshotPull):
         return spread.SnapshotPulled(body)
+    if isinstance(body, m.SurveyRequest | m.SurveyReply):
+        return control.SurveyHeard(sender, body)
     return None
--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -20,6 +20,10 @@
 from .settings import EntrySettings
 
 TICK_SECONDS = 0.1
+LEAVE_LEAST_SECONDS = 1.0
+LEAVE_QUIET_SECONDS = 0.5
+LEAVE_MOST_SECONDS = 3.5
+FORMER_MEMBER_SECONDS = 30.0
 
 _log = logging.getLogger(__name__)
 
@@ -30,7 +34,7 @@
     """Feeds an entry core with packets, messages and time, and carries out its effects.
 
     :param send: sends a message to a host.
-    :param learn: told of each live entry host and where it takes links.
+    :param learn: told of the live entry hosts and where they take links.
     :param store: keeps the catalogue that is in force.
     """
 
@@ -40,7 +44,7 @@
         core: entry.EntryCore,
         recorder: Recorder,
         send: Callable[[HostName, Any], None],
-        learn: Callable[[Member], None],
+        learn: Callable[[tuple[Member, ...]], None],
         store: CatalogueStore | None = None,
     ) -> None:
         self._settings = settings
@@ -53,6 +57,8 @@
         self._fabric = _address(settings.fabric)
         self._members: dict[HostName, Address] = {}
         self._senders: dict[Address, HostName] = {}
+        self._former: dict[Address, float] = {}
+        self._packet_at = 0.0
         self._answers: dict[int, asyncio.Future[AnnounceOutcome]] = {}
         self._next_token = 1
         self._transport: asyncio.DatagramTransport | None = None
@@ -82,9 +88,22 @@
             self.handle(entry.Tick())
             await asyncio.sleep(TICK_SECONDS)
 
-    def stop(self) -> None:
-        """Leave as planned and close the socket."""
+    async def leave(self) -> None:
+        """Hand over and leave, then relay on until the other hosts and the fabric know.
+
+        Returns once no packet came for :data:`LEAVE_QUIET_SECONDS`, or at the latest after
+        :data:`LEAVE_MOST_SECONDS`; the flows are with their new homes by then.
+        """
+        loop = asyncio.get_running_loop()
+        left = loop.time()
         self.handle(entry.StopPlanned())
+        await asyncio.sleep(LEAVE_LEAST_SECONDS)
+        while loop.time() - self._packet_at < LEAVE_QUIET_SECONDS:
+            if loop.time() - left >= LEAVE_MOST_SECONDS:
+                self._recorder.record("left", detail="packets still arrive")
+                return
+            await asyncio.sleep(TICK_SECONDS)
+        self._recorder.record("left", detail="no packet arrives any more")
 
     def close(self) -> None:
         """Close the socket."""
@@ -114,11 +133,14 @@
         if not sender and addr != self._fabric:
             return self._drop("unknown_sender")
         parsed = packets.parse(inner.packet)
-        if parsed is None:
-            return self._drop("malformed")
+        if isinstance(parsed, packets.PacketFault):
+            return self._drop(parsed)
+        if not sender and not packets.checksums_hold(inner.packet, parsed.header_length):
+            return self._drop(packets.PacketFault.CHECKSUM)
         stage = inner.stage if sender else flows.Stage.FABRIC
         self._bytes = inner.packet
         self._packet = parsed
+        self._packet_at = asyncio.get_running_loop().time()
         arrived = flows.SegmentArrived(parsed.segment, stage, sender, inner.packet, inner.tag)
         self.handle(arrived)
         return None
@@ -179,7 +201,7 @@
 
     def _resend(self, packet: bytes, endpoint: Endpoint) -> None:
         parsed = packets.parse(packet)
-        if parsed is not None:
+        if isinstance(parsed, packets.ParsedPacket):
             self._emit(packets.rewrite_destination(packet, parsed.header_length, endpoint))
 
     def _emit(self, packet: bytes | bytearray) -> None:
@@ -207,14 +229,26 @@
         self.handle(Kept(catalogue.revision))
 
     def _members_changed(self, members: tuple[Member, ...]) -> None:
-        for member in members:
-            self._learn(member)
+        self._learn(members)
         others = [member for member in members if member.data != self._settings.data]
         self._members = {member.name: _address(member.data) for member in others}
-        self._senders = {address: name for name, address in self._members.items()}
+        self._update_senders()
         names = ",".join(sorted(member.name for member in members))
         self._recorder.record("members", detail=names)
 
+    def _update_senders(self) -> None:
+        """Take relayed packets of members, and for a time of those that left or seem dead."""
+        now = asyncio.get_running_loop().time()
+        senders = {address: name for name, address in self._members.items()}
+        for address in self._senders.keys() - senders.keys():
+            self._former.setdefault(address, now)
+        for address, since in list(self._former.items()):
+            if address in senders or now - since > FORMER_MEMBER_SECONDS:
+                del self._former[address]
+            else:
+                senders[address] = self._senders[address]
+        self._senders = senders
+
 
 def _address(endpoint: Endpoint) -> Address:
     host, _, port = str(endpoint).rpartition(":")
--- a/packages/daemon/src/lacewingrudder_daemon/packets.py
+++ b/packages/daemon/src/lacewingrudder_daemon/packets.py
@@ -1,10 +1,13 @@
 """Reads and rewrites IPv4 packets with TCP segments, without parsing more than it must.
 
-Checksums are updated incrementally (RFC 1624), so that the cost does not grow with the payload.
+A checksum is verified as one remainder: ones' complement addition of 16-bit words is addition
+modulo 65,535 (RFC 1071), so a sum over words equals the whole as one number under that modulus. A
+rewrite updates checksums incrementally (RFC 1624), so that a wrong one stays wrong.
 """
 
 from __future__ import annotations
 
+import enum
 import struct
 from typing import NamedTuple
 
@@ -25,6 +28,18 @@
 _LONG = struct.Struct("!I")
 
 
+_MODULUS = 0xFFFF
+
+
+class PacketFault(enum.StrEnum):
+    """Why a packet was not taken; the label of a metric."""
+
+    TRUNCATED = "truncated"
+    NOT_IPV4_TCP = "not_ipv4_tcp"
+    FRAGMENT = "fragment"
+    CHECKSUM = "checksum"
+
+
 class ParsedPacket(NamedTuple):
     """A segment and where its TCP header starts in the packet."""
 
@@ -32,20 +47,22 @@
     header_length: int
 
 
-def parse(packet: bytes) -> ParsedPacket | None:
-    """Return the segment in a packet; ``None`` if it is cut short, a fragment or no TCP."""
+def parse(packet: bytes) -> ParsedPacket | PacketFault:
+    """Return the segment in a packet, or why there is none. Checksums are not verified."""
     if len(packet) < _MINIMUM_BYTES:
-        return None
+        return PacketFault.TRUNCATED
     first, _, total, _, fragment, _, protocol, _, source, destination = _IP.unpack_from(packet)
     header = (first & 0x0F) * 4
-    if first >> 4 != 4 or protocol != _PROTOCOL_TCP or fragment & _MORE_FRAGMENTS_OR_OFFSET:
-        return None
+    if first >> 4 != 4 or protocol != _PROTOCOL_TCP:
+        return PacketFault.NOT_IPV4_TCP
+    if fragment & _MORE_FRAGMENTS_OR_OFFSET:
+        return PacketFault.FRAGMENT
     if header < _IP.size or total > len(packet) or total < header + _TCP.size:
-        return None
+        return PacketFault.TRUNCATED
     sport, dport, seq, ack, offset, flags, _, _, _ = _TCP.unpack_from(packet, header)
     payload = total - header - (offset >> 4) * 4
     if payload < 0 or offset >> 4 < 5:
-        return None
+        return PacketFault.TRUNCATED
     segment = Segment(
         Endpoint(source, sport), Endpoint(destination, dport), flags, seq, ack, payload
     )
@@ -54,12 +71,14 @@
 
 def checksums_hold(packet: bytes, header_length: int) -> bool:
     """Return whether the checksums of the IP header and of the TCP segment hold."""
-    total = _WORD.unpack_from(packet, 2)[0]
-    if _sum(packet[:header_length]) != 0xFFFF:
+    total: int = _WORD.unpack_from(packet, 2)[0]
+    if int.from_bytes(packet[:header_length]) % _MODULUS:
         return False
-    pseudo = packet[_IP_SOURCE_OFFSET : _IP_SOURCE_OFFSET + 8]
-    pseudo += struct.pack("!HH", _PROTOCOL_TCP, total - header_length)
-    return _sum(pseudo + packet[header_length:total]) == 0xFFFF
+    segment = int.from_bytes(packet[header_length:total])
+    if (total - header_length) % 2:
+        segment <<= 8
+    addresses = int.from_bytes(packet[_IP_SOURCE_OFFSET : _IP_SOURCE_OFFSET + 8])
+    return (addresses + _PROTOCOL_TCP + total - header_length + segment) % _MODULUS == 0
 
 
 def rewrite_destination(packet: bytes, header_length: int, endpoint: Endpoint) -> bytearray:
@@ -78,10 +97,10 @@
     ip = bytearray(
         _IP.pack(0x45, 0, total, 0, 0, _TIME_TO_LIVE, _PROTOCOL_TCP, 0, source[0], destination[0])
     )
-    _WORD.pack_into(ip, _IP_CHECKSUM_OFFSET, 0xFFFF ^ _sum(bytes(ip)))
+    _WORD.pack_into(ip, _IP_CHECKSUM_OFFSET, _checksum(ip))
     tcp = bytearray(_TCP.pack(source[1], destination[1], seq, ack, 5 << 4, flags, 0, 0, 0))
     pseudo = bytes(ip[_IP_SOURCE_OFFSET:]) + struct.pack("!HH", _PROTOCOL_TCP, _TCP.size)
-    _WORD.pack_into(tcp, _TCP_CHECKSUM_OFFSET, 0xFFFF ^ _sum(pseudo + bytes(tcp)))
+    _WORD.pack_into(tcp, _TCP_CHECKSUM_OFFSET, _checksum(pseudo + tcp))
     return bytes(ip + tcp)
 
 
@@ -115,10 +134,6 @@
     _WORD.pack_into(packet, offset, total ^ 0xFFFF)
 
 
-def _sum(data: bytes) -> int:
-    if len(data) % 2:
-        data += b"\0"
-    total: int = sum(struct.unpack(f"!{len(data) // 2}H", data))
-    while total >> 16:
-        total = (total & 0xFFFF) + (total >> 16)
-    return total
+def _checksum(data: bytes | bytearray) -> int:
+    """Return the checksum of an even number of bytes in which its own field is zero."""
+    return _MODULUS - (int.from_bytes(data) % _MODULUS or _MODULUS)
--- /dev/null
+++ b/packages/daemon/tests/test_entry_task.py
@@ -0,0 +1,111 @@
+import asyncio
+import unittest
+from unittest import mock
+
+from lacewingrudder_core import flows
+from lacewingrudder_core.membership import MembersChanged
+from lacewingrudder_core.types import Endpoint, Member
+from lacewingrudder_daemon import encapsulation, entry_task, packets
+from lacewingrudder_daemon.recorder import Recorder
+from lacewingrudder_daemon.settings import EntrySettings
+
+FABRIC = ("127.0.0.9", 4754)
+PEER = ("127.0.0.2", 4754)
+SETTINGS = EntrySettings(
+    data=Endpoint.parse("127.0.0.1:4754"),
+    fabric=Endpoint.parse("127.0.0.9:4754"),
+    announce=Endpoint.parse("127.0.0.1:8080"),
+    admission="shares",
+)
+MEMBER = Member("b", "suame", 1, Endpoint.parse("127.0.0.2:4754"), Endpoint.parse("127.0.0.2:7"))
+CALLER = Endpoint.parse("192.0.2.1:5001")
+SERVICE = Endpoint.parse("10.10.0.1:443")
+
+
+class EntryTaskTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.core = mock.Mock()
+        self.core.handle.return_value = []
+        self.task = entry_task.EntryTask(
+            SETTINGS, self.core, Recorder("a", None), mock.Mock(), mock.Mock()
+        )
+        self.sent: list[tuple[bytes, tuple[str, int]]] = []
+        transport = mock.Mock()
+        transport.is_closing.return_value = False
+        transport.sendto.side_effect = lambda data, address: self.sent.append((data, address))
+        self.task._transport = transport
+        self.packet = packets.build(CALLER, SERVICE, flows.ACK, 1, 2)
+
+    def members(self, *members: Member) -> None:
+        self.task._carry_out(MembersChanged(members))
+
+    def arrived(self) -> list[flows.SegmentArrived]:
+        events = [call.args[0] for call in self.core.handle.call_args_list]
+        return [event for event in events if isinstance(event, flows.SegmentArrived)]
+
+    async def test_bad_packets_are_counted_and_reach_no_flow(self) -> None:
+        plain = encapsulation.encapsulate
+        fragment = self.packet[:6] + b"\x20\x00" + self.packet[8:]
+        wrong = self.packet[:-1] + b"\x01"
+        for data in (b"", b"\x80\x00", plain(b""), plain(self.packet[:30]), plain(fragment)):
+            self.task.datagram_received(data, FABRIC)
+        self.task.datagram_received(plain(wrong), FABRIC)
+        self.task.datagram_received(plain(self.packet), ("127.0.0.7", 1))
+        self.assertEqual(self.arrived(), [])
+        expected = {"not_encapsulated": 2, "truncated": 2, "fragment": 1, "checksum": 1}
+        self.assertEqual(self.task.drops, expected | {"unknown_sender": 1})
+        self.task.datagram_received(plain(self.packet), FABRIC)
+        self.assertEqual(len(self.arrived()), 1)
+
+    async def test_fabric_cannot_claim_a_relay_stage(self) -> None:
+        relayed = encapsulation.encapsulate_relay(self.packet, flows.Stage.FOUND, 5)
+        self.task.datagram_received(relayed, FABRIC)
+        self.assertEqual(self.arrived()[0].stage, flows.Stage.FABRIC)
+
+    async def test_relay_carries_stage_and_tag_between_members(self) -> None:
+        self.members(MEMBER)
+        self.core.handle.return_value = [flows.Relay("b", flows.Stage.FOUND, (1 << 28) - 1)]
+        self.task.datagram_received(encapsulation.encapsulate(self.packet), FABRIC)
+        data, address = self.sent[0]
+        self.assertEqual(address, PEER)
+        self.core.handle.return_value = []
+        self.task.datagram_received(data, PEER)
+        event = self.arrived()[1]
+        self.assertEqual((event.stage, event.tag, event.sender), (5, (1 << 28) - 1, "b"))
+
+    async def test_former_member_may_relay_for_a_time(self) -> None:
+        relayed = encapsulation.encapsulate_relay(self.packet, flows.Stage.HOME)
+        self.members(MEMBER)
+        self.members()
+        self.task.datagram_received(relayed, PEER)
+        self.assertEqual(self.arrived()[0].sender, "b")
+        with mock.patch.object(entry_task, "FORMER_MEMBER_SECONDS", -1.0):
+            self.members()
+        self.task.datagram_received(relayed, PEER)
+        self.assertEqual(self.task.drops, {"unknown_sender": 1})
+
+    async def test_leave_waits_for_quiet_but_not_for_ever(self) -> None:
+        with (
+            mock.patch.object(entry_task, "LEAVE_LEAST_SECONDS", 0.02),
+            mock.patch.object(entry_task, "LEAVE_QUIET_SECONDS", 0.05),
+            mock.patch.object(entry_task, "LEAVE_MOST_SECONDS", 0.4),
+            mock.patch.object(entry_task, "TICK_SECONDS", 0.01),
+        ):
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            leaving = loop.create_task(self.task.leave())
+            while not leaving.done() and loop.time() - began < 2.0:
+                self.task.datagram_received(encapsulation.encapsulate(self.packet), FABRIC)
+                await asyncio.sleep(0.01)
+            self.assertGreaterEqual(loop.time() - began, 0.39)
+            await asyncio.sleep(0.06)
+            began = loop.time()
+            await self.task.leave()
+            self.assertLess(loop.time() - began, 0.3)
+
+
+class EncapsulationTest(unittest.TestCase):
+    def test_unknown_stage_and_flags_are_refused(self) -> None:
+        relayed = encapsulation.encapsulate_relay(b"", flows.Stage.HOME)
+        self.assertIsNone(encapsulation.decapsulate(relayed[:-1] + b"\x0f"))
+        self.assertIsNone(encapsulation.decapsulate(b"\xa0" + relayed[1:]))
