Ask all control hosts for the status, and name hosts that nobody hears

A control host knows only its own subscribers, so with three voters the status named a third of the fleet and its list of missing hosts was empty too early. The host that is asked now asks the others (0.6 s at most), joins the receipts, takes a receipt older than 5 s as not confirmed, and names expected hosts that no control host has heard. Nothing is exchanged while nobody asks; sending all receipts to all voters would cost about 17 KB/s a voter at 54 followers each.

--- a/packages/core/src/lacewingrudder_core/control.py
+++ b/packages/core/src/lacewingrudder_core/control.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from .core import Core
-from .messages import OperatorReply, OperatorRequest, Status, StatusRequest
+from .messages import (
+    OperatorReply,
+    OperatorRequest,
+    Status,
+    StatusRequest,
+    SurveyMessage,
+    SurveyReply,
+    SurveyRequest,
+)
 from .notes import Change
 from .replica import ReplicaCore
 from .replica_events import (
@@ -26,6 +35,7 @@
 from .replica_messages import ForwardMessage, ForwardRequest
 from .spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
 from .submissions import OperatorAnswer, Submissions
+from .survey import SendSurvey, Surveys
 from .types import HostName
 
 
@@ -43,8 +53,23 @@
     message: ForwardMessage
 
 
+class SurveyHeard(NamedTuple):
+    """Another control host asks which entry hosts this one serves, or answered that question."""
+
+    sender: HostName
+    message: SurveyMessage
+
+
+class HostsExpected(NamedTuple):
+    """The names of the entry hosts that should be there."""
+
+    names: frozenset[HostName]
+
+
 ControlEvent = (
     Requested
+    | SurveyHeard
+    | HostsExpected
     | ForwardHeard
     | ReplicaHeard
     | Subscribed
@@ -68,7 +93,7 @@
     change: Change
 
 
-ControlEffect = Reply | SendHost | SendReplica | Persist | Committed | RoleChanged
+ControlEffect = Reply | SendHost | SendSurvey | SendReplica | Persist | Committed | RoleChanged
 
 
 class ControlCore(Core[ControlEvent, ControlEffect]):
@@ -76,14 +101,18 @@
 
     :param name: the name of this host.
     :param replica: this host's replica of the log.
+    :param controls: names of all control hosts.
     """
 
-    def __init__(self, name: HostName, replica: ReplicaCore) -> None:
+    def __init__(
+        self, name: HostName, replica: ReplicaCore, controls: Iterable[HostName] = ()
+    ) -> None:
         self._name = name
         self._replica = replica
         self._catalogue = replica.catalogue
         self._spread = SpreadCore(replica.catalogue)
         self._submissions = Submissions()
+        self._surveys = Surveys(name, controls)
 
     @property
     def replica(self) -> ReplicaCore:
@@ -96,6 +125,11 @@
             return self._requested(event, now)
         if isinstance(event, ForwardHeard):
             return self._forward_heard(event, now)
+        if isinstance(event, SurveyHeard):
+            return self._survey_heard(event, now)
+        if isinstance(event, HostsExpected):
+            self._surveys.expect(event.names)
+            return []
         if isinstance(event, Subscribed | SnapshotPulled):
             return list(self._spread.handle(event, now))
         effects = self._feed(event, now)
@@ -106,7 +140,7 @@
     def _requested(self, event: Requested, now: float) -> list[ControlEffect]:
         request = event.request
         if isinstance(request, StatusRequest):
-            return [Reply(event.token, self._status(now))]
+            return self._start_survey(event.token, now)
         leader = self._replica.leader(now)
         way = self._submissions.operator(
             event.token, request, self._name, leader, self._catalogue.revision, now
@@ -124,7 +158,7 @@
 
     def _expire(self, now: float) -> list[ControlEffect]:
         late = self._submissions.expired(self._catalogue.revision, now)
-        return [_reply(answer) for answer in late]
+        return [_reply(answer) for answer in late] + self._finished_surveys(now)
 
     def _feed(self, event: ReplicaEvent, now: float) -> list[ControlEffect]:
         effects: list[ControlEffect] = []
@@ -155,12 +189,25 @@
             effects += [] if answer is None else [_reply(answer)]
         return effects
 
-    def _status(self, now: float) -> Status:
-        hosts = self._spread.hosts(now)
-        revision = self._catalogue.revision
-        missing = tuple(host.name for host in hosts if host.revision < revision)
+    def _start_survey(self, token: int, now: float) -> list[ControlEffect]:
+        request = self._surveys.start(token, self._survey_reply(0, now), now)
+        asked: list[ControlEffect] = [SendSurvey(name, request) for name in self._surveys.others]
+        return asked + self._finished_surveys(now)
+
+    def _survey_heard(self, event: SurveyHeard, now: float) -> list[ControlEffect]:
+        message = event.message
+        if isinstance(message, SurveyRequest):
+            return [SendSurvey(event.sender, self._survey_reply(message.number, now))]
+        self._surveys.answered(event.sender, message)
+        return self._finished_surveys(now)
+
+    def _survey_reply(self, number: int, now: float) -> SurveyReply:
         leader = self._replica.leader(now)
-        return Status(revision, leader, bool(leader), hosts, missing)
+        hosts = self._spread.hosts(now)
+        return SurveyReply(number, self._catalogue.revision, leader, hosts)
+
+    def _finished_surveys(self, now: float) -> list[ControlEffect]:
+        return [Reply(token, status) for token, status in self._surveys.finished(now)]
 
 
 def _reply(answer: OperatorAnswer | SendReplica) -> Reply | SendReplica:
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -227,12 +227,25 @@
     age: float
 
 
+class ControlStatus(NamedTuple):
+    """A control host as another one knows it.
+
+    :param revision: ``None`` if it did not answer.
+    """
+
+    name: HostName
+    revision: int | None
+
+
 class Status(NamedTuple):
     """The answer to :class:`StatusRequest`.
 
+    :param revision: the newest accepted revision that the answering side knows.
     :param leader: the control host that accepts notes, empty if there is none.
     :param accepting: whether the answering side can accept notes now.
-    :param missing: entry hosts that have not confirmed the revision.
+    :param missing: entry hosts that have not confirmed the revision, or not lately.
+    :param unheard: entry hosts that should be there and that no control host has heard.
+    :param controls: all control hosts, the answering one included.
     """
 
     revision: int
@@ -240,6 +253,30 @@
     accepting: bool
     hosts: tuple[HostStatus, ...]
     missing: tuple[HostName, ...]
+    unheard: tuple[HostName, ...]
+    controls: tuple[ControlStatus, ...]
+
+
+class SurveyRequest(NamedTuple):
+    """A control host asks another which entry hosts it serves.
+
+    :param number: comes back in the :class:`SurveyReply`.
+    """
+
+    number: int
+
+
+class SurveyReply(NamedTuple):
+    """The answer to :class:`SurveyRequest`.
+
+    :param revision: the answering host's newest committed revision.
+    :param leader: the control host that it takes for the leader, or empty.
+    """
+
+    number: int
+    revision: int
+    leader: HostName
+    hosts: tuple[HostStatus, ...]
 
 
 class OperatorReply(NamedTuple):
@@ -249,6 +286,7 @@
 
 
 SwimMessage = Ping | Ack | ProbeRequest | MembersPull | MemberUpdates
+SurveyMessage = SurveyRequest | SurveyReply
 SpreadMessage = Standing | Changes | SnapshotPart
 FollowMessage = Subscribe | SnapshotPull
 EntryMessage = SwimMessage | SpreadMessage | TargetUpdates | TargetsPull | Goodbye | Pins | Adopt
--- /dev/null
+++ b/packages/core/tests/test_survey.py
@@ -0,0 +1,62 @@
+import unittest
+
+from lacewingrudder_core.messages import ControlStatus, HostStatus, SurveyReply
+from lacewingrudder_core.survey import ANSWER_SECONDS, HEARD_SECONDS, Surveys
+
+
+def reply(number: int, revision: int, *hosts: HostStatus, leader: str = "c1") -> SurveyReply:
+    return SurveyReply(number, revision, leader, hosts)
+
+
+def host(number: int, revision: int, age: float = 0.5) -> HostStatus:
+    return HostStatus(f"entry-{number}", "adum", revision, age)
+
+
+class SurveyTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.surveys = Surveys("c1", ["c1", "c2", "c3"])
+        self.surveys.expect(["entry-1", "entry-2"])
+
+    def survey(self, own: SurveyReply, **replies: SurveyReply):
+        number = self.surveys.start(7, own, 0.0).number
+        for sender, answer in replies.items():
+            self.surveys.answered(sender, answer._replace(number=number))
+        finished = self.surveys.finished(0.0) or self.surveys.finished(ANSWER_SECONDS)
+        self.assertEqual(finished[0].token, 7)
+        return finished[0].status
+
+    def test_hosts_of_all_control_hosts_are_joined(self) -> None:
+        status = self.survey(reply(0, 3, host(1, 3)), c2=reply(0, 3, host(2, 2)), c3=reply(0, 3))
+        self.assertEqual([entry.name for entry in status.hosts], ["entry-1", "entry-2"])
+        self.assertEqual(status.missing, ("entry-2",))
+
+    def test_newest_receipt_of_a_host_counts(self) -> None:
+        old, new = host(1, 2, age=4.0), host(1, 3, age=0.1)
+        status = self.survey(reply(0, 3, old), c2=reply(0, 3, new), c3=reply(0, 3, host(2, 3)))
+        self.assertEqual(status.missing, ())
+
+    def test_host_that_fell_silent_has_not_confirmed(self) -> None:
+        silent = host(1, 3, age=HEARD_SECONDS + 1)
+        status = self.survey(reply(0, 3, silent, host(2, 3)), c2=reply(0, 3), c3=reply(0, 3))
+        self.assertEqual(status.missing, ("entry-1",))
+
+    def test_expected_host_that_nobody_heard_is_named(self) -> None:
+        status = self.survey(reply(0, 3, host(1, 3)), c2=reply(0, 3), c3=reply(0, 3))
+        self.assertEqual(status.unheard, ("entry-2",))
+
+    def test_control_host_that_does_not_answer_is_named_after_a_bounded_wait(self) -> None:
+        self.surveys.start(7, reply(0, 3), 0.0)
+        self.assertEqual(self.surveys.finished(ANSWER_SECONDS / 2), [])
+        status = self.survey(reply(0, 3), c2=reply(0, 3))
+        self.assertIn(ControlStatus("c3", None), status.controls)
+
+    def test_cut_off_host_is_measured_against_the_newest_revision(self) -> None:
+        own = reply(0, 2, host(1, 2), leader="")
+        status = self.survey(own, c2=reply(0, 5, host(2, 5)), c3=reply(0, 5))
+        self.assertEqual((status.revision, status.accepting), (5, False))
+        self.assertEqual(status.missing, ("entry-1",))
+
+    def test_host_that_is_gone_for_good_is_forgotten(self) -> None:
+        gone = host(9, 1, age=7200.0)
+        status = self.survey(reply(0, 3, gone), c2=reply(0, 3), c3=reply(0, 3))
+        self.assertEqual(status.hosts, ())
--- a/packages/daemon/src/lacewingrudder_daemon/control_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/control_task.py
@@ -12,6 +12,7 @@
 from lacewingrudder_core import replica_events as replica
 from lacewingrudder_core.durable import Write
 from lacewingrudder_core.spread import SendHost
+from lacewingrudder_core.survey import SendSurvey
 from lacewingrudder_core.types import HostName
 
 from .recorder import Recorder
@@ -100,7 +101,7 @@
         match effect:
             case decisions.Reply(token, body):
                 self._answer(token, body)
-            case SendHost(host, body):
+            case SendHost(host, body) | SendSurvey(host, body):
                 self._send(host, body)
             case replica.SendReplica(host, message):
                 self._send(host, message)
--- a/packages/wire/src/lacewingrudder_wire/codec.py
+++ b/packages/wire/src/lacewingrudder_wire/codec.py
@@ -56,6 +56,8 @@
     66: m.Standing,
     67: m.SnapshotPart,
     68: m.SnapshotPull,
+    69: m.SurveyRequest,
+    70: m.SurveyReply,
     90: m.TargetsInUse,
 }
 _TAG_OF = {cls: tag for tag, cls in _TAGS.items()}
