Show status, orders and time line so that an operator can act on them

lwr status lists control hosts, each entry host with what it confirmed, and hosts that nobody hears; a cut-off side says that it accepts nothing. drain, withdraw and restore wait up to 3 s (--wait) for all hosts and name those that have not confirmed. lwr timeline merges files, skips torn lines, and filters. A status is taken from a control host that accepts notes if one answers.

--- a/packages/cli/src/lacewingrudder_cli/main.py
+++ b/packages/cli/src/lacewingrudder_cli/main.py
@@ -8,33 +8,18 @@
 from typing import Any, NoReturn
 
 import click
-from lacewingrudder_core.messages import OperatorReply, StatusRequest, SubmitNote, SubmitOrder
+from lacewingrudder_core.messages import OperatorReply, SubmitNote
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
-from lacewingrudder_core.types import Endpoint, OrderAction, TargetOrder
+from lacewingrudder_core.types import Endpoint
 from lacewingrudder_wire.client import request
 from lacewingrudder_wire.documents import read_document, read_note
-from lacewingrudder_wire.exceptions import DocumentError, ExitCode, LacewingrudderError
+from lacewingrudder_wire.exceptions import DocumentError, LacewingrudderError
 
-_EXIT_CODES = {
-    SubmitTag.ACCEPTED: ExitCode.DONE,
-    SubmitTag.CONFLICT: ExitCode.CONFLICT,
-    SubmitTag.REFUSED: ExitCode.REFUSED,
-    SubmitTag.INVALID: ExitCode.INVALID,
-    SubmitTag.UNKNOWN: ExitCode.UNKNOWN,
-}
-
-
-class EndpointType(click.ParamType[Endpoint]):
-    """A parameter of the form ``ADDRESS:PORT``."""
-
-    name = "ADDRESS:PORT"
-
-    def convert(self, value: Any, param: Any, ctx: Any) -> Endpoint:
-        """Return the endpoint, or fail with a usage error."""
-        try:
-            return Endpoint.parse(value)
-        except ValueError as error:
-            self.fail(f"{value}: {error}", param, ctx)
+from .options import control_option, json_option
+from .orders import drain, restore, withdraw
+from .outcomes import EXIT_CODES, reply_text
+from .status import status
+from .timeline import timeline
 
 
 class ErrorGroup(click.Group):
@@ -49,20 +34,18 @@
             sys.exit(error.exit_code)
 
 
-control_option = click.option(
-    "--control",
-    "controls",
-    type=EndpointType(),
-    multiple=True,
-    required=True,
-    help="Control host to ask; may be given many times.",
-)
-json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
-
-
 @click.group(cls=ErrorGroup)
 def cli() -> None:
-    """Operate a lacewingrudder load balancer."""
+    """Operate a lacewingrudder load balancer.
+
+    Release notes describe services: check one, submit it, and watch with status until it is in
+    force on all entry hosts. Orders drain or withdraw one target, or restore it. The time line
+    shows what all processes did.
+
+    \b
+    Exit codes: 0 done, 2 usage or invalid input, 3 conflict, 4 refused (not accepted),
+    5 unknown (may have been accepted: send it again).
+    """
 
 
 @cli.command()
@@ -90,51 +73,8 @@
     _finish(request(controls, SubmitNote(contents)), as_json)
 
 
-@cli.command()
-@click.argument("target")
-@control_option
-@json_option
-def drain(target: str, controls: tuple[Endpoint, ...], as_json: bool) -> None:
-    """End new flows to a target; its open flows go on."""
-    order = TargetOrder(target, OrderAction.DRAIN)
-    _finish(request(controls, SubmitOrder(order)), as_json)
-
-
-@cli.command()
-@click.argument("target")
-@control_option
-@json_option
-def withdraw(target: str, controls: tuple[Endpoint, ...], as_json: bool) -> None:
-    """Withdraw a target for good; its open flows go on."""
-    order = TargetOrder(target, OrderAction.WITHDRAW)
-    _finish(request(controls, SubmitOrder(order)), as_json)
-
-
-@cli.command()
-@click.argument("target")
-@control_option
-@json_option
-def restore(target: str, controls: tuple[Endpoint, ...], as_json: bool) -> None:
-    """Take back a drain or a withdrawal: the target takes new flows again."""
-    order = TargetOrder(target, OrderAction.RESTORE)
-    _finish(request(controls, SubmitOrder(order)), as_json)
-
-
-@cli.command()
-@control_option
-@json_option
-def status(controls: tuple[Endpoint, ...], as_json: bool) -> None:
-    """Show the revision and the hosts that have not confirmed it."""
-    answer = request(controls, StatusRequest())
-    if as_json:
-        hosts = [host._asdict() for host in answer.hosts]
-        click.echo(json.dumps(answer._asdict() | {"hosts": hosts}))
-        return
-    click.echo(f"revision {answer.revision}, leader {answer.leader or 'none'}")
-    for host in answer.hosts:
-        click.echo(f"{host.name} ({host.zone}): revision {host.revision}")
-    if answer.missing:
-        click.echo(f"not in force on: {', '.join(answer.missing)}")
+for command in (status, drain, withdraw, restore, timeline):
+    cli.add_command(command)
 
 
 def _check_file(file: Path) -> None:
@@ -161,5 +101,5 @@
     if as_json:
         click.echo(json.dumps(reply._asdict()))
     else:
-        click.echo(f"{reply.tag}: revision {reply.revision} {reply.detail}".rstrip())
-    sys.exit(_EXIT_CODES[reply.tag])
+        click.echo(reply_text(reply))
+    sys.exit(EXIT_CODES[reply.tag])
--- /dev/null
+++ b/packages/cli/src/lacewingrudder_cli/orders.py
@@ -0,0 +1,108 @@
+"""``lwr drain``, ``withdraw`` and ``restore``: orders for one target."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from collections.abc import Callable
+
+import click
+from lacewingrudder_core.messages import OperatorReply, Status, StatusRequest, SubmitOrder
+from lacewingrudder_core.notes import SubmitReply, SubmitTag
+from lacewingrudder_core.types import Endpoint, OrderAction, TargetOrder
+from lacewingrudder_wire.client import request
+from lacewingrudder_wire.exceptions import UnreachableError
+
+from .options import control_option, json_option
+from .outcomes import EXIT_CODES, reply_text
+from .status import confirmation_text
+
+WAIT_SECONDS = 3.0
+POLL_SECONDS = 0.2
+
+wait_option = click.option(
+    "--wait",
+    type=click.FloatRange(0.0, 60.0),
+    default=WAIT_SECONDS,
+    show_default=True,
+    metavar="SECONDS",
+    help="How long to wait until all entry hosts confirm the order.",
+)
+
+
+def _order_command(action: OrderAction, explanation: str) -> click.Command:
+    def run(target: str, controls: tuple[Endpoint, ...], wait: float, as_json: bool) -> None:
+        order = SubmitOrder(TargetOrder(target, action))
+        answer: OperatorReply = request(controls, order)
+        seen = None
+        if answer.reply.tag is SubmitTag.ACCEPTED and wait > 0:
+            seen = wait_until_confirmed(controls, answer.reply.revision, wait)
+        click.echo(_json(answer.reply, seen) if as_json else _text(answer.reply, seen))
+        sys.exit(EXIT_CODES[answer.reply.tag])
+
+    command: Callable[..., None] = run
+    command = json_option(wait_option(control_option(click.argument("target")(command))))
+    return click.command(action.value, help=explanation)(command)
+
+
+drain = _order_command(
+    OrderAction.DRAIN,
+    "End new flows to TARGET (its ADDRESS:PORT); its open flows go on.\n\n"
+    "Hosts that can't be reached go on sending it new flows until they can: they are named.",
+)
+withdraw = _order_command(
+    OrderAction.WITHDRAW,
+    "Withdraw TARGET (its ADDRESS:PORT) for good; its open flows go on.\n\n"
+    "Hosts that can't be reached go on sending it new flows until they can: they are named.",
+)
+restore = _order_command(
+    OrderAction.RESTORE,
+    "Take back a drain or a withdrawal of TARGET: it takes new flows again.",
+)
+
+
+def wait_until_confirmed(
+    controls: tuple[Endpoint, ...], revision: int, seconds: float
+) -> Status | None:
+    """Return the last status seen until all hosts confirmed a revision or the time was over.
+
+    :return: ``None`` if no control host told its status.
+    """
+    deadline = time.monotonic() + seconds
+    seen: Status | None = None
+    while True:
+        try:
+            seen = request(controls, StatusRequest())
+        except UnreachableError:
+            seen = None
+        is_confirmed = seen is not None and seen.revision >= revision and not unconfirmed(seen)
+        if is_confirmed or time.monotonic() + POLL_SECONDS > deadline:
+            return seen
+        time.sleep(POLL_SECONDS)
+
+
+def unconfirmed(seen: Status) -> tuple[str, ...]:
+    """Return the hosts that have not confirmed, heard or not."""
+    return (*seen.missing, *seen.unheard)
+
+
+def _json(reply: SubmitReply, seen: Status | None) -> str:
+    document = reply._asdict()
+    if seen is not None:
+        document["missing"] = list(unconfirmed(seen))
+    return json.dumps(document)
+
+
+def _text(reply: SubmitReply, seen: Status | None) -> str:
+    lines = [reply_text(reply)]
+    if reply.tag is SubmitTag.REFUSED:
+        lines.append("nothing changed: all hosts go on as before, also those of a cut-off zone")
+    if seen is not None:
+        lines.append(confirmation_text(seen))
+        if unconfirmed(seen):
+            lines.append(
+                "hosts that have not confirmed may still send new flows to the target; "
+                "a cut-off zone does so until it is reached again"
+            )
+    return "\n".join(lines)
--- a/packages/cli/tests/test_main.py
+++ b/packages/cli/tests/test_main.py
@@ -3,16 +3,14 @@
 import unittest
 from pathlib import Path
 from typing import Any
-from unittest import mock
 
-from click.testing import CliRunner, Result
-from lacewingrudder_cli import main
+from click.testing import Result
+from lacewingrudder_cli.testing import LwrRunner
 from lacewingrudder_core.messages import OperatorReply, SubmitOrder
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
 from lacewingrudder_core.types import OrderAction, TargetOrder
 
 NOTE = {"number": 1, "base": 0, "withdrawn": ["old"]}
-CONTROL = ("--control", "127.0.0.1:7000")
 
 
 class MainTest(unittest.TestCase):
@@ -24,30 +22,27 @@
         self.sent: list[Any] = []
 
     def run_lwr(self, *arguments: str, tag: SubmitTag = SubmitTag.ACCEPTED) -> Result:
-        def answer(controls: Any, body: Any) -> OperatorReply:
-            self.sent.append(body)
-            return OperatorReply(SubmitReply(tag, 7, "because"))
-
-        with mock.patch.object(main, "request", answer):
-            return CliRunner().invoke(main.cli, arguments)
+        runner = LwrRunner(lambda body: OperatorReply(SubmitReply(tag, 7, "because")))
+        result = runner.run(*arguments)
+        self.sent += runner.sent
+        return result
 
     def test_exit_codes_follow_the_outcome(self) -> None:
         codes = {
-            tag: self.run_lwr("submit", str(self.note), *CONTROL, tag=tag).exit_code
-            for tag in SubmitTag
+            tag: self.run_lwr("submit", str(self.note), tag=tag).exit_code for tag in SubmitTag
         }
         self.assertEqual(
             codes, {"accepted": 0, "invalid": 2, "conflict": 3, "refused": 4, "unknown": 5}
         )
 
     def test_submit_prints_json(self) -> None:
-        done = self.run_lwr("submit", str(self.note), *CONTROL, "--json", tag=SubmitTag.CONFLICT)
+        done = self.run_lwr("submit", str(self.note), "--json", tag=SubmitTag.CONFLICT)
         expected = {"tag": "conflict", "revision": 7, "detail": "because"}
         self.assertEqual(json.loads(done.stdout), expected)
 
     def test_invalid_note_is_not_sent(self) -> None:
         self.note.write_text('{"number": 1, "base": 0, "withdrawn": ["a", "a"]}')
-        text = self.run_lwr("submit", str(self.note), *CONTROL)
+        text = self.run_lwr("submit", str(self.note))
         as_json = self.run_lwr("check", str(self.note), "--json")
         self.assertEqual((text.exit_code, as_json.exit_code, self.sent), (2, 2, []))
         self.assertIn("withdrawn[1]: service a is named more than once", text.stderr)
@@ -58,6 +53,6 @@
 
     def test_orders_name_target_and_action(self) -> None:
         for action in OrderAction:
-            self.run_lwr(action, "10.0.0.1:80", *CONTROL)
+            self.run_lwr(action, "10.0.0.1:80", "--wait", "0")
         orders = [SubmitOrder(TargetOrder("10.0.0.1:80", action)) for action in OrderAction]
         self.assertEqual(self.sent, orders)
--- a/packages/wire/src/lacewingrudder_wire/client.py
+++ b/packages/wire/src/lacewingrudder_wire/client.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from lacewingrudder_core.clock import HybridTime
-from lacewingrudder_core.messages import OperatorReply, OperatorRequest, StatusRequest
+from lacewingrudder_core.messages import OperatorReply, OperatorRequest, Status, StatusRequest
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
 from lacewingrudder_core.types import Endpoint
 from websockets.asyncio.client import connect
@@ -44,11 +44,14 @@
         self._problems: list[str] = []
 
     async def ask(self, controls: Sequence[Endpoint]) -> Any:
-        refusal = None
+        refusal: Any = None
         for endpoint in controls:
             answer = await self._try(endpoint)
             if answer is None:
                 continue
+            if isinstance(answer, Status) and not answer.accepting:
+                refusal = answer
+                continue
             if not isinstance(answer, OperatorReply) or answer.reply.tag in _FINAL_TAGS:
                 return answer
             if answer.reply.tag is SubmitTag.UNKNOWN:
@@ -57,6 +60,8 @@
             else:
                 refusal = answer
         if isinstance(self._body, StatusRequest):
+            if refusal is not None:
+                return refusal
             raise UnreachableError(f"no control host answered: {self._problem_text}")
         return refusal if refusal is not None and not self._may_be_accepted else self._outcome()
 
--- a/packages/wire/src/lacewingrudder_wire/timeline.py
+++ b/packages/wire/src/lacewingrudder_wire/timeline.py
@@ -4,10 +4,13 @@
 
 import json
 from collections.abc import Iterable, Iterator
+from pathlib import Path
 from typing import Any, NamedTuple
 
 from lacewingrudder_core.clock import HybridTime
 
+ROTATED_SUFFIX = ".1"
+
 
 class TimelineEvent(NamedTuple):
     """Something that happened in one process.
@@ -39,12 +42,73 @@
 
         :raises ValueError: if the line holds none.
         """
-        document: dict[str, Any] = json.loads(line)
+        document: Any = json.loads(line)
         try:
-            time = HybridTime(*document.pop("time"))
-            return cls(time=time, **document)
-        except (KeyError, TypeError) as error:
+            wall, counter = document.pop("time")
+            event = cls(time=HybridTime(wall, counter), **document)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             raise ValueError(f"not a time-line event: {line.strip()}") from error
+        if not event._has_valid_types():
+            raise ValueError(f"not a time-line event: {line.strip()}")
+        return event
+
+    def _has_valid_types(self) -> bool:
+        numbers = (*self.time, self.revision or 0)
+        texts = (self.process, self.event, self.flow, self.target, self.detail)
+        return all(type(number) is int for number in numbers) and all(
+            isinstance(text, str) for text in texts
+        )
+
+
+class TimelineFile(NamedTuple):
+    """The events of one process's file.
+
+    :param skipped: lines that hold no event, such as one torn by a crash.
+    """
+
+    events: tuple[TimelineEvent, ...]
+    skipped: int
+
+
+class Filter(NamedTuple):
+    """What to keep of a time line; an empty field keeps all.
+
+    :param flow: part of a flow's text, such as a caller's address.
+    """
+
+    flow: str = ""
+    target: str = ""
+    revision: int | None = None
+    processes: tuple[str, ...] = ()
+    events: tuple[str, ...] = ()
+
+    def keeps(self, event: TimelineEvent) -> bool:
+        """Whether an event passes."""
+        return (
+            self.flow in event.flow
+            and self.target in ("", event.target)
+            and self.revision in (None, event.revision)
+            and (not self.processes or event.process in self.processes)
+            and (not self.events or event.event in self.events)
+        )
+
+
+def read_file(path: Path) -> TimelineFile:
+    """Return the events in a file, and in the one that it replaced.
+
+    :raises OSError: if the file can't be read.
+    """
+    rotated = path.with_name(path.name + ROTATED_SUFFIX)
+    text = rotated.read_text("utf-8", "replace") if rotated.exists() else ""
+    text += path.read_text("utf-8", "replace")
+    events = []
+    skipped = 0
+    for line in text.splitlines():
+        try:
+            events.append(TimelineEvent.from_line(line))
+        except ValueError:
+            skipped += 1
+    return TimelineFile(tuple(events), skipped)
 
 
 def merge(events: Iterable[TimelineEvent]) -> Iterator[TimelineEvent]:
