Split the entry host's core, and record targets' states and readiness

A target in another state, and a host that may or may no longer choose targets, become events of the time line.

--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import random
-from typing import NamedTuple
 
 from . import follower, membership, targets
 from .admission import AdmissionPolicy
 from .chart import Chart
 from .core import Core
+from .entry_events import (
+    EntryEffect,
+    EntryEvent,
+    PeerMessage,
+    ReadinessChanged,
+    SendPeer,
+    StopPlanned,
+    TargetSeen,
+    Tick,
+)
 from .flows import (
     ACK,
     SYN,
@@ -23,17 +32,7 @@
     SegmentArrived,
     ViewChanged,
 )
-from .follower import (
-    ControlMessage,
-    FollowerCore,
-    FollowerEffect,
-    InForce,
-    Keep,
-    Kept,
-    PeerSeen,
-    SendControl,
-    ZonesLearnt,
-)
+from .follower import ControlMessage, InForce, Kept
 from .gossip import SendTargets, TargetGossip
 from .health import HealthBook
 from .membership import (
@@ -46,8 +45,6 @@
 )
 from .messages import (
     Ack,
-    Adopt,
-    FollowMessage,
     Goodbye,
     MembersPull,
     MemberUpdates,
@@ -55,8 +52,6 @@
     Pins,
     ProbeRequest,
     SnapshotPull,
-    SpreadMessage,
-    Standing,
     Subscribe,
     SwimMessage,
     TargetsInUse,
@@ -67,8 +62,8 @@
 from .placement import SparingPlacement
 from .quarantine import CLAIM_SECONDS
 from .readiness import Readiness
+from .revisions import RevisionEffect, Revisions
 from .shares import ShareAdmission
-from .spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
 from .targets import (
     Announced,
     Answer,
@@ -82,45 +77,15 @@
 from .types import WORKING_STATES, HostName, Member, TargetName, ZoneName
 from .view import ViewBuilder
 
-PeerBody = (
-    SwimMessage
-    | SpreadMessage
-    | FollowMessage
-    | TargetUpdates
-    | TargetsPull
-    | TargetsInUse
-    | Goodbye
-    | Pins
-    | Adopt
-)
-
-
-class PeerMessage(NamedTuple):
-    """Another entry host sent a message."""
-
-    sender: HostName
-    body: PeerBody
-
-
-class Tick(NamedTuple):
-    """Time passed; due several times a second."""
-
-
-class StopPlanned(NamedTuple):
-    """This host is going to stop: hand over, then leave."""
-
-
-EntryEvent = SegmentArrived | PeerMessage | ControlMessage | Announced | Kept | Tick | StopPlanned
-
-
-class SendPeer(NamedTuple):
-    """Send a message to another entry host."""
-
-    host: HostName
-    body: PeerBody
-
-
-EntryEffect = FlowEffect | SendPeer | SendControl | Answer | Keep | InForce | MembersChanged
+__all__ = [
+    "EntryCore",
+    "EntryEffect",
+    "EntryEvent",
+    "PeerMessage",
+    "SendPeer",
+    "StopPlanned",
+    "Tick",
+]
 
 
 class EntryCore(Core[EntryEvent, EntryEffect]):
@@ -150,16 +115,16 @@
         self._me = me
         rng = rng or random.Random(me.name)
         in_force = catalogue or Catalogue()
-        self._follower = FollowerCore(me.name, me.zone, in_force, controls, rng, keeps)
+        self._revisions = Revisions(me, in_force, controls, keeps, rng)
         self._membership = MembershipCore(me, peers, rng)
         self._gossip = TargetGossip(rng)
-        self._spread = SpreadCore(in_force)
         self._readiness = Readiness(is_alone=not set(peers) - {me.name})
         self._targets = TargetCore(me.name, me.zone, target_chart)
         self._targets.handle(CatalogueChanged(in_force), 0.0)
         self._health = HealthBook()
         placement = SparingPlacement(me.zone, self._health)
         self._claimed = float("-inf")
+        self._was_ready = False
         self._views = ViewBuilder()
         view = self._views.build([me], in_force, ())
         self._flows = FlowCore(
@@ -169,7 +134,7 @@
     @property
     def revision(self) -> int:
         """The revision in force on this host."""
-        return self._follower.catalogue.revision
+        return self._revisions.catalogue.revision
 
     @property
     def flow_count(self) -> int:
@@ -189,7 +154,7 @@
     @property
     def followed(self) -> HostName:
         """The control host that this host follows."""
-        return self._follower.followed
+        return self._revisions.followed
 
     @property
     def zones(self) -> dict[HostName, ZoneName]:
@@ -204,11 +169,12 @@
         if isinstance(event, PeerMessage):
             return self._peer(event, now)
         if isinstance(event, ControlMessage):
-            return self._control(event, now)
+            may_begin = self._readiness.may_learn(now)
+            return self._revised(self._revisions.control(event, may_begin, now), now)
         if isinstance(event, Announced):
             return self._target_effects(self._targets.handle(event, now), now)
         if isinstance(event, Kept):
-            return self._follower_effects(self._follower.handle(event, now), now)
+            return self._revised(self._revisions.follow(event, now), now)
         if isinstance(event, StopPlanned):
             return self._leave(now)
         return self._tick(now)
@@ -224,11 +190,16 @@
         self._readiness.tick(now)
         effects = self._member_effects(self._membership.handle(membership.Tick(), now), now)
         effects += self._target_effects(self._targets.handle(targets.Tick(), now), now)
-        effects += self._follower_effects(self._follower.handle(follower.Tick(), now), now)
+        effects += self._revised(self._revisions.follow(follower.Tick(), now), now)
         effects += self._flow_effects(self._flows.handle(FlowTick(), now))
         effects += self._claims(now)
+        effects += self._readiness_effects(now)
         return effects + self._gossiped(self._gossip.tick(self._membership.neighbours, now))
 
+    def _readiness_effects(self, now: float) -> list[EntryEffect]:
+        was_ready, self._was_ready = self._was_ready, self._readiness.is_ready(now)
+        return [] if was_ready == self._was_ready else [ReadinessChanged(self._was_ready)]
+
     def _claims(self, now: float) -> list[EntryEffect]:
         """Claim the lost targets that still have flows here, at the hosts of their zones."""
         if now - self._claimed < CLAIM_SECONDS:
@@ -260,10 +231,8 @@
             return self._gossiped(self._gossip.pulled(sender, body.digests, now))
         if isinstance(body, Goodbye):
             return self._member_effects(self._membership.handle(MemberLeft(body.member), now), now)
-        if isinstance(body, Subscribe):
-            return self._served(self._spread.handle(Subscribed(body), now))
-        if isinstance(body, SnapshotPull):
-            return self._served(self._spread.handle(SnapshotPulled(body), now))
+        if isinstance(body, Subscribe | SnapshotPull):
+            return list(self._revisions.serve(body, now))
         if isinstance(body, Pins):
             self._flows.handle(PinsHeard(body), now)
         return []
@@ -275,20 +244,13 @@
         if not isinstance(body, Ping | Ack):
             return effects
         effects += self._gossiped(self._gossip.compare(sender, body.targets, now))
-        seen = PeerSeen(sender, body.revision)
-        effects += self._follower_effects(self._follower.handle(seen, now), now)
+        effects += self._revised(self._revisions.peer_seen(sender, body.revision, now), now)
         same_targets = body.targets == self._gossip.digest
         self._readiness.compare(same_targets and body.revision <= self.revision)
         return effects
 
-    def _control(self, event: ControlMessage, now: float) -> list[EntryEffect]:
-        """Take changes, but none as the first before peers had time to tell their revision."""
-        is_first = self.revision == 0 and not isinstance(event.body, Standing)
-        if is_first and not self._readiness.may_learn(now):
-            return []
-        return self._follower_effects(self._follower.handle(event, now), now)
-
     def _leave(self, now: float) -> list[EntryEffect]:
+        self._membership.handle(membership.Leave(), now)
         goodbye = Goodbye(self._membership.me)
         handed_over = self._flow_effects(self._flows.handle(Leaving(), now))
         return handed_over + [SendPeer(name, goodbye) for name in self._membership.neighbours]
@@ -299,7 +261,7 @@
             for effect in effects
         ]
 
-    def _follower_effects(self, effects: list[FollowerEffect], now: float) -> list[EntryEffect]:
+    def _revised(self, effects: list[RevisionEffect], now: float) -> list[EntryEffect]:
         done: list[EntryEffect] = []
         for effect in effects:
             done.append(effect)
@@ -307,23 +269,13 @@
                 changed = self._targets.handle(CatalogueChanged(effect.catalogue), now)
                 done += self._target_effects(changed, now)
                 done += self._refresh(now)
-                done += self._pass_on(effect, now)
         return done
 
-    def _pass_on(self, effect: InForce, now: float) -> list[EntryEffect]:
-        """Let peers that subscribe to this host have what came into force here."""
-        if not effect.changes:
-            self._spread.handle(Replaced(effect.catalogue), now)
-        sends = []
-        for change in effect.changes:
-            sends += self._spread.handle(Advanced(change, effect.catalogue), now)
-        return self._served(sends)
-
     def _member_effects(self, effects: list[MembershipEffect], now: float) -> list[EntryEffect]:
         done: list[EntryEffect] = []
         for effect in effects:
             if isinstance(effect, MembersChanged):
-                self._follower.handle(ZonesLearnt(self.zones), now)
+                self._revisions.learn_zones(self.zones, now)
                 self._targets.handle(MembersSeen(self.zones), now)
                 done += self._refresh(now)
                 done.append(effect)
@@ -344,18 +296,16 @@
             if isinstance(effect, Answer):
                 done.append(effect)
                 continue
-            self._gossip.refresh(self._targets.records, now)
+            changed = self._gossip.refresh(self._targets.records, now)
+            done += [TargetSeen(r.target.name, r.state, r.owner) for r in changed]
             done += self._refresh(now)
         return done
 
     def _gossiped(self, effects: list[SendTargets]) -> list[EntryEffect]:
         return [SendPeer(effect.host, effect.body) for effect in effects]
 
-    def _served(self, effects: list[SendHost]) -> list[EntryEffect]:
-        return [SendPeer(effect.host, effect.body) for effect in effects]
-
     def _refresh(self, now: float) -> list[EntryEffect]:
         members = sorted(self._membership.members)
-        view = self._views.build(members, self._follower.catalogue, self._targets.records)
+        view = self._views.build(members, self._revisions.catalogue, self._targets.records)
         self._health.regroup(view.working_targets())
         return self._flow_effects(self._flows.handle(ViewChanged(view), now))
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/entry_events.py
@@ -0,0 +1,86 @@
+"""What an entry host's core takes in and gives out."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .flows import FlowEffect, SegmentArrived
+from .follower import ControlMessage, InForce, Keep, Kept, SendControl
+from .membership import MembersChanged
+from .messages import (
+    Adopt,
+    FollowMessage,
+    Goodbye,
+    Pins,
+    SpreadMessage,
+    SwimMessage,
+    TargetsInUse,
+    TargetsPull,
+    TargetUpdates,
+)
+from .targets import Announced, Answer
+from .types import HostName, TargetName, TargetState
+
+PeerBody = (
+    SwimMessage
+    | SpreadMessage
+    | FollowMessage
+    | TargetUpdates
+    | TargetsPull
+    | TargetsInUse
+    | Goodbye
+    | Pins
+    | Adopt
+)
+
+
+class PeerMessage(NamedTuple):
+    """Another entry host sent a message."""
+
+    sender: HostName
+    body: PeerBody
+
+
+class Tick(NamedTuple):
+    """Time passed; due several times a second."""
+
+
+class StopPlanned(NamedTuple):
+    """This host is going to stop: hand over, then leave."""
+
+
+EntryEvent = SegmentArrived | PeerMessage | ControlMessage | Announced | Kept | Tick | StopPlanned
+
+
+class SendPeer(NamedTuple):
+    """Send a message to another entry host."""
+
+    host: HostName
+    body: PeerBody
+
+
+class TargetSeen(NamedTuple):
+    """A target is in another state than before, as this host knows it."""
+
+    target: TargetName
+    state: TargetState
+    owner: HostName
+
+
+class ReadinessChanged(NamedTuple):
+    """This host may choose targets for new flows from now on, or no longer."""
+
+    is_ready: bool
+
+
+EntryEffect = (
+    FlowEffect
+    | SendPeer
+    | SendControl
+    | Answer
+    | Keep
+    | InForce
+    | MembersChanged
+    | TargetSeen
+    | ReadinessChanged
+)
--- a/packages/core/src/lacewingrudder_core/gossip.py
+++ b/packages/core/src/lacewingrudder_core/gossip.py
@@ -22,7 +22,7 @@
 )
 from .messages import TargetsPull, TargetUpdates
 from .records import record_stamp
-from .types import HostName, TargetName, TargetRecord
+from .types import HostName, TargetName, TargetRecord, TargetState
 
 FANOUT = 4
 RUMOURS_PER_SECOND = 60.0
@@ -71,11 +71,15 @@
         answered = body.records if body.is_answer else ()
         self._answered = frozenset(record.target.name for record in answered)
 
-    def refresh(self, records: Iterable[TargetRecord], now: float) -> None:
-        """Take the current records; those that changed become rumours."""
+    def refresh(self, records: Iterable[TargetRecord], now: float) -> list[TargetRecord]:
+        """Take the current records; those that changed become rumours.
+
+        :return: the records whose targets are in another state than before.
+        """
         current = {record.target.name: record for record in records}
         gone = self._records.keys() - current.keys()
         changed = [name for name in current if self._records.get(name) is not current[name]]
+        moved = [name for name in changed if _state(self._records, name) != current[name].state]
         self._records = current
         for name in gone:
             del self._fingerprints[name]
@@ -83,6 +87,7 @@
         self._take_changed(changed, now)
         if gone or changed:
             self._digest = table_digest(self._fingerprints.values())
+        return [current[name] for name in moved]
 
     def tick(self, neighbours: tuple[HostName, ...], now: float) -> list[SendTargets]:
         """Return the rumours that are due."""
@@ -136,5 +141,10 @@
                 self._rumours[name] = None
 
 
+def _state(records: dict[TargetName, TargetRecord], name: TargetName) -> TargetState | None:
+    record = records.get(name)
+    return None if record is None else record.state
+
+
 def _fingerprint(record: TargetRecord) -> Fingerprint:
     return Fingerprint.of(record.target.name, record_stamp(record))
--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from lacewingrudder_core import entry, flows
+from lacewingrudder_core.entry_events import ReadinessChanged, TargetSeen
 from lacewingrudder_core.follower import InForce, Keep, Kept, SendControl
 from lacewingrudder_core.membership import MembersChanged
 from lacewingrudder_core.notes import Catalogue
@@ -182,6 +183,10 @@
                 self._verdict(key, target, verdict, reason)
             case MembersChanged(members):
                 self._members_changed(members)
+            case TargetSeen(target, state, owner):
+                self._recorder.record("target", target=target, detail=f"{state}, lease at {owner}")
+            case ReadinessChanged(is_ready):
+                self._recorder.record("ready" if is_ready else "not_ready")
 
     def _verdict(self, key: FlowKey, target: TargetName, verdict: Verdict, reason: str) -> None:
         self.verdicts[verdict, reason] = self.verdicts.get((verdict, reason), 0) + 1
