Keep a leaving host from refuting its own leave

Cause: a host that leaves as planned relays on for a while; it heard by gossip that it had left, refuted that as if it were a suspicion, and was a member again until it was found dead. Ruled out: late pings, which carry the old incarnation and lose against the leave.

The leaving host now refutes nothing and reports itself as left. The new test failed without this.

--- a/packages/core/src/lacewingrudder_core/members.py
+++ b/packages/core/src/lacewingrudder_core/members.py
@@ -44,6 +44,7 @@
         self._live: tuple[Member, ...] | None = None
         self._digest = 0
         self._is_changed = False
+        self._is_leaving = False
         self._suspects: set[HostName] = set()
         self._next_forget = float("-inf")
         self._mark(me, is_live=True)
@@ -81,6 +82,11 @@
         """Whether the table holds that host, dead or alive."""
         return name == self._me.name or name in self._rows
 
+    def leave(self, now: float) -> None:
+        """Tell the others that this host leaves, and refute nothing from now on."""
+        self._is_leaving = True
+        self._spread(self._me.name, now)
+
     def take(self, updates: Iterable[MemberUpdate], now: float) -> None:
         """Take news; what is older than the table's rows changes nothing."""
         for update in updates:
@@ -123,7 +129,7 @@
         fresh = sorted(self._sends_left, key=lambda name: -self._sends_left[name])
         for name in fresh[: count - len(chosen)]:
             self._count_send(name)
-            if name not in (host, self._me.name):
+            if name != host and (name != self._me.name or self._is_leaving):
                 chosen.append(self._update(name))
         return tuple(chosen)
 
@@ -143,7 +149,8 @@
 
     def _update(self, name: HostName) -> MemberUpdate:
         if name == self._me.name:
-            return MemberUpdate(self._me, MemberStatus.ALIVE)
+            status = MemberStatus.LEFT if self._is_leaving else MemberStatus.ALIVE
+            return MemberUpdate(self._me, status)
         row = self._rows[name]
         return MemberUpdate(row.member, row.status)
 
@@ -154,6 +161,8 @@
 
     def _take_own(self, update: MemberUpdate, now: float) -> None:
         """Outbid news of this host that is not what it is."""
+        if self._is_leaving:
+            return
         heard = update.member.incarnation
         is_same = update.member == self._me and update.status is MemberStatus.ALIVE
         if is_same or heard < self._me.incarnation:
--- a/packages/core/src/lacewingrudder_core/membership.py
+++ b/packages/core/src/lacewingrudder_core/membership.py
@@ -55,11 +55,15 @@
     member: Member
 
 
+class Leave(NamedTuple):
+    """This host leaves as planned; it goes on answering, but refutes nothing."""
+
+
 class Tick(NamedTuple):
     """Time passed; due several times a second."""
 
 
-MembershipEvent = MemberMessage | MemberLeft | Tick
+MembershipEvent = MemberMessage | MemberLeft | Leave | Tick
 
 
 class MembersChanged(NamedTuple):
@@ -131,6 +135,9 @@
         elif isinstance(event, MemberLeft):
             self._table.take([MemberUpdate(event.member, MemberStatus.LEFT)], now)
             effects = []
+        elif isinstance(event, Leave):
+            self._table.leave(now)
+            effects = []
         else:
             effects = self._message(event.sender, event.body, now)
         if self._table.take_change():
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -4,6 +4,7 @@
 
 from lacewingrudder_core.membership import (
     SUSPICION_SECONDS,
+    Leave,
     MemberMessage,
     MembershipCore,
     Tick,
@@ -62,6 +63,18 @@
         passed = network.run_until(self.agree(network, list(network.nodes)), 5.0)
         self.assertLess(passed or 9.0, 0.2)
 
+    def test_leaving_host_that_still_relays_is_not_taken_back(self) -> None:
+        network = self.make_network()
+        leaver = network.nodes["entry-2"]
+        leaver.core.handle(Leave(), network.now)
+        goodbye = Goodbye(leaver.core.me)
+        network.send("entry-2", [Sent(name, goodbye) for name in leaver.core.neighbours])
+        network.run(0.5)
+        others = [node for name, node in network.nodes.items() if name != "entry-2"]
+        for _ in range(30):
+            network.run(0.1)
+            self.assertTrue(all("entry-2" not in node.names for node in others))
+
     def test_fleet_is_learnt_from_two_seeds(self) -> None:
         network = self.make_network(hosts=30, seeds=2)
         links = {m.link for m in network.nodes["entry-30"].core.members}
