Refuse requests at entry hosts, check that controls names the host, show the log's metrics

A request at a host without the control role got no answer, so after 5 s the operator was told "unknown" of something that was certainly not accepted. A control host that its own controls do not name would have waited for ever to form a cluster; that is an error of the settings now. lwr_control_revision, lwr_control_term and lwr_control_role show each replica.

--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -15,6 +15,7 @@
 from lacewingrudder_core import messages as m
 from lacewingrudder_core import replica_messages as r
 from lacewingrudder_core.admission import AdmissionPolicy, AdmitAll
+from lacewingrudder_core.notes import SubmitReply, SubmitTag
 from lacewingrudder_core.replica import ReplicaCore
 from lacewingrudder_core.replica_events import ReplicaHeard
 from lacewingrudder_core.shares import ShareAdmission, SharedLimitAdmission
@@ -87,7 +88,7 @@
         self._hub = LinkHub(settings.name, settings.peer_key, hosts, self._recorder, self._deliver)
         self._control = self._make_control() if settings.is_control else None
         self._entry = self._make_entry(settings.entry) if settings.entry else None
-        self._metrics = ProcessMetrics(self._hub, self._entry)
+        self._metrics = ProcessMetrics(self._hub, self._entry, self._control)
         self._runners: list[web.AppRunner] = []
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -187,8 +188,8 @@
     def _deliver(self, incoming: Incoming) -> None:
         body = incoming.body
         if not incoming.sender:
-            if self._control is not None and isinstance(body, _OPERATOR_MESSAGES):
-                self._control.handle(control.Requested(incoming.token, body))
+            if isinstance(body, _OPERATOR_MESSAGES):
+                self._deliver_request(incoming.token, body)
             return
         event = _control_event(incoming.sender, body)
         if event is not None and self._control is not None:
@@ -196,6 +197,14 @@
         elif self._entry is not None:
             self._deliver_to_entry(self._entry, incoming.sender, body)
 
+    def _deliver_request(self, token: int, request: m.OperatorRequest) -> None:
+        if self._control is not None:
+            self._control.handle(control.Requested(token, request))
+        elif not isinstance(request, m.StatusRequest):
+            detail = f"{self._settings.name} is no control host"
+            reply = SubmitReply(SubmitTag.REFUSED, 0, detail)
+            self._hub.answer(token, m.OperatorReply(reply))
+
     def _deliver_to_entry(self, task: EntryTask, sender: HostName, body: Any) -> None:
         if isinstance(body, _PEER_MESSAGES):
             task.handle(entry.PeerMessage(sender, body))
--- a/packages/daemon/src/lacewingrudder_daemon/metrics.py
+++ b/packages/daemon/src/lacewingrudder_daemon/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from .control_task import ControlTask
 from .entry_task import EntryTask
 from .links import LinkHub
 
@@ -15,9 +16,12 @@
 class ProcessMetrics(Collector):
     """Reads the metrics from the parts of a process when asked for them."""
 
-    def __init__(self, hub: LinkHub, entry: EntryTask | None) -> None:
+    def __init__(
+        self, hub: LinkHub, entry: EntryTask | None, control: ControlTask | None = None
+    ) -> None:
         self._hub = hub
         self._entry = entry
+        self._control = control
         self._registry = CollectorRegistry()
         self._registry.register(self)
 
@@ -31,6 +35,8 @@
         yield CounterMetricFamily(
             "lwr_link_sent_bytes", "Bytes sent to other processes.", value=self._hub.bytes_sent
         )
+        if self._control is not None:
+            yield from _control_metrics(self._control)
         if self._entry is None:
             return
         yield GaugeMetricFamily(
@@ -57,3 +63,14 @@
         for (verdict, reason), count in self._entry.verdicts.items():
             verdicts.add_metric([verdict, reason], count)
         yield verdicts
+
+
+def _control_metrics(control: ControlTask) -> Iterable[Metric]:
+    replica = control.core.replica
+    yield GaugeMetricFamily(
+        "lwr_control_revision", "Revision committed.", value=replica.catalogue.revision
+    )
+    yield GaugeMetricFamily("lwr_control_term", "Term of the log.", value=replica.state.term)
+    roles = GaugeMetricFamily("lwr_control_role", "1 for the present role.", labels=["role"])
+    roles.add_metric([replica.role], 1)
+    yield roles
--- a/packages/daemon/src/lacewingrudder_daemon/settings.py
+++ b/packages/daemon/src/lacewingrudder_daemon/settings.py
@@ -59,6 +59,7 @@
     is_control = "control" in roles
     if is_control:
         reader.require("data_folder", "a control host")
+        reader.require_name("controls", document["name"])
     return Settings(
         name=document["name"],
         zone=document["zone"],
@@ -86,6 +87,10 @@
         if field not in self._document:
             raise DocumentError(self._file, field, f"is required for {who}")
 
+    def require_name(self, field: str, name: HostName) -> None:
+        if name not in self._document[field]:
+            raise DocumentError(self._file, field, f"has to name this host, {name}, itself")
+
     def endpoint(self, field: str) -> Endpoint:
         return self._parse(field, self._document[field])
 
