--- a/packages/core/src/lacewingrudder_core/flow_keeper.py
+++ b/packages/core/src/lacewingrudder_core/flow_keeper.py
@@ -117,8 +117,14 @@
         self._uses.moved(flow.use, target)
 
     def asked(self, flow: Flow, segment: Segment, now: float) -> None:
-        """Take note of payload from the caller."""
+        """Take note of payload from the caller.
+
+        A copy of payload that was answered already makes the flow neither busy nor waiting.
+        """
         flow.has_payload = True
+        is_new = flow.is_new(segment)
+        if not is_new and flow.asked_at is None:
+            return
         if flow.asked_at is not None:
             flow.resent += segment.seq == flow.asked_seq
         else:
@@ -126,7 +132,8 @@
             flow.asked_seq = segment.seq
             flow.resent = 0
             self.table.waiting[flow.key] = flow
-        self._uses.caller_sent(flow.use, now)
+        if is_new:
+            self._uses.caller_sent(flow.use, now)
 
     def heard(self, flow: Flow) -> None:
         """Take note that the target did anything after the caller's payload."""
--- a/packages/core/src/lacewingrudder_core/flow_table.py
+++ b/packages/core/src/lacewingrudder_core/flow_table.py
@@ -43,6 +43,7 @@
         "caller_floor",
         "target_floor",
         "caller_next",
+        "caller_sent",
         "target_next",
         "opened_at",
         "last_seen",
@@ -84,6 +85,7 @@
         self.caller_floor = 0
         self.target_floor = 0
         self.caller_next = 0
+        self.caller_sent = 0
         self.target_next = 0
         self.opened_at = now
         self.last_seen = now
@@ -144,6 +146,7 @@
         self.isn = segment.seq
         self.caller_floor = segment.seq
         self.caller_next = (segment.seq + 1) & SEQUENCE_MASK
+        self.caller_sent = self.caller_next
         self.previous_isn = previous_isn
 
     def answer(self, segment: Segment) -> None:
@@ -161,10 +164,19 @@
         self.state = FlowState.ESTABLISHED
         self.has_payload = True
         self.caller_next = seq
+        self.caller_sent = seq
         self.target_next = target_seq
         self.caller_floor = (seq - WINDOW_BYTES // 4) & SEQUENCE_MASK
         self.target_floor = (target_seq - WINDOW_BYTES // 4) & SEQUENCE_MASK
 
+    def is_new(self, segment: Segment) -> bool:
+        """Take note of payload from the caller; return whether any of it was not seen before."""
+        end = (segment.seq + segment.payload) & SEQUENCE_MASK
+        if not 0 < (end - self.caller_sent) & SEQUENCE_MASK < WINDOW_BYTES:
+            return False
+        self.caller_sent = end
+        return True
+
     def acknowledged_by_target(self, ack: int) -> None:
         """Take note of what the target expects next."""
         ahead = (ack - self.caller_next) & SEQUENCE_MASK
