Check start-up errors, the time line's files and the kept catalogue

A time line that can't be written and an entry host's data folder that can't be used ended in a traceback (tests failed first); both now name the path and exit with 2. Links show bytes by purpose, refusals by reason and messages that gave way as metrics.

--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -8,6 +8,7 @@
 import secrets
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from aiohttp import web
@@ -83,7 +84,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._recorder = Recorder(settings.name, settings.timeline)
+        self._recorder = _make_recorder(settings)
         hosts = {**settings.entries, **settings.controls}
         self._hub = LinkHub(settings.name, settings.peer_key, hosts, self._recorder, self._deliver)
         self._control = self._make_control() if settings.is_control else None
@@ -164,7 +165,7 @@
         )
         peers = tuple(name for name in self._settings.entries if name != me.name)
         folder = self._settings.data_folder
-        store = CatalogueStore(folder) if folder is not None else None
+        store = _make_store(folder) if folder is not None else None
         core = entry.EntryCore(
             me,
             peers,
@@ -212,6 +213,20 @@
             task.handle(follower.ControlMessage(sender, body))
 
 
+def _make_recorder(settings: Settings) -> Recorder:
+    try:
+        return Recorder(settings.name, settings.timeline)
+    except OSError as error:
+        raise LacewingrudderError(f"cannot write timeline {settings.timeline}: {error}") from error
+
+
+def _make_store(folder: Path) -> CatalogueStore:
+    try:
+        return CatalogueStore(folder)
+    except OSError as error:
+        raise LacewingrudderError(f"cannot use data folder {folder}: {error}") from error
+
+
 def _control_event(sender: HostName, body: Any) -> control.ControlEvent | None:
     """Return the event that a message from another host is for a control host, if any."""
     if isinstance(body, _REPLICA_MESSAGES):
--- a/packages/daemon/src/lacewingrudder_daemon/metrics.py
+++ b/packages/daemon/src/lacewingrudder_daemon/metrics.py
@@ -10,6 +10,7 @@
 
 from .control_task import ControlTask
 from .entry_task import EntryTask
+from .link_counts import Rejection
 from .links import LinkHub
 
 
@@ -32,9 +33,7 @@
 
     def collect(self) -> Iterable[Metric]:
         """Yield the metrics as they are now."""
-        yield CounterMetricFamily(
-            "lwr_link_sent_bytes", "Bytes sent to other processes.", value=self._hub.bytes_sent
-        )
+        yield from _link_metrics(self._hub)
         if self._control is not None:
             yield from _control_metrics(self._control)
         if self._entry is None:
@@ -65,6 +64,33 @@
         yield verdicts
 
 
+def _link_metrics(hub: LinkHub) -> Iterable[Metric]:
+    yield CounterMetricFamily(
+        "lwr_link_sent_bytes", "Bytes sent to other processes.", value=hub.bytes_sent
+    )
+    by_purpose = (
+        ("lwr_link_purpose_sent_bytes", "Bytes sent, by purpose.", hub.counts.sent_bytes),
+        ("lwr_link_purpose_received_bytes", "Bytes received.", hub.counts.received_bytes),
+    )
+    for name, explanation, counts in by_purpose:
+        family = CounterMetricFamily(name, explanation, labels=["purpose"])
+        for purpose, count in counts.items():
+            family.add_metric([purpose], count)
+        yield family
+    rejections = CounterMetricFamily(
+        "lwr_link_rejections", "Links closed or not taken.", labels=["reason"]
+    )
+    for reason in Rejection:
+        rejections.add_metric([reason], hub.counts.rejections[reason])
+    yield rejections
+    yield GaugeMetricFamily("lwr_linked_hosts", "Hosts with a link.", value=hub.linked_hosts)
+    yield CounterMetricFamily(
+        "lwr_link_dropped_messages",
+        "Messages that gave way as their receiver was too slow.",
+        value=hub.dropped_messages,
+    )
+
+
 def _control_metrics(control: ControlTask) -> Iterable[Metric]:
     replica = control.core.replica
     yield GaugeMetricFamily(
--- a/standins/stepping.py
+++ b/standins/stepping.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 TICK_SECONDS = 0.1
+LOOK_SECONDS = 0.01
 LATENCY_SECONDS = (0.001, 0.005)
 
 
@@ -95,17 +96,20 @@
         self.run_until(lambda: False, seconds)
 
     def run_until(self, reached: Callable[[], bool], seconds: float) -> float | None:
-        """Step until a condition holds, looked at after each tick.
+        """Step until a condition holds, looked at a hundred times a second.
 
         :return: seconds that passed, or ``None`` if the condition did not hold in time.
         """
         start = self.now
+        next_look = start
         while self._events and self._events[0][0] <= start + seconds:
             at, _, sender, name, body = heapq.heappop(self._events)
             self.now = max(self.now, at)
             self._step(sender, name, body)
-            if body is None and reached():
-                return self.now - start
+            if self.now >= next_look:
+                next_look = self.now + LOOK_SECONDS
+                if reached():
+                    return self.now - start
         self.now = start + seconds
         return None
 
