Hand out only the first voters to a blank host, not later ones

A blank host that is named among the voters gets the first configuration again. If the voters had changed meanwhile, it got the later ones as entry 1 and would have held another entry 1 than the others. It needs a fourth control host added while one of the first three is still blank, and was found by reading, not by a schedule.

--- a/packages/core/src/lacewingrudder_core/formation.py
+++ b/packages/core/src/lacewingrudder_core/formation.py
@@ -46,8 +46,9 @@
         state = self._state
         reply = Introduced(state.me, state.cluster, message.voter.identity)
         state.emit(SendReplica(sender, reply))
-        if state.cluster and not message.cluster and message.voter in state.log.voters:
-            state.emit(SendReplica(sender, Found(state.cluster, state.log.voters)))
+        founded_with = state.log.voters if state.log.voters_index == 1 else ()
+        if state.cluster and not message.cluster and message.voter in founded_with:
+            state.emit(SendReplica(sender, Found(state.cluster, founded_with)))
 
     def introduced(self, message: Introduced) -> bool:
         """Take in what another host is; return whether a cluster was founded just now."""
--- a/packages/core/tests/test_replica_faults.py
+++ b/packages/core/tests/test_replica_faults.py
@@ -6,11 +6,13 @@
 from lacewingrudder_core import replica_state
 from lacewingrudder_core.durable import Durable
 from lacewingrudder_core.election import LEASE_SECONDS, quorum_size
+from lacewingrudder_core.formation import Formation
 from lacewingrudder_core.leading import Leading
 from lacewingrudder_core.log import LogEntry, Voter
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
 from lacewingrudder_core.reconfiguration import next_voters
 from lacewingrudder_core.replica import LEADER, NO_QUORUM
+from lacewingrudder_core.replica_events import SendReplica
 from lacewingrudder_core.replica_state import ReplicaState
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from replica_cluster import Cluster, Host, make_note
@@ -302,6 +304,29 @@
             steps.append([voter.name for voter in voters])
         self.assertEqual(steps, [["a", "b"], ["a", "b", "d"]])
 
+    def test_later_voters_are_not_handed_out_as_the_first_ones(self) -> None:
+        voters = tuple(Voter(name, name) for name in ("a", "b", "c"))
+        first = LogEntry(1, 1, voters=voters)
+        for entries, found in (((first,), 1), ((first, LogEntry(2, 2, voters=voters)), 0)):
+            state = ReplicaState(voters[0], Durable("a", "cluster", 4, entries=entries))
+            Formation(state, {"a", "b", "c"}).introduce("c", m.Introduce(voters[2], ""))
+            sent = [e.message for e in state.finish() if isinstance(e, SendReplica)]
+            self.assertEqual(sum(isinstance(message, m.Found) for message in sent), found)
+
+    def test_cluster_takes_a_new_name_after_its_settings_changed(self) -> None:
+        cluster = Cluster(3)
+        leader = cluster.elect()
+        cluster.submit(leader, make_note(1, 0))
+        cluster.hosts.pop("c3").crash(0)
+        cluster.names[:] = ["c1", "c2", "c4"]
+        for host in cluster.hosts.values():
+            host.crash(len(host.writes))
+            host.start()
+        cluster.elect()
+        cluster.hosts["c4"] = Host("c4", cluster.names, 0)
+        cluster.check_end()
+        self.assertEqual(cluster.hosts["c4"].core.catalogue.revision, 1)
+
     def test_each_step_of_a_replacement_overlaps_the_majorities_before(self) -> None:
         voters = tuple(Voter(name, f"{name}-1") for name in ("a", "b", "c", "d", "e"))
         new = Voter("c", "c-2")
