--- a/measure/membership.py
+++ b/measure/membership.py
@@ -10,6 +10,7 @@
 import random
 import sys
 import time
+from collections.abc import Sequence
 from typing import Any
 
 from lacewingrudder_core.clock import HybridTime
@@ -113,12 +114,12 @@
     return TargetRecord(target, TargetState.SERVING, 1, 0.25, "entry-11")
 
 
-def main() -> None:
+def main(sizes: Sequence[int] = SIZES) -> None:
     """Print all measures."""
-    for hosts in [int(text) for text in sys.argv[1:]] or SIZES:
+    for hosts in sizes:
         measure_size(hosts)
     measure_targets()
 
 
 if __name__ == "__main__":
-    main()
+    main([int(text) for text in sys.argv[1:]] or SIZES)
--- /dev/null
+++ b/measure/spread.py
@@ -0,0 +1,65 @@
+"""How long a note takes to be in force on all of seven entry hosts, in processes, and its cost.
+
+Times come from the hosts' time lines, which share this machine's clock: from the first control host
+that accepted the note to the last entry host that has it in force.
+"""
+
+from __future__ import annotations
+
+import statistics
+import time
+
+from lacewingrudder_wire.timeline import TimelineEvent, read_file
+
+from standins.firms import ASANTE_BOATENG
+from standins.fleet import Fleet, service_entry
+
+ENTRIES = 7
+CONTROLS = 3
+NOTES = 10
+QUIET_SECONDS = 10.0
+METRIC = "lwr_link_sent_bytes_total"
+MILLISECONDS_PER_SECOND = 1000
+
+
+def sent_bytes(fleet: Fleet) -> list[float]:
+    """Return the bytes of messages that each host has sent so far."""
+    return [fleet.metric(host, METRIC) for host in fleet.hosts]
+
+
+def in_force_seconds(events: list[TimelineEvent], revision: int) -> float:
+    """Return the time from acceptance to the last host that has a revision in force."""
+    about = [event for event in events if event.revision == revision]
+    accepted = min(event.time.wall for event in about if event.event == "accepted")
+    applied = [event.time.wall for event in about if event.event == "in_force"]
+    if len(applied) != ENTRIES:
+        raise RuntimeError(f"revision {revision} is in force on {len(applied)} hosts")
+    return (max(applied) - accepted) / MILLISECONDS_PER_SECOND
+
+
+def main() -> None:
+    """Print all measures."""
+    with Fleet(ASANTE_BOATENG, entries=ENTRIES, controls=CONTROLS) as fleet:
+        fleet.start()
+        before, started = sent_bytes(fleet), time.monotonic()
+        time.sleep(QUIET_SECONDS)
+        passed = time.monotonic() - started
+        rates = [(b - a) / passed for a, b in zip(before, sent_bytes(fleet), strict=True)]
+        print(f"control_bytes_per_s_quiet_control_host={max(rates[:CONTROLS]):.0f}")
+        print(f"control_bytes_per_s_quiet_entry_host={max(rates[CONTROLS:]):.0f}")
+        service = service_entry(ASANTE_BOATENG.services[0])
+        for revision in range(2, NOTES + 2):
+            fleet.submit(fleet.note(revision, revision - 1, changed=[service]))
+            fleet.wait_in_force(revision)
+        events = [
+            event
+            for host in fleet.hosts
+            for event in read_file(fleet.folder / f"{host.name}.timeline").events
+        ]
+        seconds = [in_force_seconds(events, number) for number in range(2, NOTES + 2)]
+        print(f"note_in_force_s={max(seconds):.3f}")
+        print(f"note_in_force_median_s={statistics.median(seconds):.3f}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_control_plane.py
@@ -0,0 +1,86 @@
+import json
+import signal
+import time
+import unittest
+from typing import Any
+
+from lacewingrudder_wire.timeline import TimelineEvent, read_file
+
+from standins.firms import ASANTE_BOATENG
+from standins.fleet import EntryHost, Fleet, service_entry
+
+IN_FORCE_SECONDS = 4.0
+FROZEN_SECONDS = 4.0
+
+
+class ControlPlaneTest(unittest.TestCase):
+    """One session over a kill, a restart and a frozen process, in processes."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet(ASANTE_BOATENG, entries=4, controls=3)
+        self.addCleanup(self.fleet.close)
+        self.fleet.start()
+        self.revision = 1
+
+    def events(self, host: EntryHost) -> tuple[TimelineEvent, ...]:
+        return read_file(self.fleet.folder / f"{host.name}.timeline").events
+
+    def submit(self) -> int:
+        self.revision += 1
+        service = service_entry(ASANTE_BOATENG.services[0])
+        self.fleet.submit(self.fleet.note(self.revision, self.revision - 1, changed=[service]))
+        return self.revision
+
+    def status(self) -> Any:
+        return json.loads(self.fleet.lwr("status", "--json").stdout)
+
+    def in_force_seconds(self, revision: int, hosts: list[EntryHost]) -> float:
+        """Return the time from the acceptance until the last host had it in force."""
+        accepted = min(
+            event.time.wall
+            for host in self.fleet.hosts
+            for event in self.events(host)
+            if event.event == "accepted" and event.revision == revision
+        )
+        applied = [
+            min(
+                e.time.wall
+                for e in self.events(h)
+                if e.event == "in_force" and e.revision == revision
+            )
+            for h in hosts
+        ]
+        return (max(applied) - accepted) / 1000
+
+    def test_session(self) -> None:
+        with self.subTest("a note is in force everywhere in time"):
+            revision = self.submit()
+            self.fleet.wait_in_force(revision, IN_FORCE_SECONDS)
+            self.assertLess(self.in_force_seconds(revision, self.fleet.hosts), IN_FORCE_SECONDS)
+            status = self.status()
+            self.assertEqual((status["missing"], status["unheard"]), ([], []))
+        last = self.fleet.hosts[-1]
+        with self.subTest("a killed host is dead on the others and named as missing"):
+            self.fleet.kill(last)
+            self.fleet.wait_for_members(3, 3.0)
+            missed = self.submit()
+            self.assertIn(last.name, self.status()["missing"])
+        with self.subTest("it comes back with what it kept and catches up"):
+            self.fleet.start_host(last)
+            self.fleet.wait_for_members(4, 5.0)
+            self.fleet.wait_in_force(missed, IN_FORCE_SECONDS)
+            seen = [e.revision for e in self.events(last) if e.event == "in_force"]
+            self.assertEqual(seen, sorted(seen))
+        with self.subTest("a frozen host waits for news before it opens flows"):
+            frozen = self.fleet.processes[last.name]
+            frozen.send_signal(signal.SIGSTOP)
+            time.sleep(FROZEN_SECONDS)
+            self.fleet.hosts.remove(last)
+            self.fleet.wait_for_members(3, 1.0)
+            missed = self.submit()
+            frozen.send_signal(signal.SIGCONT)
+            self.fleet.hosts.append(last)
+            self.fleet.wait_for_members(4, 6.0)
+            self.fleet.wait_in_force(missed, IN_FORCE_SECONDS)
+            names = [event.event for event in self.events(last)]
+            self.assertIn("ready", names[names.index("not_ready") :])
