Expect no first request of a flow that was taken over

An adopted flow was counted as opened and established, so admission expected a request of each and a takeover of dozens at once looked like a flood for half a second.

--- a/packages/core/src/lacewingrudder_core/flow_keeper.py
+++ b/packages/core/src/lacewingrudder_core/flow_keeper.py
@@ -98,8 +98,11 @@
         known = self.table.get(key)
         if known is not None:
             self.forget(known, now)
-        flow, _ = self.open(route, key, target, endpoint, now)
-        self.establish(flow, now)
+        use = self._uses.adopted(route, key, target, now)
+        flow = Flow(key, flow_hash(key), target, endpoint, use, self.homes, now)
+        flow.state = FlowState.ESTABLISHED
+        self.table.add(flow)
+        self._pin(flow)
         return flow
 
     def establish(self, flow: Flow, now: float) -> None:
--- a/packages/core/src/lacewingrudder_core/flow_use.py
+++ b/packages/core/src/lacewingrudder_core/flow_use.py
@@ -46,6 +46,14 @@
         self._admission.opened(route, now)
         return use, self._half_open.add(use.service, use.kind, key, now)
 
+    def adopted(self, route: KindRoute, key: FlowKey, target: TargetName, now: float) -> FlowUse:
+        """Count a flow that another host kept; no first request of it is expected."""
+        use, _ = self.opened(route, key, target, now)
+        self.acknowledged(use, key, now)
+        self.caller_sent(use, now)
+        self.target_sent(use, now)
+        return use
+
     def moved(self, use: FlowUse, target: TargetName) -> None:
         """Take note that a half-open flow was placed on another target."""
         self._loads.closed(use.target)
