Complete the figures at 490 hosts, warn of refused links, shorten events

The quiet figures of measure.spread took in the targets' slow start.

A refused link is a warning in the log with its address, one a second after a burst of ten.

--- a/measure/spread.py
+++ b/measure/spread.py
@@ -17,6 +17,7 @@
 ENTRIES = 7
 CONTROLS = 3
 NOTES = 10
+WARM_UP_SECONDS = 16.0
 QUIET_SECONDS = 10.0
 METRIC = "lwr_link_sent_bytes_total"
 MILLISECONDS_PER_SECOND = 1000
@@ -41,6 +42,7 @@
     """Print all measures."""
     with Fleet(ASANTE_BOATENG, entries=ENTRIES, controls=CONTROLS) as fleet:
         fleet.start()
+        time.sleep(WARM_UP_SECONDS)
         before, started = sent_bytes(fleet), time.monotonic()
         time.sleep(QUIET_SECONDS)
         passed = time.monotonic() - started
--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -236,10 +236,12 @@
     def _members_changed(self, members: tuple[Member, ...]) -> None:
         self._learn(members)
         others = [member for member in members if member.data != self._settings.data]
-        self._members = {member.name: _address(member.data) for member in others}
+        before, self._members = self._members, {m.name: _address(m.data) for m in others}
         self._update_senders()
-        names = ",".join(sorted(member.name for member in members))
-        self._recorder.record("members", detail=names)
+        parts = [f"{len(members)} alive"]
+        parts += [f"{name} joined" for name in sorted(self._members.keys() - before.keys())]
+        parts += [f"{name} gone" for name in sorted(before.keys() - self._members.keys())]
+        self._recorder.record("members", detail=", ".join(parts))
 
     def _update_senders(self) -> None:
         """Take relayed packets of members, and for a time of those that left or seem dead."""
--- a/packages/daemon/src/lacewingrudder_daemon/links.py
+++ b/packages/daemon/src/lacewingrudder_daemon/links.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
+from lacewingrudder_core.budget import Budget
 from lacewingrudder_core.types import Endpoint, HostName
 from lacewingrudder_wire.codec import MESSAGE_LIMIT_BYTES
 from lacewingrudder_wire.exceptions import CodecError, UnauthenticatedError
@@ -35,6 +36,8 @@
 OPERATORS_LIMIT = 32
 STRANGERS_LIMIT = 64
 LINKS_PER_HOST = 3
+WARNINGS_PER_SECOND = 1.0
+WARNING_BURST = 10.0
 
 _log = logging.getLogger(__name__)
 
@@ -79,6 +82,7 @@
         self._tokens = itertools.count(1)
         self._strangers = 0
         self._server: Server | None = None
+        self._warnings = Budget(WARNINGS_PER_SECOND, WARNING_BURST)
         self.counts = LinkCounts()
 
     @property
@@ -220,7 +224,7 @@
         except ConnectionRefusedError:
             self.counts.rejections[Rejection.TOO_MANY] += 1
         except (ConnectionClosed, CodecError) as error:
-            self._count(error)
+            self._count(connection, error)
 
     async def _first_message(self, channel: Channel) -> tuple[Any, bytes]:
         if self._strangers >= STRANGERS_LIMIT:
@@ -254,7 +258,7 @@
         except TimeoutError:
             _log.debug("link with %s is idle", host)
         except (ConnectionClosed, CodecError) as error:
-            self._count(error)
+            self._count(channel.connection, error)
             _log.debug("link with %s closed: %s", host, error)
         except Exception:
             self.counts.rejections[Rejection.FAILED] += 1
@@ -270,10 +274,13 @@
         if not links:
             self._links.pop(host, None)
 
-    def _count(self, error: ConnectionClosed | CodecError) -> None:
+    def _count(self, connection: Connection, error: ConnectionClosed | CodecError) -> None:
         rejection = rejection_of(error)
-        if rejection is not None:
-            self.counts.rejections[rejection] += 1
+        if rejection is None:
+            return
+        self.counts.rejections[rejection] += 1
+        if self._warnings.take(1, asyncio.get_running_loop().time()):
+            _log.warning("link with %s closed: %s", connection.remote_address, error)
 
 
 async def _close(connection: Connection) -> None:
