--- a/packages/core/tests/test_endpoint_reuse.py
+++ b/packages/core/tests/test_endpoint_reuse.py
@@ -4,7 +4,7 @@
 
 from lacewingrudder_core import flows
 from lacewingrudder_core.admission import AdmitAll
-from lacewingrudder_core.entry import EntryCore, PeerMessage, SendPeer, Tick
+from lacewingrudder_core.entry import EntryCore, PeerMessage, Tick
 from lacewingrudder_core.flow_core import TARGET_MOVED
 from lacewingrudder_core.health import HealthBook
 from lacewingrudder_core.messages import TargetsInUse
