--- a/packages/core/tests/test_replica_faults.py
+++ b/packages/core/tests/test_replica_faults.py
@@ -8,11 +8,11 @@
 from lacewingrudder_core.election import LEASE_SECONDS, quorum_size
 from lacewingrudder_core.formation import Formation
 from lacewingrudder_core.leading import Leading
-from lacewingrudder_core.log import LogEntry, Voter
-from lacewingrudder_core.notes import SubmitReply, SubmitTag
+from lacewingrudder_core.log import LogEntry, LogSnapshot, Voter
+from lacewingrudder_core.notes import Catalogue, SubmitReply, SubmitTag
 from lacewingrudder_core.reconfiguration import next_voters
 from lacewingrudder_core.replica import LEADER, NO_QUORUM
-from lacewingrudder_core.replica_events import SendReplica
+from lacewingrudder_core.replica_events import Installed, Persist, SendReplica
 from lacewingrudder_core.replica_state import ReplicaState
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from replica_cluster import Cluster, Host, make_note
@@ -271,6 +271,56 @@
         self.assertEqual(self.cluster.elect().core.catalogue.revision, revision + 1)
 
 
+class SnapshotTest(unittest.TestCase):
+    def test_snapshot_without_a_newer_revision_is_not_shown_as_one(self) -> None:
+        """Found by a schedule: entries that change nothing still move the snapshot on."""
+        state = ReplicaState(Voter("a", "a"), Durable("a", "cluster", 1))
+        for index, revision, shown in ((3, 1, 1), (5, 1, 0), (7, 2, 1)):
+            state.install(LogSnapshot(index, 1, (Voter("a", "a"),), Catalogue(revision)))
+            effects = state.finish()
+            number = next(e.write.number for e in effects if isinstance(e, Persist))
+            state.persisted(number)
+            installed = [e for e in state.finish() if isinstance(e, Installed)]
+            self.assertEqual(len(installed), shown)
+
+
+class ReconfigurationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.voters = tuple(Voter(name, name) for name in ("a", "b", "c"))
+        self.new = Voter("c", "c again")
+        entries = (LogEntry(1, 1, voters=self.voters),)
+        self.state = ReplicaState(self.voters[0], Durable("a", "cluster", 4, entries=entries))
+        self.leading = Leading(self.state, {"a", "b", "c"}, 0.0)
+        self.now = 2 * LEASE_SECONDS
+        self.leading.admit(self.new, self.now)
+
+    def answer(self, voter: Voter, match: int) -> None:
+        header = m.Header("cluster", voter, "a", 4)
+        self.leading.append_answered(m.AppendReply(header, self.now, True, match), self.now)
+
+    def step(self) -> tuple[Voter, ...]:
+        """Let all writes reach the disk and time pass; return the voters that follow."""
+        writes = [effect for effect in self.state.finish() if isinstance(effect, Persist)]
+        if writes:
+            self.state.persisted(writes[-1].write.number)
+        self.now += 0.3
+        self.leading.tick(self.now)
+        return self.state.log.voters
+
+    def test_replica_is_admitted_only_once_it_caught_up_and_in_two_committed_steps(self) -> None:
+        a, b, _ = self.voters
+        self.step()
+        self.answer(b, 2)
+        self.assertEqual(self.step(), self.voters)
+        self.answer(self.new, 2)
+        self.assertEqual(self.step(), (a, b))
+        self.answer(self.new, 3)
+        self.assertEqual(self.step(), (a, b))
+        self.answer(b, 3)
+        self.answer(self.new, 3)
+        self.assertEqual(self.step(), (a, b, self.new))
+
+
 class FormationTest(unittest.TestCase):
     def test_no_cluster_before_all_hosts_answer(self) -> None:
         cluster = Cluster(3)
