Allow for a host's own delay before it suspects others

A host whose loop is late, as under a flood, found direct and indirect answers overdue in one tick and suspected a host whose answer waited in its socket. Delays over 0.25 s are now added to what others get, less 0.25 s, so that a host that is always late still finds the dead (both tests failed first).

An entry host without seeds, found by others, took itself for alone after it stood still and opened flows on old state (test failed first).

--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -118,7 +118,8 @@
         self._revisions = Revisions(me, in_force, controls, keeps, rng)
         self._membership = MembershipCore(me, peers, rng)
         self._gossip = TargetGossip(rng)
-        self._readiness = Readiness(is_alone=not set(peers) - {me.name})
+        self._has_seeds = bool(set(peers) - {me.name})
+        self._readiness = Readiness()
         self._targets = TargetCore(me.name, me.zone, target_chart)
         self._targets.handle(CatalogueChanged(in_force), 0.0)
         self._health = HealthBook()
@@ -163,7 +164,7 @@
 
     def handle(self, event: EntryEvent, now: float) -> list[EntryEffect]:
         """Take one event."""
-        self._readiness.notice(now)
+        self._readiness.notice(now, is_alone=not self._has_seeds and self.member_count == 1)
         if isinstance(event, SegmentArrived):
             return self._segment(event, now)
         if isinstance(event, PeerMessage):
--- a/packages/core/src/lacewingrudder_core/members.py
+++ b/packages/core/src/lacewingrudder_core/members.py
@@ -115,10 +115,11 @@
             self._next_forget = now + FORGET_SECONDS
             self._forget(now)
 
-    def restart_suspicions(self, now: float) -> None:
-        """Give suspected members their whole time again, after this host itself stood still."""
+    def postpone_suspicions(self, seconds: float) -> None:
+        """Give suspected members more time, as this host itself did not run for a while."""
         for name in self._suspects:
-            self._rows[name] = self._rows[name]._replace(since=now)
+            row = self._rows[name]
+            self._rows[name] = row._replace(since=row.since + seconds)
 
     def updates_for(self, host: HostName, count: int) -> tuple[MemberUpdate, ...]:
         """Return news to send to a host, what it should know of itself first."""
--- a/packages/core/src/lacewingrudder_core/membership.py
+++ b/packages/core/src/lacewingrudder_core/membership.py
@@ -37,6 +37,7 @@
 UNQUIET_PULL_SECONDS = 3.0
 QUIET_SECONDS = 1.5
 FROZEN_SECONDS = 1.5
+LATE_TICK_SECONDS = 0.25
 HELPERS = 3
 UPDATES_PER_MESSAGE = 8
 UPDATES_PER_PULL = 128
@@ -147,10 +148,7 @@
         return effects
 
     def _tick(self, now: float) -> list[MembershipEffect]:
-        if self._last_tick is not None and now - self._last_tick > FROZEN_SECONDS:
-            self._probes.clear()
-            self._table.restart_suspicions(now)
-        self._last_tick = now
+        self._allow_for_delay(now)
         effects = self._late_probes(now)
         self._table.expire(now, SUSPICION_SECONDS)
         if now >= self._next_contact:
@@ -161,6 +159,17 @@
             effects += self._start_round(now)
         return effects
 
+    def _allow_for_delay(self, now: float) -> None:
+        """Count no answer as late for a time in which this host itself did not run."""
+        delay = now - self._last_tick if self._last_tick is not None else 0.0
+        self._last_tick = now
+        if delay > FROZEN_SECONDS:
+            self._probes.clear()
+            self._table.postpone_suspicions(delay)
+        elif delay > LATE_TICK_SECONDS:
+            self._probes.postpone(delay - LATE_TICK_SECONDS)
+            self._table.postpone_suspicions(delay - LATE_TICK_SECONDS)
+
     def _late_probes(self, now: float) -> list[MembershipEffect]:
         effects: list[MembershipEffect] = []
         for sequence, probe in self._probes.take_unanswered(now):
--- a/packages/core/src/lacewingrudder_core/probes.py
+++ b/packages/core/src/lacewingrudder_core/probes.py
@@ -73,6 +73,11 @@
         self._indirect.difference_update(over)
         return [probe for probe in probes if probe.is_own]
 
+    def postpone(self, seconds: float) -> None:
+        """Give all probes more time for their answers."""
+        for sequence, probe in self._waiting.items():
+            self._waiting[sequence] = probe._replace(started=probe.started + seconds)
+
     def clear(self) -> None:
         """Forget all probes; answers to them count no more."""
         self._waiting.clear()
--- a/packages/core/src/lacewingrudder_core/readiness.py
+++ b/packages/core/src/lacewingrudder_core/readiness.py
@@ -12,20 +12,17 @@
 
 
 class Readiness:
-    """Notices gaps of this host's own clock, and when the host has caught up after one.
+    """Notices gaps of this host's own clock, and when the host has caught up after one."""
 
-    :param is_alone: whether no other host is known, so that there is nothing to wait for.
-    """
-
-    def __init__(self, is_alone: bool) -> None:
-        self._is_alone = is_alone
+    def __init__(self) -> None:
         self._last_tick: float | None = None
         self._waits_since: float | None = None
         self._is_confirmed = False
 
-    def notice(self, now: float) -> bool:
+    def notice(self, now: float, is_alone: bool) -> bool:
         """Look at the time before any other decision.
 
+        :param is_alone: whether no other host is known, so that there is nothing to wait for.
         :return: whether this host stood still, or starts.
         """
         last = self._last_tick
@@ -33,7 +30,7 @@
             return False
         self._last_tick = now
         self._is_confirmed = False
-        self._waits_since = None if self._is_alone else now
+        self._waits_since = None if is_alone else now
         return True
 
     def tick(self, now: float) -> None:
