--- a/packages/core/src/lacewingrudder_core/maglev.py
+++ b/packages/core/src/lacewingrudder_core/maglev.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 from .hashing import name_hash, pair_hash
@@ -42,6 +42,10 @@
         """The targets with a positive weight, sorted by name."""
         return self._entries
 
+    def slot_owners(self) -> Iterator[TargetName]:
+        """Return the holder of each slot."""
+        return (self._entries[index].name for index in self._slots)
+
     def choose(self, digest: int, attempt: int = 0) -> TargetName | None:
         """Return the target for a flow's hash, or ``None`` if the table is empty.
 
