Test what mutations of the flow cores showed untested, and refuse SYNs to withdrawn services

A target that denies a search is noticed before the check for old segments, which cost a quarter of a second with a half-open flow. A SYN to a withdrawn service is refused as not run instead of dropped; pins held for others are bounded; serving a known flow moved to serving.py.

--- a/packages/core/src/lacewingrudder_core/flow_core.py
+++ b/packages/core/src/lacewingrudder_core/flow_core.py
@@ -10,7 +10,7 @@
 from .admission import AdmissionPolicy
 from .core import Core
 from .flow_keeper import FlowKeeper
-from .flow_table import CALLER_END, TARGET_END, WINDOW_BYTES, Flow, FlowState
+from .flow_table import WINDOW_BYTES, Flow, FlowState
 from .flow_types import (
     ACK,
     RST,
@@ -29,18 +29,16 @@
     Segment,
     SegmentArrived,
     Stage,
-    ToCaller,
-    ToTarget,
-    VerdictReached,
 )
 from .flow_use import UseBook
 from .handover import next_hop
 from .health import HealthBook
 from .loads import LoadBook
 from .lookup import Looked, Lookup
-from .opening import Opener, reset_caller
+from .opening import Opener, StartReason, refuse, reset_caller
 from .placement import PlacementPolicy
 from .routes import RouteBook
+from .serving import Serving, verdict_on
 from .silence import SilenceWatch
 from .types import Endpoint, FlowKey, HostName, TargetName, Verdict
 from .view import KindRoute, RoutingView, TargetRoute
@@ -69,7 +67,6 @@
     ) -> None:
         self._name = name
         self._is_leaving = False
-        self._health = health
         self._loads = loads = LoadBook()
         uses = UseBook(admission, loads)
         self._routes = RouteBook(view)
@@ -78,6 +75,7 @@
         self._opener = Opener(self._keeper, self._routes, uses, loads, admission, placement, health)
         self._lookup = Lookup(self._keeper, self._routes)
         self._silence = SilenceWatch(self._keeper, health)
+        self._serving = Serving(self._keeper, self._opener, self._silence, health)
 
     @property
     def flow_count(self) -> int:
@@ -130,7 +128,7 @@
             self._keeper.forget(flow, now)
             if flow.state is not FlowState.CLOSED:
                 ran = Verdict.MAY_HAVE_RUN if flow.has_payload else Verdict.NOT_RUN
-                effects += [reset_caller(flow), _verdict(flow, ran, TARGET_MOVED)]
+                effects += [reset_caller(flow), verdict_on(flow, ran, TARGET_MOVED)]
         return effects
 
     def _leave(self, now: float) -> list[FlowEffect]:
@@ -159,7 +157,7 @@
         if flow is None or not flow.knows_caller(segment):
             return self._unknown_to_home(event, key, flow, now)
         if self._keeper.is_home(flow) or event.stage is Stage.HOME:
-            return self._serve_caller(flow, segment, now)
+            return self._serving.caller(flow, segment, now)
         return self._tell_home(flow)
 
     def _from_target(
@@ -171,9 +169,9 @@
         if flow is None or not flow.knows_target(segment):
             return self._unknown_to_home(event, key, flow, now)
         if self._keeper.is_home(flow) or event.stage is Stage.HOME:
-            return self._serve_target(flow, segment, answer.service, now)
+            return self._serving.target(flow, segment, answer.service, now)
         if flow.state is FlowState.HALF_OPEN and segment.flags & SYN:
-            self._syn_answered(flow, segment, now)
+            self._serving.syn_answered(flow, segment, now)
         return self._tell_home(flow)
 
     def _tell_home(self, flow: Flow) -> list[FlowEffect]:
@@ -189,70 +187,9 @@
                 stage = Stage.HOME if event.stage is Stage.FABRIC else Stage.SECOND
                 return [Relay(home, stage)]
         if flow is None and not self._routes.is_current(event.segment.destination):
-            return [Drop(DropReason.FOREIGN)]
+            return refuse(event.segment, StartReason.WITHDRAWN)
         return self._opener.syn(event, key, route, now)
 
-    def _serve_caller(self, flow: Flow, segment: Segment, now: float) -> list[FlowEffect]:
-        flow.last_seen = now
-        if segment.flags & RST:
-            return self._caller_reset(flow, now)
-        if flow.state is FlowState.HALF_OPEN:
-            self._keeper.establish(flow, now)
-        if flow.acknowledged_by_caller(segment.ack) and flow.asked_at is not None:
-            self._keeper.heard(flow)
-        if flow.state is FlowState.CLOSED:
-            return [ToTarget(flow.endpoint)]
-        if segment.payload:
-            self._keeper.asked(flow, segment, now)
-        if flow.has_ended(segment, CALLER_END):
-            self._keeper.close(flow, now)
-        return [ToTarget(flow.endpoint)]
-
-    def _caller_reset(self, flow: Flow, now: float) -> list[FlowEffect]:
-        effects: list[FlowEffect] = [ToTarget(flow.endpoint)]
-        if flow.state is FlowState.HALF_OPEN:
-            effects.append(_verdict(flow, Verdict.NOT_RUN, "cancelled"))
-        elif flow.use.is_busy:
-            effects.append(_verdict(flow, Verdict.MAY_HAVE_RUN, "cancelled"))
-        self._keeper.close(flow, now)
-        return effects
-
-    def _serve_target(
-        self, flow: Flow, segment: Segment, service: Endpoint, now: float
-    ) -> list[FlowEffect]:
-        flow.last_seen = now
-        flow.probes = 0
-        if segment.flags & RST:
-            return self._target_reset(flow, service, now)
-        if flow.state is FlowState.HALF_OPEN and segment.flags & SYN:
-            self._syn_answered(flow, segment, now)
-        flow.acknowledged_by_target(segment.ack)
-        if flow.asked_at is not None:
-            self._keeper.heard(flow)
-        if flow.state is FlowState.CLOSED:
-            return [ToCaller(service)]
-        if segment.payload:
-            self._silence.answered(flow.target, now)
-            self._keeper.answered(flow, now)
-        if flow.has_ended(segment, TARGET_END):
-            self._keeper.close(flow, now)
-        return [ToCaller(service)]
-
-    def _syn_answered(self, flow: Flow, segment: Segment, now: float) -> None:
-        flow.answer(segment)
-        self._table.unanswered.pop(flow.key, None)
-        self._health.syn_answered(flow.target, now)
-        self._silence.answered(flow.target, now)
-
-    def _target_reset(self, flow: Flow, service: Endpoint, now: float) -> list[FlowEffect]:
-        if flow.state is FlowState.CLOSED:
-            return [ToCaller(service)]
-        if flow.state is FlowState.HALF_OPEN and flow.target_isn is None:
-            return self._opener.refused(flow, now)
-        verdict = Verdict.MAY_HAVE_RUN if flow.has_payload else Verdict.NOT_RUN
-        self._keeper.close(flow, now)
-        return [ToCaller(service), _verdict(flow, verdict, "reset_by_target")]
-
     def _unknown_to_home(
         self, event: SegmentArrived, key: FlowKey, flow: Flow | None, now: float
     ) -> list[FlowEffect]:
@@ -260,11 +197,14 @@
         rank = self._keeper.homes.rank(self._keeper.digest(key))
         if event.stage is Stage.FABRIC and rank.home != self._name:
             return [Relay(rank.home, Stage.HOME)]
+        reply = self._lookup.reply(event, key, now)
+        if reply is not None:
+            return self._carry_on(event.segment, reply, now)
         if flow is not None and self._keeper.is_home(flow):
             stray = self._stray(event.segment, flow, now)
             if stray:
                 return stray
-        looked = self._look_up(event, key, now)
+        looked = self._look_up(event, key, flow, now)
         if looked is not None:
             return self._carry_on(event.segment, looked, now)
         hop = next_hop(self._name, rank, event.stage)
@@ -272,23 +212,22 @@
             return [Relay(hop.host, hop.stage)]
         return self._carry_on(event.segment, self._lookup.unknown(event, key, now), now)
 
-    def _look_up(self, event: SegmentArrived, key: FlowKey, now: float) -> Looked | None:
+    def _look_up(
+        self, event: SegmentArrived, key: FlowKey, flow: Flow | None, now: float
+    ) -> Looked | None:
         if event.stage is Stage.FOUND:
             return self._lookup.found(event, key, now)
-        reply = self._lookup.reply(event, key, now)
-        if reply is not None or key in self._table:
-            return reply
-        return self._lookup.pinned(event, key, now)
+        return self._lookup.pinned(event, key, now) if flow is None else None
 
     def _carry_on(self, segment: Segment, looked: Looked, now: float) -> list[FlowEffect]:
         flow = looked.flow
         if flow is None:
             return looked.effects
         if segment.source == (flow.key.caller, flow.key.caller_port):
-            served = self._serve_caller(flow, segment, now)
+            served = self._serving.caller(flow, segment, now)
         else:
             service = Endpoint(flow.key.service, flow.key.service_port)
-            served = self._serve_target(flow, segment, service, now)
+            served = self._serving.target(flow, segment, service, now)
         return served + looked.effects
 
     def _stray(self, segment: Segment, flow: Flow, now: float) -> list[FlowEffect]:
@@ -318,7 +257,3 @@
     if segment.flags & RST:
         return []
     return [Reset(segment.destination, segment.source, segment.ack, 0, RST)]
-
-
-def _verdict(flow: Flow, verdict: Verdict, reason: str) -> VerdictReached:
-    return VerdictReached(flow.key, flow.target, verdict, reason)
--- a/packages/core/src/lacewingrudder_core/opening.py
+++ b/packages/core/src/lacewingrudder_core/opening.py
@@ -42,6 +42,7 @@
     NO_TARGET = "no_target"
     REFUSED_BY_TARGET = "refused_by_target"
     UNANSWERED = "unanswered"
+    WITHDRAWN = "withdrawn"
 
 
 class Opener:
@@ -125,11 +126,11 @@
         segment = event.segment
         outcome = self._admission.decide(route, self._loads, now)
         if isinstance(outcome, Refused):
-            return _refuse(segment, key, outcome.reason)
+            return refuse(segment, outcome.reason)
         digest = self._keeper.digest(key)
         target = self._placement.choose(route, digest, 0, self._loads, now)
         if target is None:
-            return _refuse(segment, key, StartReason.NO_TARGET)
+            return refuse(segment, StartReason.NO_TARGET)
         endpoint = route.endpoints[target]
         flow, given_up = self._keeper.open(route, key, target, endpoint, now)
         flow.start(segment, previous_isn)
@@ -230,7 +231,9 @@
     return VerdictReached(flow.key, flow.target, Verdict.NOT_RUN, reason)
 
 
-def _refuse(segment: Segment, key: FlowKey, reason: str) -> list[FlowEffect]:
+def refuse(segment: Segment, reason: str) -> list[FlowEffect]:
+    """Return the reset that answers a refused SYN, and its verdict."""
+    key = FlowKey(*segment.source, *segment.destination)
     ack = (segment.seq + 1) & SEQUENCE_MASK
     return [
         Reset(segment.destination, segment.source, 0, ack, RST | ACK),
--- a/packages/core/src/lacewingrudder_core/pins.py
+++ b/packages/core/src/lacewingrudder_core/pins.py
@@ -16,6 +16,7 @@
 
 PIN_BYTES_PER_SECOND = 2048.0
 PIN_BURST_BYTES = 2048.0
+HELD_PINS_MAX = 100_000
 HASH_BYTES = 8
 GROUP_BYTES = 24
 _ENDED: TargetName = ""
@@ -83,6 +84,8 @@
                     self._held.pop(digest, None)
                 elif digest not in self._own:
                     self._held[digest] = group.target
+        while len(self._held) > HELD_PINS_MAX:
+            del self._held[next(iter(self._held))]
 
     def rehome(self, before: HomeTable, after: HomeTable) -> None:
         """Replicate again where the membership gave pins another home or other receivers."""
--- a/packages/core/tests/flow_session.py
+++ b/packages/core/tests/flow_session.py
@@ -6,7 +6,8 @@
 * ``> view a hosts=a,b targets=t1,t2`` sets the view of one host, which starts if need be;
 * ``> caller 5001 S 100 0 0 via a`` gives host ``a`` a caller's segment (flags, seq, ack, payload);
 * ``> target t1 5001 SA 900 101 0 via b`` gives host ``b`` a segment of a target;
-* ``> wait 0.5`` lets time pass, ``> kill a``, ``> leave a``, ``> cut a`` and ``> heal``.
+* ``> wait 0.5`` lets time pass, ``> kill a``, ``> leave a``, ``> cut a``, ``> heal``;
+* ``> withdraw`` takes the service out of all views.
 """
 
 from __future__ import annotations
@@ -94,6 +95,11 @@
             name, hosts.partition("=")[2].split(","), targets.partition("=")[2].split(",")
         )
 
+    def step_withdraw(self) -> None:
+        for name in self.cores:
+            homes = make_view(self._hosts, []).homes
+            self._handle(name, flows.ViewChanged(RoutingView(homes, {}, {})))
+
     def step_caller(
         self, port: str, flags: str, seq: str, ack: str, size: str, _: str, via: str
     ) -> None:
--- a/packages/core/tests/test_flow_sessions.py
+++ b/packages/core/tests/test_flow_sessions.py
@@ -52,6 +52,18 @@
     def test_duplicate_syn_at_two_hosts(self) -> None:
         self.replay("duplicate_syn_at_two_hosts")
 
+    def test_late_syn_at_a_new_home_gives_way_to_the_established_flow(self) -> None:
+        self.replay("late_syn_at_new_home")
+
+    def test_pins_follow_the_home(self) -> None:
+        self.replay("pins_follow_the_home")
+
+    def test_handshake_that_ends_at_a_new_home(self) -> None:
+        self.replay("handshake_ends_at_new_home")
+
+    def test_flows_outlive_their_service(self) -> None:
+        self.replay("service_withdrawn")
+
     def test_late_syn_ack_of_an_abandoned_target(self) -> None:
         self.replay("late_syn_ack")
 
