--- a/packages/daemon/tests/test_links.py
+++ b/packages/daemon/tests/test_links.py
@@ -1,16 +1,19 @@
 import asyncio
 import random
+import time
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
+from unittest import mock
 
 import cbor2
 from lacewingrudder_core import messages as m
 from lacewingrudder_core.clock import HybridTime
 from lacewingrudder_core.types import Endpoint
-from lacewingrudder_daemon import links
+from lacewingrudder_daemon import channel, links
 from lacewingrudder_daemon.link_counts import Rejection
 from lacewingrudder_daemon.links import Incoming, LinkHub
+from lacewingrudder_daemon.outbox import OUTBOX_MESSAGES
 from lacewingrudder_daemon.recorder import Recorder
 from lacewingrudder_wire import handshake
 from lacewingrudder_wire.codec import MESSAGE_LIMIT_BYTES, Envelope, decode, encode
@@ -244,3 +247,61 @@
         await self.until(lambda: right.counts.rejections[Rejection.TOO_MANY] == 3)
         left.send("right", order(1))
         await self.until(lambda: self.numbers("right") == [1])
+
+
+class SlowReceiverTest(LinkCase):
+    async def test_host_that_reads_nothing_holds_up_no_other_and_bounds_its_queue(self) -> None:
+        release = asyncio.Event()
+
+        async def read_nothing(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await release.wait()
+            writer.close()
+
+        address, _, port = str(self.endpoints["third"]).rpartition(":")
+        deaf = await asyncio.start_server(read_nothing, address, int(port))
+        left = await self.start("left")
+        await self.start("right")
+        for number in range(2 * OUTBOX_MESSAGES):
+            left.send("third", m.MembersPull(b""))
+            left.send("third", order(number))
+        left.send("right", order(1))
+        await self.until(lambda: self.numbers("right") == [1])
+        self.assertGreaterEqual(left.dropped_messages, 2 * OUTBOX_MESSAGES)
+        release.set()
+        deaf.close()
+        await asyncio.sleep(0.05)
+
+    async def test_link_has_a_byte_budget(self) -> None:
+        with mock.patch.multiple(
+            channel, MESSAGE_LIMIT_BYTES=5_000, SEND_BYTES_PER_SECOND=50_000.0
+        ):
+            left = await self.start("left")
+            await self.start("right")
+            started = time.monotonic()
+            for _ in range(10):
+                left.send("right", m.MembersPull(b"x" * 4_000))
+            await self.until(lambda: len(self.received["right"]) == 10)
+        self.assertGreater(time.monotonic() - started, 0.5)
+
+    async def test_idle_link_is_closed_and_opened_again(self) -> None:
+        with mock.patch.object(links, "IDLE_SECONDS", 0.2):
+            left, right = await self.start("left"), await self.start("right")
+            left.send("right", order(1))
+            await self.until(lambda: self.numbers("right") == [1])
+            await self.until(lambda: left.linked_hosts + right.linked_hosts == 0)
+            left.send("right", order(2))
+            await self.until(lambda: self.numbers("right") == [1, 2])
+
+    async def test_idle_operator_is_closed(self) -> None:
+        with mock.patch.object(links, "OPERATOR_IDLE_SECONDS", 0.2):
+            right = await self.start("right")
+            connection = await self.stranger("right")
+            await connection.send(pack(handshake.OperatorHello()))
+            await self.closed(connection)
+        await self.until(lambda: right.counts.rejections[Rejection.SLOW] == 1)
+
+    async def test_stranger_that_says_nothing_is_closed(self) -> None:
+        with mock.patch.object(links, "HANDSHAKE_SECONDS", 0.2):
+            right = await self.start("right")
+            await self.closed(await self.stranger("right"))
+        await self.until(lambda: right.counts.rejections[Rejection.SLOW] == 1)
