--- a/packages/core/src/lacewingrudder_core/placement.py
+++ b/packages/core/src/lacewingrudder_core/placement.py
@@ -7,16 +7,19 @@
 from __future__ import annotations
 
 import abc
+import math
 from typing import NamedTuple
 
 from .health import HealthBook
 from .loads import LoadBook
-from .types import TargetName, ZoneName
+from .types import FULL_WEIGHT, TargetName, ZoneName
 from .view import KindRoute
 
 FULL_LOAD = 1.0
 SECOND_CHOICES_PER_SECOND = 40.0
 SECOND_CHOICE_BURST = 40.0
+UNEVEN_FACTOR = 1.25
+UNEVEN_FLOWS_PER_SLOT = 2 / 3
 
 _CANDIDATES = 4
 _SALTS = 16
@@ -85,8 +88,9 @@
     """The table's choice, unless this host's evidence speaks against it.
 
     A second choice is made when the first is ejected, when it holds its connection limit divided by
-    the number of hosts, or when its slots are busy while another's are free; the last within a
-    budget. Where the choice is free, targets of this host's zone come first.
+    the number of hosts, or, within a budget, when its slots are busy while another's are free or it
+    has far more flows than the table's next choice. Where the choice is free, targets of this
+    host's zone come first.
 
     :param zone: this host's zone.
     :param health: this host's evidence on targets.
@@ -109,7 +113,7 @@
             return self._retry(route, digest, attempt, now)
         need = self._need(route, first, loads, now)
         if need is None:
-            return first
+            return self._lighter(route, digest, first, loads, now)
         return self._second(route, digest, first, need, loads, now)
 
     def _need(
@@ -121,6 +125,25 @@
             return _Need(free_slot=True)
         return None
 
+    def _lighter(
+        self, route: KindRoute, digest: int, first: TargetName, loads: LoadBook, now: float
+    ) -> TargetName:
+        """Return the table's next choice if it has far fewer flows for its slots.
+
+        Two choices take most of the imbalance away (Mitzenmacher, "The Power of Two Choices in
+        Randomized Load Balancing", 2001); the margin leaves most flows where the table has them.
+        """
+        other = route.table.choose(digest, 1)
+        if other is None or other == first:
+            return first
+        limit = UNEVEN_FACTOR * _flows_per_slot(route, other, loads) + UNEVEN_FLOWS_PER_SLOT
+        if _flows_per_slot(route, first, loads) <= limit or self._health.ejected(other, now):
+            return first
+        if not _slot_free(route, other, loads) or not self._has_budget(now):
+            return first
+        self._budget -= 1
+        return other
+
     def _second(
         self,
         route: KindRoute,
@@ -168,6 +191,13 @@
         return self._budget >= 1
 
 
+def _flows_per_slot(route: KindRoute, name: TargetName, loads: LoadBook) -> float:
+    """Return the flows for each slot; a target in its slow start counts with part of its slots."""
+    record = route.records.get(name)
+    slots = record.target.slots * record.weight / FULL_WEIGHT if record is not None else 1.0
+    return loads.load(name).flows / slots if slots else math.inf
+
+
 def _at_limit(route: KindRoute, name: TargetName, loads: LoadBook) -> bool:
     record = route.records.get(name)
     if record is None:
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -105,6 +105,27 @@
         moved = sum(self.choose() != self.first for _ in range(1000))
         self.assertEqual(moved, SECOND_CHOICE_BURST)
 
+    def test_flows_go_to_the_next_choice_only_if_the_first_has_far_more(self) -> None:
+        other = self.route.table.choose(DIGESTS[0], 1) or ""
+        self.assertNotEqual(other, self.first)
+        for _ in range(2):
+            self.loads.opened(self.first or "")
+        self.assertEqual(self.choose(), self.first)
+        self.loads.opened(self.first or "")
+        self.assertEqual(self.choose(), other)
+        self.loads.opened(other)
+        self.assertEqual(self.choose(), self.first)
+
+    def test_slow_start_is_not_undone_by_second_choices(self) -> None:
+        other = self.route.table.choose(DIGESTS[0], 1) or ""
+        warming = [r._replace(weight=2) if r.target.name == other else r for r in RECORDS]
+        self.route = self.route._replace(records={r.target.name: r for r in warming})
+        for _ in range(3):
+            self.loads.opened(self.first or "")
+        self.loads.opened(other)
+        self.loads.opened(self.first or "")
+        self.assertEqual(self.choose(), self.first)
+
     def test_attempts_name_every_target_and_end(self) -> None:
         tried = [self.choose(attempt) for attempt in range(len(RECORDS) + 1)]
         self.assertEqual(set(tried[:-1]), self.names)
