--- a/measure/log.py
+++ b/measure/log.py
@@ -8,7 +8,7 @@
 import tempfile
 import time
 import tracemalloc
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -28,6 +28,7 @@
 from lacewingrudder_wire.resources import load_chart
 
 VOTERS = ("c1", "c2", "c3")
+FIVE_VOTERS = (*VOTERS, "c4", "c5")
 SERVICES = 390
 KINDS_PER_SERVICE = 3
 LATENCY_NOTES = 200
@@ -66,18 +67,20 @@
 
 
 class Cluster:
-    """Three control tasks in one process, with real disks and the bytes of real messages.
+    """Control tasks in one process, with real disks and the bytes of real messages.
 
     :param folder: where their data folders go.
+    :param names: the control hosts.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, names: Sequence[str] = VOTERS) -> None:
+        self._names = names
         self._answers: dict[int, asyncio.Future[Any]] = {}
         self.bytes_sent = 0
-        self._recorders = [Recorder(name, None) for name in VOTERS]
+        self._recorders = [Recorder(name, None) for name in names]
         self.tasks = {
             name: self._make(name, folder / name, recorder)
-            for name, recorder in zip(VOTERS, self._recorders, strict=True)
+            for name, recorder in zip(names, self._recorders, strict=True)
         }
         self._running = [asyncio.create_task(task.run()) for task in self.tasks.values()]
 
@@ -85,7 +88,7 @@
         store = ReplicaStore(FolderDisk(folder))
         durable = store.recover(f"{name}-identity")
         rng = random.Random(name)
-        replica = ReplicaCore(name, VOTERS, load_chart("replica"), durable, rng)
+        replica = ReplicaCore(name, self._names, load_chart("replica"), durable, rng)
         core = ControlCore(name, replica)
         return ControlTask(core, store, recorder, self._sender(name), self._answer)
 
@@ -140,9 +143,7 @@
     """Print the latency of notes and the bytes between three voters."""
     cluster = Cluster(folder)
     leader = await cluster.leader()
-    started = cluster.bytes_sent
-    await asyncio.sleep(IDLE_SECONDS)
-    idle = (cluster.bytes_sent - started) / IDLE_SECONDS
+    idle = await measure_idle(cluster, len(VOTERS))
     stream = notes(LATENCY_NOTES + 1)
     await cluster.submit(leader, next(stream))
     began, sent = time.perf_counter(), cluster.bytes_sent
@@ -153,10 +154,28 @@
     latencies.sort()
     show("log_commit_latency_median_ms", statistics.median(latencies) * MILLISECONDS)
     show("log_commit_latency_p99_ms", latencies[len(latencies) * 99 // 100] * MILLISECONDS)
-    show("log_idle_bytes_per_s", idle)
     show("log_bytes_per_note", per_note)
 
 
+async def measure_idle(cluster: Cluster, voters: int) -> float:
+    """Print what voters cost without any note, and return their bytes a second."""
+    sent, used = cluster.bytes_sent, time.process_time()
+    await asyncio.sleep(IDLE_SECONDS)
+    bytes_per_second = (cluster.bytes_sent - sent) / IDLE_SECONDS
+    core_share = (time.process_time() - used) / IDLE_SECONDS / voters
+    show(f"log_idle_bytes_per_s_{voters}_voters", bytes_per_second)
+    show(f"log_idle_core_share_per_voter_{voters}_voters", core_share)
+    return bytes_per_second
+
+
+async def measure_five(folder: Path) -> None:
+    """Print what five idle voters cost."""
+    cluster = Cluster(folder, FIVE_VOTERS)
+    await cluster.leader()
+    await measure_idle(cluster, len(FIVE_VOTERS))
+    await cluster.close()
+
+
 def measure_sync(folder: Path) -> None:
     """Print how long one append with its sync takes on this disk."""
     disk = FolderDisk(folder)
@@ -215,7 +234,7 @@
 
 def show(name: str, value: float) -> None:
     """Print one measure."""
-    print(f"{name}={value:.3f}", flush=True)
+    print(f"{name}={value:.6g}", flush=True)
 
 
 def main() -> None:
@@ -224,6 +243,7 @@
         folder = Path(name)
         measure_sync(folder / "sync")
         asyncio.run(measure_commits(folder))
+        asyncio.run(measure_five(folder / "five"))
         for count in RECOVERY_NOTES:
             measure_recovery(folder / f"after-{count}", count)
 
