Bound the SYNs a host takes from the fabric by its own load

A flood reached every peer through relays, and each refusal wrote a line of the time line. SynLimiter refuses at the host that gets the SYN, before relaying or placing, by max-min fairness between kinds; its bound follows the backlog of the packet socket and the lag of the loop. The lag alone was ruled out: the loop reads one packet a turn, so timers are on time while the socket's buffer is full. Refusals without a target are all counted, but only 50 a second are recorded.

--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -5,12 +5,13 @@
 import random
 
 from . import follower, membership, targets
-from .admission import AdmissionPolicy
+from .admission import AdmissionPolicy, RefusalReason
 from .chart import Chart
 from .core import Core
 from .entry_events import (
     EntryEffect,
     EntryEvent,
+    LoadMeasured,
     PeerMessage,
     ReadinessChanged,
     SendPeer,
@@ -30,6 +31,7 @@
     PinsHeard,
     Replicate,
     SegmentArrived,
+    Stage,
     ViewChanged,
 )
 from .follower import ControlMessage, InForce, Kept
@@ -59,6 +61,8 @@
     TargetUpdates,
 )
 from .notes import Catalogue
+from .opening import refuse
+from .overload import SynLimiter
 from .placement import SparingPlacement
 from .quarantine import CLAIM_SECONDS
 from .readiness import Readiness
@@ -128,6 +132,7 @@
         self._was_ready = False
         self._views = ViewBuilder()
         view = self._views.build([me], in_force, ())
+        self._limiter = SynLimiter()
         self._flows = FlowCore(
             me.name, view, admission or ShareAdmission(), placement, self._health
         )
@@ -174,6 +179,9 @@
             return self._revised(self._revisions.control(event, may_begin, now), now)
         if isinstance(event, Announced):
             return self._target_effects(self._targets.handle(event, now), now)
+        if isinstance(event, LoadMeasured):
+            self._limiter.measured(event.backlog, event.lag)
+            return []
         if isinstance(event, Kept):
             return self._revised(self._revisions.follow(event, now), now)
         if isinstance(event, StopPlanned):
@@ -185,6 +193,8 @@
         opens = event.segment.flags & (SYN | ACK) == SYN
         if opens and not self._readiness.is_ready(now):
             return [Drop(DropReason.NOT_READY)]
+        if opens and event.stage is Stage.FABRIC and not self._limiter.admits(event.segment, now):
+            return list(refuse(event.segment, RefusalReason.OVERLOAD))
         return self._flow_effects(self._flows.handle(event, now))
 
     def _tick(self, now: float) -> list[EntryEffect]:
--- a/packages/core/src/lacewingrudder_core/entry_events.py
+++ b/packages/core/src/lacewingrudder_core/entry_events.py
@@ -45,11 +45,31 @@
     """Time passed; due several times a second."""
 
 
+class LoadMeasured(NamedTuple):
+    """This host's own load was measured; due with each tick.
+
+    :param backlog: filled fraction of the packet socket's buffer.
+    :param lag: seconds by which the loop is late.
+    """
+
+    backlog: float
+    lag: float
+
+
 class StopPlanned(NamedTuple):
     """This host is going to stop: hand over, then leave."""
 
 
-EntryEvent = SegmentArrived | PeerMessage | ControlMessage | Announced | Kept | Tick | StopPlanned
+EntryEvent = (
+    SegmentArrived
+    | PeerMessage
+    | ControlMessage
+    | Announced
+    | Kept
+    | Tick
+    | LoadMeasured
+    | StopPlanned
+)
 
 
 class SendPeer(NamedTuple):
--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -15,12 +15,13 @@
 from lacewingrudder_core.targets import Announced, Announcement, AnnounceOutcome, Answer
 from lacewingrudder_core.types import Endpoint, FlowKey, HostName, Member, TargetName, Verdict
 
-from . import encapsulation, packets
+from . import encapsulation, load_meter, packets
 from .catalogue_store import CatalogueStore
 from .recorder import Recorder
 from .settings import EntrySettings
 
 TICK_SECONDS = 0.1
+REFUSALS_RECORDED_PER_TICK = 5
 LEAVE_LEAST_SECONDS = 1.0
 LEAVE_QUIET_SECONDS = 0.5
 LEAVE_MOST_SECONDS = 3.5
@@ -65,6 +66,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._packet: packets.ParsedPacket | None = None
         self._bytes = b""
+        self._refusals_to_record = REFUSALS_RECORDED_PER_TICK
         self.drops: dict[str, int] = {}
         self.verdicts: dict[tuple[Verdict, str], int] = {}
 
@@ -84,10 +86,18 @@
         )
 
     async def run(self) -> None:
-        """Tell the core of time until cancelled."""
+        """Tell the core of time and of this host's load until cancelled."""
+        loop = asyncio.get_running_loop()
         while True:
+            self._refusals_to_record = REFUSALS_RECORDED_PER_TICK
             self.handle(entry.Tick())
+            due = loop.time() + TICK_SECONDS
             await asyncio.sleep(TICK_SECONDS)
+            self._measure_load(loop.time() - due)
+
+    def _measure_load(self, late: float) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self.handle(load_meter.measure(self._transport.get_extra_info("socket"), late))
 
     async def leave(self) -> None:
         """Hand over and leave, then relay on until the other hosts and the fabric know.
@@ -189,7 +199,12 @@
                 self._recorder.record("ready" if is_ready else "not_ready")
 
     def _verdict(self, key: FlowKey, target: TargetName, verdict: Verdict, reason: str) -> None:
+        """Count a verdict and record it; of refusals without a target, only some in a flood."""
         self.verdicts[verdict, reason] = self.verdicts.get((verdict, reason), 0) + 1
+        if not target:
+            self._refusals_to_record -= 1
+            if self._refusals_to_record < 0:
+                return
         flow = f"{Endpoint(*key[:2])}>{Endpoint(*key[2:])}"
         self._recorder.record("verdict", flow=flow, target=target, detail=f"{verdict}: {reason}")
 
