Drop the message Adopt, and show pins as a metric

A host that serves a flow for another names the target in the GRE key of the relayed packet, so the new home learns it with no message of its own.

--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -147,6 +147,11 @@
         """How many flows this host keeps."""
         return self._flows.flow_count
 
+    @property
+    def pin_count(self) -> int:
+        """How many of this host's flows are on another target than the table gives."""
+        return self._flows.pin_count
+
     @property
     def member_count(self) -> int:
         """How many entry hosts are alive, this one included."""
--- a/packages/core/src/lacewingrudder_core/entry_events.py
+++ b/packages/core/src/lacewingrudder_core/entry_events.py
@@ -8,7 +8,6 @@
 from .follower import ControlMessage, InForce, Keep, Kept, SendControl
 from .membership import MembersChanged
 from .messages import (
-    Adopt,
     FollowMessage,
     Goodbye,
     Pins,
@@ -30,7 +29,6 @@
     | TargetsInUse
     | Goodbye
     | Pins
-    | Adopt
 )
 
 
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -134,12 +134,6 @@
     groups: tuple[PinGroup, ...]
 
 
-class Adopt(NamedTuple):
-    """The receiver is the home of these flows; the sender served them until now."""
-
-    groups: tuple[PinGroup, ...]
-
-
 class Subscribe(NamedTuple):
     """An entry host asks for what follows its revision; repeated as a lease and as a receipt.
 
@@ -289,5 +283,5 @@
 SurveyMessage = SurveyRequest | SurveyReply
 SpreadMessage = Standing | Changes | SnapshotPart
 FollowMessage = Subscribe | SnapshotPull
-EntryMessage = SwimMessage | SpreadMessage | TargetUpdates | TargetsPull | Goodbye | Pins | Adopt
+EntryMessage = SwimMessage | SpreadMessage | TargetUpdates | TargetsPull | Goodbye | Pins
 OperatorRequest = SubmitNote | SubmitOrder | StatusRequest
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -50,7 +50,6 @@
     m.SnapshotPull,
     m.Goodbye,
     m.Pins,
-    m.Adopt,
 )
 _SPREAD_MESSAGES = (m.Standing, m.Changes, m.SnapshotPart)
 _OPERATOR_MESSAGES = (m.SubmitNote, m.SubmitOrder, m.StatusRequest)
--- a/packages/daemon/src/lacewingrudder_daemon/metrics.py
+++ b/packages/daemon/src/lacewingrudder_daemon/metrics.py
@@ -41,6 +41,11 @@
         yield GaugeMetricFamily(
             "lwr_flows", "Flows that this host keeps.", value=self._entry.core.flow_count
         )
+        yield GaugeMetricFamily(
+            "lwr_pins",
+            "Flows on another target than the table gives.",
+            value=self._entry.core.pin_count,
+        )
         yield GaugeMetricFamily(
             "lwr_revision", "Revision in force.", value=self._entry.core.revision
         )
--- a/packages/wire/src/lacewingrudder_wire/codec.py
+++ b/packages/wire/src/lacewingrudder_wire/codec.py
@@ -26,7 +26,6 @@
     11: m.TargetUpdates,
     13: m.Goodbye,
     14: m.Pins,
-    15: m.Adopt,
     20: m.Subscribe,
     21: m.Changes,
     30: m.SubmitNote,
