Move the steps of a target's life out of the core that holds the leases

Found on the way: a host with a lease of an old incarnation refuted the loss of a newer one; the new test failed without the check.

--- a/packages/core/src/lacewingrudder_core/targets.py
+++ b/packages/core/src/lacewingrudder_core/targets.py
@@ -14,13 +14,8 @@
 from .announcements import Announcement, AnnouncementChecks, announcement_mac
 from .chart import Chart
 from .core import Core
-from .lease import (
-    DRAINED_WEIGHT,
-    LEASE_SECONDS,
-    WARMING_WEIGHTS,
-    Lease,
-    next_weight,
-)
+from .lease import LEASE_SECONDS, Lease
+from .lifecycle import LifeCycle
 from .notes import Catalogue
 from .quarantine import Quarantine
 from .records import RecordBook, records_digest, supersedes
@@ -40,8 +35,6 @@
     Tick,
 )
 from .types import (
-    FULL_WEIGHT,
-    WORKING_STATES,
     HostName,
     OrderAction,
     TargetName,
@@ -96,9 +89,9 @@
     def __init__(self, name: HostName, zone: ZoneName, chart: Chart) -> None:
         self._name = name
         self._zone = zone
-        self._chart = chart
         self._catalogue = Catalogue()
         self._book = RecordBook()
+        self._life = LifeCycle(name, chart, self._book)
         self._quarantine = Quarantine()
         self._checks = AnnouncementChecks(zone, self._book, self._quarantine)
         self._leases: dict[TargetName, Lease] = {}
@@ -119,7 +112,7 @@
         if record is None:
             return None
         order = self._catalogue.order(name)
-        return record.state if order is None else self._next(record.state, order.value)
+        return record.state if order is None else self._life.next(record.state, order.value)
 
     def lost(self, names: Iterable[TargetName]) -> tuple[TargetRecord, ...]:
         """Return the records of those of the named targets that are lost."""
@@ -145,9 +138,6 @@
             case Tick():
                 return self._tick(now)
 
-    def _next(self, state: TargetState, event: str) -> TargetState:
-        return TargetState(self._chart.next(state, event).state)
-
     def _announced(self, event: Announced, now: float) -> list[TargetEffect]:
         announcement = event.announcement
         problem = self._checks.problem(announcement, self._catalogue, now)
@@ -156,42 +146,15 @@
         self._checks.accepted(announcement)
         answer = Answer(event.token, Renewed(LEASE_SECONDS))
         known = self._book.get(announcement.target.name)
-        record = self._record_after(announcement, known, now)
+        record = self._life.begun(announcement, known)
+        if record is not known:
+            self._leases.pop(record.target.name, None)
         lease = self._lease(announcement, record, now)
         if record.owner != self._name and not self._takes_over(lease, record, now):
             return [answer]
-        record = self._progress(record._replace(owner=self._name), lease, now)
+        record = self._life.progress(record._replace(owner=self._name), lease, now)
         return [answer, *self._write([record], now)]
 
-    def _record_after(
-        self, announcement: Announcement, known: TargetRecord | None, now: float
-    ) -> TargetRecord:
-        """Return the record with which an accepted announcement starts."""
-        target = announcement.target
-        if known is None:
-            state = TargetState(self._chart.initial)
-            return TargetRecord(target, state, 0, 0.0, self._name, weight=WARMING_WEIGHTS[0])
-        if target.incarnation > known.target.incarnation:
-            self._leases.pop(target.name, None)
-            return TargetRecord(
-                target,
-                self._next(known.state, "restart"),
-                0,
-                0.0,
-                self._name,
-                weight=WARMING_WEIGHTS[0],
-                flaps=known.flaps + (target.service == known.target.service),
-            )
-        if known.state is TargetState.LOST:
-            self._leases.pop(target.name, None)
-            return known._replace(
-                state=self._next(known.state, "announce"),
-                owner=self._name,
-                weight=WARMING_WEIGHTS[0],
-                flaps=known.flaps + 1,
-            )
-        return known
-
     def _lease(self, announcement: Announcement, record: TargetRecord, now: float) -> Lease:
         lease = self._leases.get(announcement.target.name)
         if lease is None:
@@ -214,40 +177,6 @@
         moved = self._moved.get(record.target.name, float("-inf"))
         return lease.is_steady and now - moved > MOVE_SECONDS
 
-    def _progress(self, record: TargetRecord, lease: Lease, now: float) -> TargetRecord:
-        """Return the record after what the target said and the time that passed."""
-        if lease.said is TargetState.DRAINING:
-            return record._replace(state=self._next(record.state, "drain"), weight=DRAINED_WEIGHT)
-        if record.state is TargetState.ANNOUNCED:
-            return self._admit(record, lease, now)
-        if record.state is TargetState.WARMING:
-            return self._warm(record, lease, now)
-        if record.flaps and lease.is_stable(now):
-            record = record._replace(flaps=0)
-        return record._replace(load=lease.load_level(record.load, now))
-
-    def _admit(self, record: TargetRecord, lease: Lease, now: float) -> TargetRecord:
-        if not lease.hold_is_over(now) and self._others_work(record):
-            return record
-        lease.stepped(now)
-        return record._replace(state=self._next(record.state, "admit"), weight=WARMING_WEIGHTS[0])
-
-    def _warm(self, record: TargetRecord, lease: Lease, now: float) -> TargetRecord:
-        if lease.said is not TargetState.SERVING or not lease.step_is_over(now):
-            return record
-        lease.stepped(now)
-        weight = next_weight(record.weight)
-        state = self._next(record.state, "warm") if weight == FULL_WEIGHT else record.state
-        return record._replace(state=state, weight=weight)
-
-    def _others_work(self, record: TargetRecord) -> bool:
-        return any(
-            other.target.service == record.target.service
-            and other.target.name != record.target.name
-            and other.state in WORKING_STATES
-            for other in self._book.records
-        )
-
     def _write(self, records: Iterable[TargetRecord], now: float) -> list[TargetEffect]:
         """Keep those of the given records that differ, under a new version of this owner."""
         written = []
@@ -278,39 +207,34 @@
                 continue
             changed = True
             self._keep(record, now)
-            if before is not None and self._refutes(record, now):
+            if before is not None and self._refutes(record, before, now):
                 refuted.append(record._replace(state=before.state))
         return self._write(refuted, now) or ([RecordsChanged(())] if changed else [])
 
-    def _refutes(self, record: TargetRecord, now: float) -> bool:
+    def _refutes(self, record: TargetRecord, before: TargetRecord, now: float) -> bool:
         """Return whether another host lost a target that announces itself here."""
+        if record.state is not TargetState.LOST or record.target != before.target:
+            return False
         lease = self._leases.get(record.target.name)
-        return record.state is TargetState.LOST and lease is not None and not lease.has_expired(now)
+        return lease is not None and not lease.has_expired(now)
 
     def _catalogue_changed(self, catalogue: Catalogue, now: float) -> list[TargetEffect]:
         before = {order.target: order.action for order in self._catalogue.orders}
         self._catalogue = catalogue
         stops = (OrderAction.DRAIN, OrderAction.WITHDRAW)
         restored = [
-            name
+            self._restored(name, now)
             for name, action in before.items()
             if action in stops and catalogue.order(name) not in stops
         ]
-        return self._write(
-            [record for name in restored for record in self._restored(name, now)], now
-        )
+        return self._write(filter(None, restored), now)
 
-    def _restored(self, name: TargetName, now: float) -> list[TargetRecord]:
+    def _restored(self, name: TargetName, now: float) -> TargetRecord | None:
         record = self._book.get(name)
         lease = self._leases.get(name)
         if record is None or lease is None or record.owner != self._name:
-            return []
-        transition = self._chart.next(record.state, OrderAction.RESTORE.value)
-        if not transition.allowed:
-            return []
-        lease.stepped(now)
-        state = TargetState(transition.state)
-        return [record._replace(state=state, weight=WARMING_WEIGHTS[0])]
+            return None
+        return self._life.restored(record, lease, now)
 
     def _tick(self, now: float) -> list[TargetEffect]:
         if self._ticked is not None and now - self._ticked > FREEZE_SECONDS:
@@ -336,9 +260,9 @@
             if lease.has_expired(now):
                 del self._leases[name]
                 if record.owner == self._name:
-                    changed.append(record._replace(state=self._next(record.state, "expire")))
+                    changed.append(self._life.lost(record))
             elif record.owner == self._name:
-                changed.append(self._progress(record, lease, now))
+                changed.append(self._life.progress(record, lease, now))
         return changed
 
     def _lost_orphans(self, now: float) -> list[TargetRecord]:
@@ -349,7 +273,7 @@
         self._orphans = {name: self._orphan(record, now) for name, record in orphans.items()}
         wait = ORPHAN_SECONDS + ORPHAN_STAGGER_SECONDS * self._place_in_zone()
         return [
-            record._replace(state=self._next(record.state, "expire"))
+            self._life.lost(record)
             for name, record in orphans.items()
             if now - self._orphans[name].since > wait
         ]
--- a/packages/core/tests/test_targets.py
+++ b/packages/core/tests/test_targets.py
@@ -278,6 +278,15 @@
             self.assertIs(self.zone.state(self.target, host), TargetState.SERVING)
         self.assert_converged()
 
+    def test_loss_of_a_later_incarnation_is_not_refuted_by_an_older_lease(self) -> None:
+        self.zone.keep(self.target, 12, 1)
+        known = self.zone.record(self.target)
+        lost = known._replace(
+            target=proof_target(incarnation=2), state=TargetState.LOST, owner="entry-2"
+        )
+        self.zone.send("entry-1", RecordsHeard((lost,)))
+        self.assertIs(self.zone.state(self.target), TargetState.LOST)
+
     def test_host_that_was_frozen_does_not_act_on_old_leases(self) -> None:
         sequence = self.zone.keep(self.target, 12, 1)
         self.zone.run(30, stopped=("entry-1",))
