--- a/packages/core/tests/test_spread.py
+++ b/packages/core/tests/test_spread.py
@@ -10,9 +10,10 @@
     SpreadCore,
     Subscribed,
 )
+from test_follower import catalogue, change
+
 from standins.nodes import ControlNode, EntryNode, make_members
 from standins.stepping import Network
-from test_follower import catalogue, change
 
 IN_FORCE_SECONDS = 4.0
 
