Let a service's former key count for ten minutes after a note changed it

A note with a new key made every announcement a 403 and lost all targets of the service after one lease; the test failed at the first announcement without this. Targets of a zone whose only host died are now tested over whole hosts as well.

--- a/packages/core/src/lacewingrudder_core/announcements.py
+++ b/packages/core/src/lacewingrudder_core/announcements.py
@@ -22,6 +22,8 @@
 
 ANNOUNCED_STATES = frozenset({TargetState.WARMING, TargetState.SERVING, TargetState.DRAINING})
 
+KEY_OVERLAP_SECONDS = 600.0
+
 
 class Announcement(NamedTuple):
     """What a target says of itself.
@@ -62,6 +64,11 @@
     return hmac.new(key.encode(), text.encode(), hashlib.sha256).hexdigest()
 
 
+class _FormerKey(NamedTuple):
+    key: str
+    until: float
+
+
 class _Age(NamedTuple):
     incarnation: int
     sequence: int
@@ -82,6 +89,14 @@
         self._book = book
         self._quarantine = quarantine
         self._accepted: dict[TargetName, _Age] = {}
+        self._former: dict[str, _FormerKey] = {}
+
+    def change_keys(self, before: Catalogue, after: Catalogue, now: float) -> None:
+        """Let a service's former key count for a time, so that targets can change over."""
+        keys = {service.name: service.key for service in after.services}
+        for service in before.services:
+            if keys.get(service.name, service.key) != service.key:
+                self._former[service.name] = _FormerKey(service.key, now + KEY_OVERLAP_SECONDS)
 
     def accepted(self, announcement: Announcement) -> None:
         """Take note that an announcement was taken; none of its age is taken again."""
@@ -100,7 +115,7 @@
         if service is None:
             return f"there is no service {target.service}"
         return (
-            self._key_problem(announcement, service)
+            self._key_problem(announcement, service, now)
             or self._zone_problem(target)
             or _state_problem(announcement.state)
             or _ports_problem(target, service, catalogue)
@@ -108,15 +123,11 @@
             or self._endpoint_problem(target, now)
         )
 
-    def _key_problem(self, announcement: Announcement, service: Service) -> str:
-        expected = announcement_mac(
-            service.key,
-            announcement.target,
-            announcement.state,
-            announcement.load,
-            announcement.sequence,
-        )
-        if hmac.compare_digest(expected.encode(), announcement.mac.encode()):
+    def _key_problem(self, announcement: Announcement, service: Service, now: float) -> str:
+        former = self._former.get(service.name)
+        if _is_signed(announcement, service.key):
+            return ""
+        if former is not None and now < former.until and _is_signed(announcement, former.key):
             return ""
         return "the key does not match the service's"
 
@@ -159,6 +170,12 @@
         return ""
 
 
+def _is_signed(announcement: Announcement, key: str) -> bool:
+    target, state, load, sequence, mac = announcement
+    expected = announcement_mac(key, target, state, load, sequence)
+    return hmac.compare_digest(expected.encode(), mac.encode())
+
+
 def _same_work(record: TargetRecord, target: Target, entry: KindPort) -> bool:
     same_target = (record.target.name, record.target.service) == (target.name, target.service)
     return same_target and entry in record.target.ports
--- a/packages/core/src/lacewingrudder_core/targets.py
+++ b/packages/core/src/lacewingrudder_core/targets.py
@@ -219,6 +219,7 @@
         return lease is not None and not lease.has_expired(now)
 
     def _catalogue_changed(self, catalogue: Catalogue, now: float) -> list[TargetEffect]:
+        self._checks.change_keys(self._catalogue, catalogue, now)
         before = {order.target: order.action for order in self._catalogue.orders}
         self._catalogue = catalogue
         stops = (OrderAction.DRAIN, OrderAction.WITHDRAW)
--- a/packages/core/tests/test_target_spread.py
+++ b/packages/core/tests/test_target_spread.py
@@ -53,10 +53,15 @@
             self.network.run(1.0)
 
     def renew(self, target: Target, state: TargetState = TargetState.SERVING) -> str:
-        """Announce a target to the first live host of its zone."""
-        name = next(n for n in self.network.nodes if self.zones.get(n) == target.zone)
-        sent = announcement(target, next(self._sequences), state)
-        return self.announce(name, sent)
+        """Announce a target to the first host that takes it, those of its zone first."""
+        live = [name for name in self.entries if name in self.network.nodes]
+        reason = ""
+        for name in sorted(live, key=lambda name: self.zones[name] != target.zone):
+            sent = announcement(target, next(self._sequences), state)
+            reason = self.announce(name, sent)
+            if not reason.startswith("zone"):
+                break
+        return reason
 
     def announce(self, name: str, sent: object) -> str:
         core = self.entries[name].core
@@ -146,6 +151,13 @@
             fleet.run(1)
             self.assertEqual(fleet.used("entry-2"), fleet.addresses())
 
+    def test_targets_of_a_zone_without_hosts_work_on_through_other_zones(self) -> None:
+        fleet = Fleet(3)
+        fleet.network.kill("entry-1")
+        fleet.run(4)
+        for name in ("entry-2", "entry-3"):
+            self.assertEqual(fleet.used(name), fleet.addresses())
+
     def test_cut_off_zone_uses_its_own_targets_and_all_after_the_cut(self) -> None:
         fleet = Fleet()
         inside = {name for name, zone in fleet.zones.items() if zone == "zone-1"}
--- a/packages/core/tests/test_targets.py
+++ b/packages/core/tests/test_targets.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+from lacewingrudder_core.announcements import KEY_OVERLAP_SECONDS
 from lacewingrudder_core.lease import LEASE_SECONDS
 from lacewingrudder_core.notes import Catalogue
 from lacewingrudder_core.quarantine import QUARANTINE_SECONDS
@@ -15,7 +16,16 @@
     Tick,
 )
 from lacewingrudder_core.types import KindPort, OrderAction, TargetState
-from target_fakes import CATALOGUE, Zone, announcement, order, proof_target, sheet_target
+from target_fakes import (
+    CATALOGUE,
+    PROOFDESK,
+    SHEETROOM,
+    Zone,
+    announcement,
+    order,
+    proof_target,
+    sheet_target,
+)
 
 TWO_HOSTS = {"entry-1": "adum", "entry-2": "adum"}
 TWO_ZONES = {"entry-1": "adum", "entry-2": "adum", "entry-3": "suame"}
@@ -84,6 +94,20 @@
         self.assertEqual(self.zone.announce(announcement(proof_target(1, 2, slots=300), 1)), "")
 
 
+class KeyTest(unittest.TestCase):
+    def test_former_key_counts_until_the_targets_had_time_to_change_over(self) -> None:
+        zone, target = Zone(), proof_target()
+        zone.keep(target, 2, 1)
+        services = (PROOFDESK._replace(key="second-secret"), SHEETROOM)
+        zone.send("entry-1", CatalogueChanged(Catalogue(2, services)))
+        zone.send("entry-1", CatalogueChanged(Catalogue(3, services)))
+        self.assertEqual(zone.announce(announcement(target, 10)), "")
+        self.assertEqual(zone.announce(announcement(target, 11, key="second-secret")), "")
+        self.assertIn("key", zone.announce(announcement(target, 12, key="third-secret")))
+        zone.now += KEY_OVERLAP_SECONDS
+        self.assertIn("key", zone.announce(announcement(target, 13)))
+
+
 class LifeCycleTest(unittest.TestCase):
     def setUp(self) -> None:
         self.zone = Zone()
