Hand leadership over before a planned stop

A control host that stopped as planned left the others without a leader for one to two seconds and notes were refused meanwhile. It now asks a voter with the whole log to stand for election at once (Ongaro's dissertation, section 3.10). Votes are given by term and log as before, so safety does not rest on it; the schedules stop leaders at random too.

The fake cluster's settling returned while a write was still under way; it asks again now. test_replica*, test_control*, the wire's and the daemon's tests and tests/test_control_hosts.py pass.

--- a/packages/core/src/lacewingrudder_core/control.py
+++ b/packages/core/src/lacewingrudder_core/control.py
@@ -30,6 +30,7 @@
     ReplicaHeard,
     RoleChanged,
     SendReplica,
+    StopPlanned,
     Tick,
 )
 from .replica_messages import ForwardMessage, ForwardRequest
@@ -77,6 +78,7 @@
     | Persisted
     | PersistFailed
     | Tick
+    | StopPlanned
 )
 
 
--- a/packages/core/src/lacewingrudder_core/leading.py
+++ b/packages/core/src/lacewingrudder_core/leading.py
@@ -9,7 +9,13 @@
 from .progress import Progress, ProgressTable
 from .reconfiguration import next_voters
 from .replica_events import Propose
-from .replica_messages import AppendReply, AppendRequest, SnapshotReply, SnapshotRequest
+from .replica_messages import (
+    AppendReply,
+    AppendRequest,
+    Handover,
+    SnapshotReply,
+    SnapshotRequest,
+)
 from .replica_state import ReplicaState
 from .types import HostName
 
@@ -51,6 +57,14 @@
         if replica not in self._state.log.voters and replica.name in self._names:
             self._progress.add_learner(replica, now)
 
+    def hand_over(self) -> None:
+        """Ask a voter that has the whole log to take over, if there is one."""
+        state = self._state
+        for row in self._progress:
+            if row.replica in state.log.voters and row.match == state.log.last_index:
+                state.send(row.replica, Handover(state.header(row.replica)))
+                return
+
     def append_answered(self, message: AppendReply, now: float) -> None:
         """Take in how far a replica has come."""
         row = self._progress.get(message.header.sender.identity)
--- a/packages/core/src/lacewingrudder_core/replica.py
+++ b/packages/core/src/lacewingrudder_core/replica.py
@@ -29,6 +29,7 @@
     ReplicaEvent,
     ReplicaHeard,
     RoleChanged,
+    StopPlanned,
 )
 from .replica_state import ReplicaState
 from .types import HostName
@@ -88,6 +89,7 @@
             m.AppendReply: self._append_answered,
             m.SnapshotRequest: self._snapshot_asked,
             m.SnapshotReply: self._snapshot_answered,
+            m.Handover: self._handover_asked,
         }
 
     @property
@@ -135,6 +137,8 @@
             return
         elif isinstance(event, ReplicaHeard):
             self._heard(event)
+        elif isinstance(event, StopPlanned):
+            self._hand_over()
         else:
             self._tick()
 
@@ -234,7 +238,7 @@
 
     def _member_message(self, message: m.MemberMessage) -> None:
         term = message.header.term
-        if isinstance(message, m.VoteRequest) and self._is_led():
+        if isinstance(message, m.VoteRequest) and self._is_led() and not message.is_handover:
             return
         if term > self._state.term and not isinstance(message, m.PreVoteRequest):
             self._state.enter_term(term)
@@ -260,6 +264,17 @@
             self._voting.ask()
             self._lead_if_won()
 
+    def _hand_over(self) -> None:
+        if self._leading is not None:
+            self._leading.hand_over()
+
+    def _handover_asked(self, message: m.Handover) -> None:
+        if self._role == FOLLOWER and message.header.term == self._state.term:
+            self._turn("timeout")
+            self._turn("win")
+            self._voting.ask(is_handover=True)
+            self._lead_if_won()
+
     def _lead_if_won(self) -> None:
         if self._role == CANDIDATE and self._voting.is_won:
             self._turn("win")
--- a/packages/core/src/lacewingrudder_core/replica_events.py
+++ b/packages/core/src/lacewingrudder_core/replica_events.py
@@ -41,7 +41,11 @@
     """Time passed; due several times within a heartbeat."""
 
 
-ReplicaEvent = ReplicaHeard | Propose | Persisted | PersistFailed | Tick
+class StopPlanned(NamedTuple):
+    """This host is going to stop; a leader hands over."""
+
+
+ReplicaEvent = ReplicaHeard | Propose | Persisted | PersistFailed | Tick | StopPlanned
 
 
 class SendReplica(NamedTuple):
--- a/packages/core/src/lacewingrudder_core/replica_messages.py
+++ b/packages/core/src/lacewingrudder_core/replica_messages.py
@@ -39,11 +39,15 @@
 
 
 class VoteRequest(NamedTuple):
-    """Asks for the receiver's vote in the sender's term."""
+    """Asks for the receiver's vote in the sender's term.
+
+    :param is_handover: whether the leader asked for this election, so that it need not be silent.
+    """
 
     header: Header
     last_index: int
     last_term: int
+    is_handover: bool
 
 
 class VoteReply(NamedTuple):
@@ -98,6 +102,12 @@
     expected: int
 
 
+class Handover(NamedTuple):
+    """The leader is going to stop and asks the receiver, who has the whole log, to take over."""
+
+    header: Header
+
+
 class Introduce(NamedTuple):
     """A host without a leader says who it is: to form a cluster, or to be admitted to one.
 
@@ -153,6 +163,7 @@
     | AppendReply
     | SnapshotRequest
     | SnapshotReply
+    | Handover
 )
 FormationMessage = Introduce | Introduced | Found
 ReplicaMessage = MemberMessage | FormationMessage
--- a/packages/core/src/lacewingrudder_core/voting.py
+++ b/packages/core/src/lacewingrudder_core/voting.py
@@ -33,12 +33,14 @@
         log = self._state.log
         self._ask(lambda to: PreVoteRequest(self._state.header(to), log.last_index, log.last_term))
 
-    def ask(self) -> None:
+    def ask(self, is_handover: bool = False) -> None:
         """Go to the next term with the own vote, and ask for those of the others."""
         state = self._state
         state.enter_term(state.term + 1, state.me.identity)
         log = state.log
-        self._ask(lambda to: VoteRequest(state.header(to), log.last_index, log.last_term))
+        self._ask(
+            lambda to: VoteRequest(state.header(to), log.last_index, log.last_term, is_handover)
+        )
 
     def count(self, message: PreVoteReply | VoteReply) -> None:
         """Count a vote, if it was granted."""
--- a/packages/core/tests/replica_cluster.py
+++ b/packages/core/tests/replica_cluster.py
@@ -149,12 +149,12 @@
     def settle(self) -> None:
         for _ in range(10_000):
             busy = [host for host in self.up() if host.writes and not host.disk_fails]
+            if not busy and not self.messages:
+                return
             for host in busy:
                 self.persist(host)
             for _ in range(len(self.messages)):
                 self.deliver()
-            if not busy and not self.messages:
-                return
         raise AssertionError("the cluster does not settle")
 
     def elect(self, seconds: float = 20.0) -> Host:
@@ -295,6 +295,7 @@
             (14, self._submit),
         ]
         self._faults = [
+            (1, self._hand_over),
             (2, self._drop),
             (2, self._duplicate),
             (1, self._crash),
@@ -370,6 +371,11 @@
         if host.is_up:
             host.crash(self._random.randint(0, len(host.writes)))
 
+    def _hand_over(self) -> None:
+        host = self._any()
+        if host in self.cluster.up():
+            self.cluster.feed(host, e.StopPlanned())
+
     def _restart(self) -> None:
         host = self._any()
         if not host.is_up:
--- a/packages/core/tests/test_replica_faults.py
+++ b/packages/core/tests/test_replica_faults.py
@@ -12,7 +12,7 @@
 from lacewingrudder_core.notes import Catalogue, SubmitReply, SubmitTag
 from lacewingrudder_core.reconfiguration import next_voters
 from lacewingrudder_core.replica import LEADER, NO_QUORUM
-from lacewingrudder_core.replica_events import Installed, Persist, SendReplica
+from lacewingrudder_core.replica_events import Installed, Persist, SendReplica, StopPlanned
 from lacewingrudder_core.replica_state import ReplicaState
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from replica_cluster import Cluster, Host, make_note
@@ -115,6 +115,27 @@
         self.assertEqual(state.commit, 3)
 
 
+class HandoverTest(ReplicaTestCase):
+    def test_planned_stop_of_the_leader_leaves_no_gap(self) -> None:
+        self.accept(1)
+        self.cluster.feed(self.leader, StopPlanned())
+        self.cluster.settle()
+        leader = self.cluster.leader()
+        assert leader is not None
+        self.assertIsNot(leader, self.leader)
+        self.leader.crash(0)
+        self.assertEqual(
+            self.cluster.submit(leader, make_note(2, 1)), SubmitReply(SubmitTag.ACCEPTED, 2, "")
+        )
+
+    def test_leader_without_an_up_to_date_voter_keeps_leading(self) -> None:
+        self.cluster.cut_off(self.leader)
+        self.cluster.propose(self.leader, make_note(1, 0))
+        self.cluster.feed(self.leader, StopPlanned())
+        self.cluster.settle()
+        self.assertEqual(self.leader.core.role, LEADER)
+
+
 class FollowerLossTest(ReplicaTestCase):
     def test_follower_killed_mid_write_catches_up(self) -> None:
         follower = self.followers()[0]
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -62,6 +62,7 @@
     r.AppendReply,
     r.SnapshotRequest,
     r.SnapshotReply,
+    r.Handover,
     r.Introduce,
     r.Introduced,
     r.Found,
@@ -104,6 +105,8 @@
         ticker = asyncio.create_task(self._tick())
         await stop.wait()
         self._recorder.record("stopping")
+        if self._control is not None:
+            await self._control.leave()
         if self._entry is not None:
             await self._entry.leave()
         ticker.cancel()
--- a/packages/daemon/src/lacewingrudder_daemon/control_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/control_task.py
@@ -11,6 +11,7 @@
 from lacewingrudder_core import control as decisions
 from lacewingrudder_core import replica_events as replica
 from lacewingrudder_core.durable import Write
+from lacewingrudder_core.replica import LEADER
 from lacewingrudder_core.spread import SendHost
 from lacewingrudder_core.survey import SendSurvey
 from lacewingrudder_core.types import HostName
@@ -20,6 +21,7 @@
 
 TICK_SECONDS = 0.05
 RETRY_SECONDS = 0.5
+HANDOVER_SECONDS = 0.5
 
 _log = logging.getLogger(__name__)
 
@@ -71,6 +73,14 @@
         finally:
             writer.cancel()
 
+    async def leave(self) -> None:
+        """Hand leadership over before a planned stop, if this host has it."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + HANDOVER_SECONDS
+        self.handle(replica.StopPlanned())
+        while self._core.replica.role == LEADER and loop.time() < deadline:
+            await asyncio.sleep(TICK_SECONDS)
+
     def close(self) -> None:
         """End the thread and close the files."""
         self._thread.shutdown()
--- a/packages/wire/src/lacewingrudder_wire/codec.py
+++ b/packages/wire/src/lacewingrudder_wire/codec.py
@@ -46,6 +46,7 @@
     50: r.Found,
     51: r.ForwardRequest,
     52: r.ForwardReply,
+    53: r.Handover,
     60: m.Ping,
     61: m.Ack,
     62: m.ProbeRequest,
