Eject no target for flows that something else forgot

A flow that went silent counted against its target even while the target answered new flows, which is just the case of state lost in between; a lost translation table could have ejected a third of a service's healthy targets. The test failed without the check.

--- a/packages/core/src/lacewingrudder_core/health.py
+++ b/packages/core/src/lacewingrudder_core/health.py
@@ -1,6 +1,6 @@
 """This host's own evidence on targets; it outranks what targets report of themselves.
 
-A target that leaves several SYNs in a row unanswered, or falls silent under requests, is ejected:
+A target that leaves several SYNs in a row unanswered, or falls silent altogether, is ejected:
 it gets no new flow of this host for a time that doubles with each repetition. A cap keeps wrong
 evidence, such as a fault of this host's own network, from emptying a service.
 """
@@ -17,6 +17,7 @@
 EJECTION_SECONDS_MAX = 160.0
 EJECTED_FRACTION_MAX = 1 / 3
 GOOD_SECONDS_TO_FORGET = 60.0
+ANSWER_FRESH_SECONDS = 5.0
 
 
 class _Evidence:
@@ -36,6 +37,7 @@
 
     def __init__(self) -> None:
         self._evidence: dict[TargetName, _Evidence] = {}
+        self._answered: dict[TargetName, float] = {}
         self._service: dict[TargetName, str] = {}
         self._targets: dict[str, frozenset[TargetName]] = {}
 
@@ -53,9 +55,13 @@
             for target, evidence in self._evidence.items()
             if target in self._service
         }
+        self._answered = {
+            target: at for target, at in self._answered.items() if target in self._service
+        }
 
     def syn_answered(self, target: TargetName, now: float) -> None:
         """Take note that a target accepted a flow."""
+        self._answered[target] = now
         evidence = self._evidence.get(target)
         if evidence is None:
             return
@@ -68,8 +74,13 @@
         self._failed(target, now)
 
     def silent(self, target: TargetName, now: float) -> None:
-        """Take note that a target does not answer what a caller sent it."""
-        self._failed(target, now)
+        """Take note that a target does not answer what a caller sent it.
+
+        This counts only if no new flow was answered of late: else something between the two ends
+        forgot the flow, which says nothing of the target.
+        """
+        if now - self._answered.get(target, -math.inf) > ANSWER_FRESH_SECONDS:
+            self._failed(target, now)
 
     def ejected(self, target: TargetName, now: float) -> bool:
         """Return whether a target gets no new flow of this host now."""
--- a/packages/core/tests/test_health.py
+++ b/packages/core/tests/test_health.py
@@ -57,6 +57,12 @@
             self.health.silent("target-0", 1.0)
         self.assertTrue(self.health.ejected("target-0", 1.0))
 
+    def test_forgotten_flows_eject_no_target_that_answers_new_ones(self) -> None:
+        self.health.syn_answered("target-0", 1.0)
+        for _ in range(100):
+            self.health.silent("target-0", 2.0)
+        self.assertFalse(self.health.ejected("target-0", 2.0))
+
     def test_cap_holds_when_all_evidence_is_bad(self) -> None:
         for target in (*SEVEN, "only", "left", "right"):
             self.fail(target, 1.0)
