--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -157,6 +157,10 @@
         """How many entry hosts are alive, this one included."""
         return len(self._membership.members)
 
+    def ejected_targets(self, now: float) -> frozenset[TargetName]:
+        """Return the targets that get no new flow of this host, on its own evidence."""
+        return self._health.ejected_targets(now)
+
     @property
     def serving_targets(self) -> int:
         """How many targets take new flows."""
--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -12,7 +12,13 @@
 from lacewingrudder_core.follower import InForce, Keep, Kept, SendControl
 from lacewingrudder_core.membership import MembersChanged
 from lacewingrudder_core.notes import Catalogue
-from lacewingrudder_core.targets import Announced, Announcement, AnnounceOutcome, Answer
+from lacewingrudder_core.targets import (
+    Announced,
+    Announcement,
+    AnnounceOutcome,
+    Answer,
+    Rejected,
+)
 from lacewingrudder_core.types import Endpoint, FlowKey, HostName, Member, TargetName, Verdict
 
 from . import encapsulation, load_meter, packets
@@ -67,6 +73,7 @@
         self._packet: packets.ParsedPacket | None = None
         self._bytes = b""
         self._refusals_to_record = REFUSALS_RECORDED_PER_TICK
+        self.rejected_announcements = 0
         self.drops: dict[str, int] = {}
         self.verdicts: dict[tuple[Verdict, str], int] = {}
 
@@ -75,6 +82,11 @@
         """The decisions of this host."""
         return self._core
 
+    @property
+    def ejected_targets(self) -> int:
+        """How many targets get no new flow of this host, on its own evidence."""
+        return len(self._core.ejected_targets(asyncio.get_running_loop().time()))
+
     async def start(self) -> None:
         """Open the socket.
 
@@ -128,7 +140,12 @@
         answer: asyncio.Future[AnnounceOutcome] = asyncio.get_running_loop().create_future()
         self._answers[token] = answer
         self.handle(Announced(token, announcement))
-        return await answer
+        outcome = await answer
+        if isinstance(outcome, Rejected):
+            self.rejected_announcements += 1
+            name = announcement.target.name
+            self._recorder.record("announcement_rejected", target=name, detail=outcome.reason)
+        return outcome
 
     def handle(self, event: entry.EntryEvent) -> None:
         """Hand an event to the core and carry out its effects."""
--- a/packages/daemon/src/lacewingrudder_daemon/metrics.py
+++ b/packages/daemon/src/lacewingrudder_daemon/metrics.py
@@ -57,6 +57,16 @@
             "Targets that take new flows.",
             value=self._entry.core.serving_targets,
         )
+        yield GaugeMetricFamily(
+            "lwr_ejected_targets",
+            "Targets that get no new flow of this host, on its own evidence.",
+            value=self._entry.ejected_targets,
+        )
+        yield CounterMetricFamily(
+            "lwr_rejected_announcements",
+            "Announcements of targets that were not taken.",
+            value=self._entry.rejected_announcements,
+        )
         drops = CounterMetricFamily("lwr_dropped_packets", "Packets dropped.", labels=["reason"])
         for reason, count in self._entry.drops.items():
             drops.add_metric([reason], count)
--- a/packages/daemon/tests/test_entry_task.py
+++ b/packages/daemon/tests/test_entry_task.py
@@ -4,6 +4,7 @@
 
 from lacewingrudder_core import flows
 from lacewingrudder_core.membership import MembersChanged
+from lacewingrudder_core.targets import Answer, Rejected, Renewed
 from lacewingrudder_core.types import Endpoint, Member
 from lacewingrudder_daemon import encapsulation, entry_task, packets
 from lacewingrudder_daemon.recorder import Recorder
@@ -57,6 +58,14 @@
         self.task.datagram_received(plain(self.packet), FABRIC)
         self.assertEqual(len(self.arrived()), 1)
 
+    async def test_rejected_announcements_are_counted(self) -> None:
+        self.core.handle.return_value = [Answer(1, Renewed(3.0))]
+        self.assertEqual(await self.task.announce(mock.Mock()), Renewed(3.0))
+        self.assertEqual(self.task.rejected_announcements, 0)
+        self.core.handle.return_value = [Answer(2, Rejected("old"))]
+        self.assertEqual(await self.task.announce(mock.Mock()), Rejected("old"))
+        self.assertEqual(self.task.rejected_announcements, 1)
+
     async def test_fabric_cannot_claim_a_relay_stage(self) -> None:
         relayed = encapsulation.encapsulate_relay(self.packet, flows.Stage.FOUND, 5)
         self.task.datagram_received(relayed, FABRIC)
