--- /dev/null
+++ b/measure/whole_system.py
@@ -0,0 +1,136 @@
+"""Whole systems in processes: broken flows through changes, imbalance, and a flood by real packets.
+
+A flood of five times the targets' capacity is what the stand-in callers can send on one machine;
+:mod:`measure.floods` runs the whole schedule in virtual time.
+"""
+
+from __future__ import annotations
+
+import collections
+import statistics
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from standins import demo
+from standins.firms import FIRMS, GANTS_LAURENTIDE, FirmShape, ServiceShape
+from standins.fleet import Fleet, load
+
+ADMISSION = {"": "shares", "baseline_none_": "none", "baseline_shared_": "shared_limit"}
+ENTRY_HOSTS = 7
+WORK_SECONDS = 0.2
+EVEN_RATE = 50.0
+EVEN_SECONDS = 8.0
+FLOOD_MULTIPLE = 5
+FLOOD_SECONDS = 6.0
+DEMAND_OF_GUARANTEE = 0.8
+PATIENCE_SECONDS = 2.0
+RESULT_SECONDS = 60.0
+SETTLE_SECONDS = 1.0
+
+Result = dict[str, Any]
+
+
+def imbalance(results: Iterable[Result], service: ServiceShape) -> float:
+    """Return the flows of the busiest target over the mean of the service's targets."""
+    counts = collections.Counter(result["target"] for result in results if result["target"])
+    return max(counts.values(), default=0) * service.targets / max(1, sum(counts.values()))
+
+
+def measure_changes() -> None:
+    """Print how many flows break through a drain, a note, a planned stop and a kill."""
+    results = [result for shape in FIRMS for result in demo.run_firm(shape)]
+    print(f"flows={len(results)}")
+    print(f"broken_flows={sum(result['outcome'] != 'done' for result in results)}", flush=True)
+
+
+def measure_balance(shape: FirmShape) -> None:
+    """Print how evenly flows fall on the targets of a service below its capacity."""
+    service = shape.services[0]
+    with Fleet(shape, ENTRY_HOSTS) as fleet:
+        fleet.start()
+        results = fleet.start_callers(_even_loads(service)).results(RESULT_SECONDS)
+    print(f"imbalance_max_over_mean={imbalance(results, service):.3f}  # of {len(results)} flows")
+
+
+def measure_flood(shape: FirmShape, prefix: str, admission: str) -> None:
+    """Print what the other kinds keep while the least urgent kind of the first service floods."""
+    options = {"admission": admission}
+    with Fleet(shape, ENTRY_HOSTS, work_seconds=WORK_SECONDS, options=options) as fleet:
+        fleet.start()
+        service = shape.services[0]
+        flood = fleet.start_callers([_flood_load(service)])
+        results = fleet.start_callers(_other_loads(shape)).results(RESULT_SECONDS)
+        flood.results(RESULT_SECONDS)
+    kinds = [kind for kind in service.kinds if kind != _flooding(service)]
+    for kind in kinds:
+        _print_kept(prefix, [result for result in results if result["load"] == kind.name])
+
+
+def _flooding(service: ServiceShape) -> Any:
+    return min(service.kinds, key=lambda kind: kind.urgency)
+
+
+def _capacity(service: ServiceShape) -> float:
+    return service.targets * service.slots / WORK_SECONDS
+
+
+def _even_loads(service: ServiceShape) -> list[Result]:
+    return [
+        load(service, kind.name, rate=EVEN_RATE, duration=EVEN_SECONDS, requests=1)
+        for kind in service.kinds
+    ]
+
+
+def _flood_load(service: ServiceShape) -> Result:
+    rate = FLOOD_MULTIPLE * _capacity(service)
+    return load(
+        service,
+        _flooding(service).name,
+        rate=rate,
+        duration=FLOOD_SECONDS,
+        requests=1,
+        patience=PATIENCE_SECONDS,
+    )
+
+
+def _other_loads(shape: FirmShape) -> list[Result]:
+    service = shape.services[0]
+    return [
+        load(
+            service,
+            kind.name,
+            rate=DEMAND_OF_GUARANTEE * kind.share * _capacity(service),
+            start=SETTLE_SECONDS,
+            duration=FLOOD_SECONDS - SETTLE_SECONDS,
+            requests=1,
+            patience=PATIENCE_SECONDS,
+        )
+        for kind in service.kinds
+        if kind != _flooding(service)
+    ]
+
+
+def _print_kept(prefix: str, results: list[Result]) -> None:
+    name = results[0]["load"].replace("-", "_")
+    times = sorted(r["connect"] + r["slowest"] for r in results if r["outcome"] == "done")
+    outcomes = dict(collections.Counter(result["outcome"] for result in results))
+    share = len(times) / len(results)
+    print(f"{prefix}packet_flood_kept_share_{name}={share:.4f}  # {outcomes}")
+    if times:
+        print(f"{prefix}packet_flood_answer_median_seconds_{name}={statistics.median(times):.3f}")
+        print(f"{prefix}packet_flood_answer_p99_seconds_{name}={times[len(times) * 99 // 100]:.3f}")
+
+
+def main() -> None:
+    """Print all measures."""
+    started = time.monotonic()
+    measure_balance(GANTS_LAURENTIDE)
+    for prefix, admission in ADMISSION.items():
+        measure_flood(GANTS_LAURENTIDE, prefix, admission)
+    measure_changes()
+    print(f"whole_system_seconds={time.monotonic() - started:.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -68,6 +68,7 @@
     :param controls: number of control hosts; the first entry hosts carry that role too.
     :param folder: where settings, data and time lines go; a temporary folder if ``None``.
     :param fabric: probabilities of the fabric, such as ``{"loss": 0.01}``.
+    :param options: further settings of every host.
     """
 
     def __init__(
@@ -78,8 +79,10 @@
         folder: Path | None = None,
         fabric: dict[str, float] | None = None,
         work_seconds: float = 0.005,
+        options: dict[str, Any] | None = None,
     ) -> None:
         self.shape = shape
+        self._options = options or {}
         self._claim = _claim_network()
         self._network = self._claim.getsockname()[0].rpartition(".")[0]
         self._temporary = None if folder else tempfile.TemporaryDirectory(prefix="lwr-")
@@ -166,7 +169,7 @@
             "announce": host.announce,
             "metrics": host.metrics,
             "timeline": str(self.folder / f"{host.name}.timeline"),
-        }
+        } | self._options
 
     def start_targets(self) -> None:
         """Start one process that plays all targets."""
