Read packets in batches instead of one for each turn of the loop

Cause: an asyncio datagram transport reads one datagram a turn, so every packet pays for a whole turn of the loop, and at 1 KB a packet about 90 of them fill the default socket buffer.

--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -23,6 +23,7 @@
 
 from . import encapsulation, load_meter, packets
 from .catalogue_store import CatalogueStore
+from .datagrams import Address, DatagramSocket
 from .recorder import Recorder
 from .settings import EntrySettings
 
@@ -35,10 +36,8 @@
 
 _log = logging.getLogger(__name__)
 
-Address = tuple[str, int]
 
-
-class EntryTask(asyncio.DatagramProtocol):
+class EntryTask:
     """Feeds an entry core with packets, messages and time, and carries out its effects.
 
     :param send: sends a message to a host.
@@ -69,7 +68,7 @@
         self._packet_at = 0.0
         self._answers: dict[int, asyncio.Future[AnnounceOutcome]] = {}
         self._next_token = 1
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket = DatagramSocket(self.datagram_received)
         self._packet: packets.ParsedPacket | None = None
         self._bytes = b""
         self._refusals_to_record = REFUSALS_RECORDED_PER_TICK
@@ -92,10 +91,7 @@
 
         :raises OSError: if the endpoint can't be used.
         """
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=_address(self._settings.data)
-        )
+        self._socket.open(_address(self._settings.data))
 
     async def run(self) -> None:
         """Tell the core of time and of this host's load until cancelled."""
@@ -108,8 +104,8 @@
             self._measure_load(loop.time() - due)
 
     def _measure_load(self, late: float) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self.handle(load_meter.measure(self._transport.get_extra_info("socket"), late))
+        if self._socket.opened is not None:
+            self.handle(load_meter.measure(self._socket.opened, late))
 
     async def leave(self) -> None:
         """Hand over and leave, then relay on until the other hosts and the fabric know.
@@ -130,8 +126,7 @@
 
     def close(self) -> None:
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        self._socket.close()
 
     async def announce(self, announcement: Announcement) -> AnnounceOutcome:
         """Hand an announcement to the core and return its outcome."""
@@ -245,8 +240,8 @@
         self._datagram(encapsulation.encapsulate(packet), self._fabric)
 
     def _datagram(self, data: bytes, address: Address) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(data, address)
+        if not self._socket.send(data, address):
+            self._drop("not_sent")
 
     def _drop(self, reason: str) -> None:
         self.drops[reason] = self.drops.get(reason, 0) + 1
--- a/packages/daemon/tests/test_entry_task.py
+++ b/packages/daemon/tests/test_entry_task.py
@@ -31,10 +31,10 @@
             SETTINGS, self.core, Recorder("a", None), mock.Mock(), mock.Mock()
         )
         self.sent: list[tuple[bytes, tuple[str, int]]] = []
-        transport = mock.Mock()
-        transport.is_closing.return_value = False
-        transport.sendto.side_effect = lambda data, address: self.sent.append((data, address))
-        self.task._transport = transport
+        self.task._socket = mock.Mock()
+        self.task._socket.send.side_effect = lambda data, address: (
+            self.sent.append((data, address)) or True
+        )
         self.packet = packets.build(CALLER, SERVICE, flows.ACK, 1, 2)
 
     def members(self, *members: Member) -> None:
