Send a forwarded request on to the next leader

A request that a follower had forwarded to a leader that then died waited 4 s and ended as unknown. It now goes to the next leader under the same number, which is safe since a note or an order sent again gets its first answer; a refusal counts as unknown once two leaders may have taken it.

Both new tests failed with the way on taken out.

--- a/packages/core/src/lacewingrudder_core/control.py
+++ b/packages/core/src/lacewingrudder_core/control.py
@@ -136,7 +136,7 @@
             return list(self._spread.handle(event, now))
         effects = self._feed(event, now)
         if isinstance(event, Tick):
-            effects += self._expire(now)
+            effects += self._redirect(now) + self._expire(now)
         return effects
 
     def _requested(self, event: Requested, now: float) -> list[ControlEffect]:
@@ -158,6 +158,13 @@
         answer = self._submissions.answered(message.number, message.reply)
         return [] if answer is None else [_reply(answer)]
 
+    def _redirect(self, now: float) -> list[ControlEffect]:
+        leader = self._replica.leader(now)
+        effects: list[ControlEffect] = []
+        for way in self._submissions.redirected(self._name, leader) if leader else ():
+            effects += self._feed(way, now) if isinstance(way, Propose) else [way]
+        return effects
+
     def _expire(self, now: float) -> list[ControlEffect]:
         late = self._submissions.expired(self._catalogue.revision, now)
         return [_reply(answer) for answer in late] + self._finished_surveys(now)
--- a/packages/core/src/lacewingrudder_core/submissions.py
+++ b/packages/core/src/lacewingrudder_core/submissions.py
@@ -35,11 +35,17 @@
 
     :param host: empty for an operator.
     :param number: the operator's token, or the other host's number.
+    :param request: what was forwarded, or ``None``.
+    :param leader: whom it was forwarded to.
+    :param was_resent: whether more than one host may have taken it.
     """
 
     host: HostName
     number: int
     due: float
+    request: ForwardRequest | None = None
+    leader: HostName = ""
+    was_resent: bool = False
 
 
 class Submissions:
@@ -70,17 +76,35 @@
         number = self._wait("", token, now)
         if leader == me:
             return Propose(number, note, order)
-        return SendReplica(leader, ForwardRequest(number, note, order))
+        forward = ForwardRequest(number, note, order)
+        self._waiting[number] = self._waiting[number]._replace(request=forward, leader=leader)
+        return SendReplica(leader, forward)
 
     def forwarded(self, sender: HostName, request: ForwardRequest, now: float) -> Propose:
         """Take a request that another control host forwarded."""
         return Propose(self._wait(sender, request.number, now), request.note, request.order)
 
+    def redirected(self, me: HostName, leader: HostName) -> list[Propose | SendReplica]:
+        """Return where requests go again that were forwarded to an earlier leader."""
+        ways: list[Propose | SendReplica] = []
+        for number, waiting in self._waiting.items():
+            request = waiting.request
+            if request is None or waiting.leader == leader:
+                continue
+            self._waiting[number] = waiting._replace(leader=leader, was_resent=True)
+            if leader == me:
+                ways.append(Propose(number, request.note, request.order))
+            else:
+                ways.append(SendReplica(leader, request))
+        return ways
+
     def answered(self, number: int, reply: SubmitReply) -> SendReplica | OperatorAnswer | None:
         """Return who gets the answer to a proposal or a forwarded request, if anyone waits."""
         waiting = self._waiting.pop(number, None)
         if waiting is None:
             return None
+        if waiting.was_resent and reply.tag is SubmitTag.REFUSED:
+            reply = reply._replace(tag=SubmitTag.UNKNOWN)
         if waiting.host:
             return SendReplica(waiting.host, ForwardReply(waiting.number, reply))
         return OperatorAnswer(waiting.number, reply)
--- a/packages/core/tests/test_control.py
+++ b/packages/core/tests/test_control.py
@@ -16,7 +16,7 @@
 )
 from lacewingrudder_core.notes import Note, SubmitReply, SubmitTag
 from lacewingrudder_core.replica import ReplicaCore
-from lacewingrudder_core.submissions import NOTE_WEIGHT_LIMIT
+from lacewingrudder_core.submissions import NOTE_WEIGHT_LIMIT, OperatorAnswer, Submissions
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from replica_cluster import CHART, make_note
 
@@ -128,6 +128,25 @@
         self.assertEqual(self.hosts.reply(token).tag, SubmitTag.UNKNOWN)
         self.assertEqual(self.submit(self.other, note), SubmitReply(SubmitTag.ACCEPTED, 1, ""))
 
+    def test_request_on_its_way_to_a_leader_that_dies_goes_to_the_next(self) -> None:
+        tokens = [
+            self.hosts.request(name, SubmitNote(make_note(number, 0)))
+            for number, name in enumerate((self.follower, self.other), start=1)
+        ]
+        self.hosts.isolated = {self.leader}
+        self.hosts.run(4.0)
+        tags = sorted(self.hosts.reply(token).tag for token in tokens)
+        self.assertEqual(tags, [SubmitTag.ACCEPTED, SubmitTag.CONFLICT])
+
+    def test_refusal_of_a_request_that_went_to_two_leaders_is_unknown(self) -> None:
+        waiting = Submissions()
+        way = waiting.operator(7, SubmitNote(make_note(1, 0)), "c1", "c2", 0, 0.0)
+        assert isinstance(way, e.SendReplica) and isinstance(way.message, m.ForwardRequest)
+        self.assertEqual(waiting.redirected("c1", "c2"), [])
+        self.assertEqual(waiting.redirected("c1", "c3"), [way._replace(host="c3")])
+        answer = waiting.answered(way.message.number, SubmitReply(SubmitTag.REFUSED, 0, "full"))
+        self.assertEqual(answer, OperatorAnswer(7, SubmitReply(SubmitTag.UNKNOWN, 0, "full")))
+
     def test_cut_off_host_says_so_and_refuses(self) -> None:
         self.hosts.isolated = {self.leader}
         early = self.hosts.request(self.leader, SubmitNote(make_note(1, 0)))
