--- a/packages/core/src/lacewingrudder_core/view.py
+++ b/packages/core/src/lacewingrudder_core/view.py
@@ -141,9 +141,16 @@
             frozenset(member.name for member in self._members),
             frozenset(member.zone for member in self._members),
         )
-        if reach != self._reach:
-            self._reach = reach
+        before, self._reach = self._reach, reach
+        if (before.hosts, before.zones) != (reach.hosts, reach.zones):
             self._services = {}
+        changed = before.stopped ^ reach.stopped
+        if changed:
+            self._services = {
+                name: part
+                for name, part in self._services.items()
+                if not any(record.target.name in changed for record in part.records)
+            }
 
     def _join(self, catalogue: Catalogue, records: list[TargetRecord]) -> tuple[RoutingView, bool]:
         """Return the view, and whether two targets name one endpoint in it."""
--- a/packages/core/tests/test_view.py
+++ b/packages/core/tests/test_view.py
@@ -123,6 +123,17 @@
         self.assertIs(after.homes, before.homes)
         self.assertIsNot(after.routes[SHEETS].table, before.routes[SHEETS].table)
 
+    def test_order_changes_the_tables_of_its_service_only(self) -> None:
+        views = ViewBuilder()
+        sheet = TargetRecord(sheet_target(9), TargetState.SERVING, 1, 0.0, "entry-1")
+        before = views.build(MEMBERS, CATALOGUE, [*RECORDS, sheet])
+        ordered = order(RECORDS[0].target, OrderAction.DRAIN)
+        after = views.build(MEMBERS, ordered, [*RECORDS, sheet])
+        self.assertNotIn(RECORDS[0].target.name, names(after))
+        self.assertIs(after.routes[SHEETS], before.routes[SHEETS])
+        restored = views.build(MEMBERS, CATALOGUE, [*RECORDS, sheet])
+        self.assertEqual(choices(restored), choices(before))
+
     def test_changes_of_a_service_show(self) -> None:
         views = ViewBuilder()
         views.build(MEMBERS, CATALOGUE, RECORDS)
