--- a/measure/log.py
+++ b/measure/log.py
@@ -27,6 +27,8 @@
 from lacewingrudder_wire.codec import Envelope, encode
 from lacewingrudder_wire.resources import load_chart
 
+from . import log_gaps
+
 VOTERS = ("c1", "c2", "c3")
 FIVE_VOTERS = (*VOTERS, "c4", "c5")
 SERVICES = 390
@@ -246,6 +248,7 @@
         asyncio.run(measure_five(folder / "five"))
         for count in RECOVERY_NOTES:
             measure_recovery(folder / f"after-{count}", count)
+    log_gaps.main()
 
 
 if __name__ == "__main__":
