Search earlier tables first, and give no number to targets that share one

The number of a target in relayed packets has 28 bits: among 5,500 names two share one with a chance of about 5.6% (5,500 squared over 2 to the 29), and a home would have taken a flow over to the wrong target. Such targets have no number now, and the host that keeps the flow serves it. A search asked the current table, then all targets by name; it asks the last four tables first, which at many targets is what finds a flow whose pin was lost. Each view started the look for pins anew, so steady changes could starve the last flows; only a changed table or ranking does, after the round that runs.

--- a/packages/core/src/lacewingrudder_core/flow_core.py
+++ b/packages/core/src/lacewingrudder_core/flow_core.py
@@ -40,6 +40,7 @@
 from .routes import RouteBook
 from .serving import Serving, verdict_on
 from .silence import SilenceWatch
+from .target_tags import NO_TAG
 from .types import Endpoint, FlowKey, HostName, TargetName, Verdict
 from .view import KindRoute, RoutingView, TargetRoute
 
@@ -158,7 +159,7 @@
             return self._unknown_to_home(event, key, flow, now)
         if self._keeper.is_home(flow) or event.stage is Stage.HOME:
             return self._serving.caller(flow, segment, now)
-        return self._tell_home(flow)
+        return self._tell_home(flow) or self._serving.caller(flow, segment, now)
 
     def _from_target(
         self, event: SegmentArrived, answer: TargetRoute, now: float
@@ -172,11 +173,13 @@
             return self._serving.target(flow, segment, answer.service, now)
         if flow.state is FlowState.HALF_OPEN and segment.flags & SYN:
             self._serving.syn_answered(flow, segment, now)
-        return self._tell_home(flow)
+        return self._tell_home(flow) or self._serving.target(flow, segment, answer.service, now)
 
     def _tell_home(self, flow: Flow) -> list[FlowEffect]:
+        """Hand a packet to its home with the flow's target, or nothing if it has no number."""
+        tag = self._routes.tags.tag(flow.target)
         home = flow.homes.rank(flow.digest).home
-        return [Relay(home, Stage.FOUND, self._routes.tag(flow.target))]
+        return [Relay(home, Stage.FOUND, tag)] if tag != NO_TAG else []
 
     def _syn(
         self, event: SegmentArrived, key: FlowKey, flow: Flow | None, route: KindRoute, now: float
--- a/packages/core/src/lacewingrudder_core/flow_keeper.py
+++ b/packages/core/src/lacewingrudder_core/flow_keeper.py
@@ -8,6 +8,7 @@
 from .flow_table import Flow, FlowState, FlowTable
 from .flow_types import Replicate, Segment
 from .flow_use import UseBook
+from .generations import TableGenerations
 from .hashing import flow_hash
 from .homes import HomeTable
 from .pins import PinBook
@@ -29,9 +30,11 @@
     def __init__(self, name: HostName, view: RoutingView, uses: UseBook) -> None:
         self._name = name
         self._uses = uses
-        self._view = view
         self._repins: Iterator[FlowKey] = iter(())
+        self._must_repin = False
         self._settled_at = -math.inf
+        self.generations = TableGenerations()
+        self.generations.update(view)
         self.homes: HomeTable = view.homes
         self.table = FlowTable()
         self.pins = PinBook(name)
@@ -41,13 +44,14 @@
 
         :param homes: the ranking to use, which may leave out this host.
         """
-        self._view = view
+        if self.generations.update(view):
+            self._must_repin = True
         if homes is not self.homes:
             self.change_homes(homes, now)
-        self._repins = iter(self.table.keys())
 
     def change_homes(self, homes: HomeTable, now: float) -> None:
         """Take a new ranking of the hosts."""
+        self._must_repin = True
         self._settled_at = now + SETTLE_SECONDS
         self.pins.rehome(self.homes, homes)
         self.homes = homes
@@ -175,21 +179,28 @@
             late.append(flow)
         for flow in late:
             self.table.remove(flow)
-        for _, key in zip(range(REPINS_PER_TICK), self._repins, strict=False):
-            known = self.table.get(key)
-            if known is not None and known.state is FlowState.ESTABLISHED:
-                self._pin(known)
+        self._repin()
         return [Replicate(due.host, due.pins) for due in self.pins.due(now)]
 
-    def expected(self, key: FlowKey) -> TargetName | None:
-        """Return the target that the current table gives a flow, or ``None``."""
-        route = self._view.routes.get(Endpoint(key.service, key.service_port))
-        return route.table.choose(flow_hash(key)) if route is not None else None
+    def _repin(self) -> None:
+        """Look at a part of the flows after a change; a later change waits for the next round."""
+        for _ in range(REPINS_PER_TICK):
+            key = next(self._repins, None)
+            if key is None:
+                break
+            flow = self.table.get(key)
+            if flow is not None and flow.state is FlowState.ESTABLISHED:
+                self._pin(flow)
+        else:
+            return
+        if self._must_repin:
+            self._must_repin = False
+            self._repins = iter(self.table.keys())
 
     def _pin(self, flow: Flow) -> None:
         if not self.is_home(flow):
             return
-        pinned = flow.target != self.expected(flow.key)
+        pinned = flow.target != self.generations.expected(flow.key)
         if pinned:
             self.pins.pin(flow.digest, flow.target, self.homes)
         elif flow.is_pinned:
--- a/packages/core/src/lacewingrudder_core/lookup.py
+++ b/packages/core/src/lacewingrudder_core/lookup.py
@@ -46,7 +46,7 @@
 
     def found(self, event: SegmentArrived, key: FlowKey, now: float) -> Looked:
         """Take over a flow whose target another host named."""
-        target = self._routes.tagged(event.tag)
+        target = self._routes.tags.target(event.tag)
         if target is None:
             return _dropped(DropReason.NO_TARGET)
         return self._take_over(event.segment, key, target, now)
@@ -82,7 +82,7 @@
         answer = self._routes.answer(segment.source)
         if answer is None or segment.flags & (SYN | RST):
             return _dropped(DropReason.UNKNOWN_FLOW)
-        is_expected = answer.target == self._keeper.expected(key)
+        is_expected = answer.target == self._keeper.generations.expected(key)
         if is_expected or self._searches.sighted(key, answer.target, now):
             return self._take_over(segment, key, answer.target, now)
         return _dropped(DropReason.UNKNOWN_FLOW)
@@ -132,7 +132,7 @@
             self._searches.sighting(key),
             known.target if known is not None else None,
             self._keeper.pins.target(self._keeper.digest(key)),
-            self._keeper.expected(key),
+            *self._keeper.generations.choices(key),
         ]
         route = self._routes.route(service)
         names = [name for name in likely if name is not None]
--- a/packages/core/src/lacewingrudder_core/routes.py
+++ b/packages/core/src/lacewingrudder_core/routes.py
@@ -6,12 +6,10 @@
 
 from __future__ import annotations
 
-from .hashing import name_hash
+from .target_tags import TargetTags
 from .types import Endpoint, TargetName
 from .view import KindRoute, RoutingView, TargetRoute
 
-TAG_BITS = 28
-_TAG_MASK = (1 << TAG_BITS) - 1
 RETIRED_SECONDS = 6 * 3600.0
 
 
@@ -25,26 +23,18 @@
         self._routes: dict[Endpoint, KindRoute] = {}
         self._answers: dict[Endpoint, TargetRoute] = {}
         self._retired: dict[Endpoint, float] = {}
-        self._targets: dict[int, TargetName] = {}
-        self._tags: dict[TargetName, int] = {}
+        self._view = view._replace(routes={}, answers={})
+        self.tags = TargetTags()
         self.update(view, 0.0)
 
     def update(self, view: RoutingView, now: float) -> frozenset[Endpoint]:
         """Take a new view, and return which targets' endpoints answer for another service now."""
-        moved = frozenset(
-            endpoint
-            for endpoint, answer in view.answers.items()
-            if self._answers.get(endpoint, answer).service != answer.service
+        is_same = (
+            view.answers == self._view.answers and view.routes.keys() == self._view.routes.keys()
         )
+        moved = frozenset() if is_same else self._take(view, now)
         self._view = view
-        self._retire(now)
         self._routes |= view.routes
-        self._answers |= view.answers
-        for route in view.answers.values():
-            if route.target not in self._tags:
-                tag = name_hash(route.target) & _TAG_MASK
-                self._tags[route.target] = tag
-                self._targets[tag] = route.target
         self.route = self._routes.get
         self.answer = self._answers.get
         return moved
@@ -62,16 +52,18 @@
         wanted = TargetRoute(target, service)
         return next((end for end, answer in self._answers.items() if answer == wanted), None)
 
-    def tag(self, target: TargetName) -> int:
-        """Return the number that stands for a target between hosts."""
-        return self._tags.get(target, 0)
-
-    def tagged(self, tag: int) -> TargetName | None:
-        """Return the target that a number stands for, or ``None`` if this host knows none."""
-        return self._targets.get(tag)
+    def _take(self, view: RoutingView, now: float) -> frozenset[Endpoint]:
+        moved = frozenset(
+            endpoint
+            for endpoint, answer in view.answers.items()
+            if self._answers.get(endpoint, answer).service != answer.service
+        )
+        self._retire(view, now)
+        self._answers |= view.answers
+        self.tags.add(route.target for route in view.answers.values())
+        return moved
 
-    def _retire(self, now: float) -> None:
-        view = self._view
+    def _retire(self, view: RoutingView, now: float) -> None:
         for endpoint in (*self._routes, *self._answers):
             if endpoint in view.routes or endpoint in view.answers:
                 self._retired.pop(endpoint, None)
@@ -83,4 +75,4 @@
             self._routes.pop(endpoint, None)
             answer = self._answers.pop(endpoint, None)
             if answer is not None:
-                self._targets.pop(self._tags.pop(answer.target, 0), None)
+                self.tags.remove(answer.target)
