Let the host that heard a target last answer replays and losses

A recorded announcement replayed to another host of the zone kept a silent target alive, and a host thawed from a freeze refuted, on leases from before it, a loss that the others had declared. A host now answers a record only if it knows a later sequence number, and not from leases held over a freeze. Each of the three new tests fails without its line.

--- a/packages/core/src/lacewingrudder_core/lease.py
+++ b/packages/core/src/lacewingrudder_core/lease.py
@@ -32,6 +32,7 @@
         self.said = announcement.state
         self.renewed = now
         self.is_steady = False
+        self.is_held = False
         self._load = announcement.load
         self._load_changed = now
         self._stepped = now
@@ -42,6 +43,7 @@
         self.is_steady = now - self.renewed <= STEADY_SECONDS
         self.said = announcement.state
         self.renewed = now
+        self.is_held = False
         self._load += LOAD_SMOOTHING * (announcement.load - self._load)
 
     def has_expired(self, now: float) -> bool:
@@ -77,7 +79,11 @@
         return level
 
     def postpone(self, seconds: float) -> None:
-        """Move all times by an interval in which this process did not run."""
+        """Move all times by an interval in which this process did not run.
+
+        The lease is held until the target renews it: it does not expire early, but proves nothing.
+        """
+        self.is_held = True
         self.renewed += seconds
         self._load_changed += seconds
         self._stepped += seconds
--- a/packages/core/src/lacewingrudder_core/targets.py
+++ b/packages/core/src/lacewingrudder_core/targets.py
@@ -200,23 +200,36 @@
 
     def _heard(self, records: tuple[TargetRecord, ...], now: float) -> list[TargetEffect]:
         changed = False
-        refuted = []
+        answers = []
         for record in records:
             before = self._book.get(record.target.name)
             if not supersedes(record, before):
                 continue
             changed = True
             self._keep(record, now)
-            if before is not None and self._refutes(record, before, now):
-                refuted.append(record._replace(state=before.state))
-        return self._write(refuted, now) or ([RecordsChanged(())] if changed else [])
+            if before is not None and self._knows_better(record, before):
+                answers.append(self._answer(record, before, now))
+        return self._write(answers, now) or ([RecordsChanged(())] if changed else [])
 
-    def _refutes(self, record: TargetRecord, before: TargetRecord, now: float) -> bool:
-        """Return whether another host lost a target that announces itself here."""
-        if record.state is not TargetState.LOST or record.target != before.target:
+    def _knows_better(self, record: TargetRecord, before: TargetRecord) -> bool:
+        """Return whether this host heard the target after the record's owner did.
+
+        The owner then lost a target that announces itself here, or took up a replay.
+        """
+        lease = self._leases.get(record.target.name)
+        if lease is not None and lease.is_held:
             return False
+        is_other = record.owner != before.owner or record.state is TargetState.LOST
+        later = self._checks.last_sequence(record.target) > record.sequence
+        return is_other and later and record.target == before.target
+
+    def _answer(self, record: TargetRecord, before: TargetRecord, now: float) -> TargetRecord:
+        """Return the record in place of one that another host wrote without knowing as much."""
         lease = self._leases.get(record.target.name)
-        return lease is not None and not lease.has_expired(now)
+        if lease is None or lease.has_expired(now):
+            return record if record.state is TargetState.LOST else self._life.lost(record)
+        state = before.state if record.state is TargetState.LOST else record.state
+        return record._replace(state=state, owner=self._name)
 
     def _catalogue_changed(self, catalogue: Catalogue, now: float) -> list[TargetEffect]:
         self._checks.change_keys(self._catalogue, catalogue, now)
--- a/packages/core/tests/test_targets.py
+++ b/packages/core/tests/test_targets.py
@@ -286,6 +286,27 @@
             sequence = self.zone.keep(self.target, 1, sequence, host=host)
         self.assertEqual(self.zone.written, written)
 
+    def test_replay_at_another_host_keeps_no_silent_target_alive(self) -> None:
+        recorded = [announcement(self.target, sequence) for sequence in range(1, 40)]
+        for sent in recorded:
+            self.zone.announce(sent)
+            self.zone.run(1)
+        for sent in recorded[10:]:
+            self.zone.announce(sent, "entry-2")
+            self.zone.run(1)
+        for host in self.zone.cores:
+            self.assertIs(self.zone.state(self.target, host), TargetState.LOST)
+        self.assertIn("not above", self.zone.announce(recorded[-1], "entry-2"))
+
+    def test_replay_at_another_host_moves_no_lease_for_long(self) -> None:
+        recorded = [announcement(self.target, sequence) for sequence in range(1, 80)]
+        for index, sent in enumerate(recorded):
+            self.zone.announce(sent)
+            if index >= 50:
+                self.zone.announce(recorded[index - 30], "entry-2")
+            self.zone.run(1)
+        self.assertEqual(self.zone.record(self.target, "entry-3").owner, "entry-1")
+
     def test_drain_told_to_another_host_counts_at_once(self) -> None:
         sequence = self.zone.keep(self.target, 12, 1)
         drain = announcement(self.target, sequence, TargetState.DRAINING)
@@ -321,6 +342,16 @@
         self.zone.keep(self.target, 2, sequence)
         self.assertEqual(self.zone.written, written)
 
+    def test_host_that_was_frozen_takes_the_loss_that_others_declared(self) -> None:
+        self.zone.keep(self.target, 12, 1)
+        self.zone.send("entry-2", MembersSeen({"entry-2": "adum", "entry-3": "suame"}))
+        self.zone.cut = {"entry-1"}
+        self.zone.run(30, stopped=("entry-1",))
+        self.zone.send("entry-1", Tick())
+        self.zone.heal()
+        for host in self.zone.cores:
+            self.assertIs(self.zone.state(self.target, host), TargetState.LOST)
+
     def test_frozen_host_still_lets_a_silent_target_expire_later(self) -> None:
         self.zone.keep(self.target, 12, 1)
         self.zone.run(30, stopped=("entry-1",))
