Do not take an answer from before the gap for news after it

tests.test_control_plane failed in 2 of 7 runs: a host that was stopped and went on was ready at once, with no not_ready in its time line. Messages that waited in its sockets came ahead of its first tick, and the pings that they answered were only forgotten on a tick. The core now looks at the gap before any event (test_answer_to_a_ping_from_before_the_gap_does_not_count failed first). A host that becomes ready before its next tick, by an answer to a new ping for another host, now records both steps.

--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -130,6 +130,7 @@
         placement = SparingPlacement(me.zone, self._health)
         self._claimed = float("-inf")
         self._was_ready = False
+        self._stood_still = False
         self._views = ViewBuilder()
         view = self._views.build([me], in_force, ())
         self._limiter = SynLimiter()
@@ -178,7 +179,8 @@
 
     def handle(self, event: EntryEvent, now: float) -> list[EntryEffect]:
         """Take one event."""
-        self._readiness.notice(now, is_alone=not self._has_seeds and self.member_count == 1)
+        is_alone = not self._has_seeds and self.member_count == 1
+        self._stood_still |= self._readiness.notice(now, is_alone)
         if isinstance(event, SegmentArrived):
             return self._segment(event, now)
         if isinstance(event, PeerMessage):
@@ -217,8 +219,14 @@
         return effects + self._gossiped(self._gossip.tick(self._membership.neighbours, now))
 
     def _readiness_effects(self, now: float) -> list[EntryEffect]:
-        was_ready, self._was_ready = self._was_ready, self._readiness.is_ready(now)
-        return [] if was_ready == self._was_ready else [ReadinessChanged(self._was_ready)]
+        effects: list[EntryEffect] = []
+        if self._stood_still:
+            self._stood_still = self._was_ready = False
+            effects.append(ReadinessChanged(False))
+        if not self._was_ready and self._readiness.is_ready(now):
+            self._was_ready = True
+            effects.append(ReadinessChanged(True))
+        return effects
 
     def _claims(self, now: float) -> list[EntryEffect]:
         """Claim the lost targets that still have flows here, at the hosts of their zones."""
--- a/packages/core/src/lacewingrudder_core/membership.py
+++ b/packages/core/src/lacewingrudder_core/membership.py
@@ -131,6 +131,7 @@
 
     def handle(self, event: MembershipEvent, now: float) -> list[MembershipEffect]:
         """Take one event."""
+        self._notice_gap(now)
         if isinstance(event, Tick):
             effects = self._tick(now)
         elif isinstance(event, MemberLeft):
@@ -159,14 +160,22 @@
             effects += self._start_round(now)
         return effects
 
+    def _notice_gap(self, now: float) -> None:
+        """Forget pings from before a time in which this host stood still.
+
+        Their answers prove nothing, and may come ahead of the first tick after such a time.
+        """
+        if self._last_tick is None or now - self._last_tick <= FROZEN_SECONDS:
+            return
+        self._probes.clear()
+        self._table.postpone_suspicions(now - self._last_tick)
+        self._last_tick = now
+
     def _allow_for_delay(self, now: float) -> None:
         """Count no answer as late for a time in which this host itself did not run."""
         delay = now - self._last_tick if self._last_tick is not None else 0.0
         self._last_tick = now
-        if delay > FROZEN_SECONDS:
-            self._probes.clear()
-            self._table.postpone_suspicions(delay)
-        elif delay > LATE_TICK_SECONDS:
+        if delay > LATE_TICK_SECONDS:
             self._probes.postpone(delay - LATE_TICK_SECONDS)
             self._table.postpone_suspicions(delay - LATE_TICK_SECONDS)
 
--- a/packages/core/tests/test_entry_freshness.py
+++ b/packages/core/tests/test_entry_freshness.py
@@ -1,9 +1,9 @@
 import unittest
 
-from lacewingrudder_core.entry import Tick
+from lacewingrudder_core.entry import PeerMessage, SendPeer, Tick
 from lacewingrudder_core.flows import Drop, Segment, SegmentArrived, Stage
 from lacewingrudder_core.follower import ControlMessage
-from lacewingrudder_core.messages import Changes
+from lacewingrudder_core.messages import Ack, Changes, Ping
 from lacewingrudder_core.readiness import FROZEN_SECONDS, WAIT_SECONDS, Readiness
 from lacewingrudder_core.types import Endpoint
 from test_follower import catalogue, change
@@ -60,6 +60,27 @@
         self.network.run(0.6)
         self.assertFalse(self.is_held_back())
 
+    def test_answer_to_a_ping_from_before_the_gap_does_not_count(self) -> None:
+        other = self.entries["entry-2"].core
+        now = self.network.now
+        pings = [
+            effect
+            for step in range(1, 12)
+            for effect in self.core.handle(Tick(), now + step * 0.1)
+            if isinstance(effect, SendPeer) and isinstance(effect.body, Ping)
+        ]
+        answers = [
+            effect.body
+            for ping in pings
+            for effect in other.handle(PeerMessage("entry-1", ping.body), now + 1.2)
+            if isinstance(effect, SendPeer) and isinstance(effect.body, Ack)
+        ]
+        self.network.now = now + 10.0
+        for answer in answers:
+            self.core.handle(PeerMessage("entry-2", answer), self.network.now)
+        self.assertGreater(len(answers), 0)
+        self.assertTrue(self.is_held_back())
+
     def test_lone_host_never_waits(self) -> None:
         lone = EntryNode(make_members(1)[0], ["entry-1"], [])
         lone.handle(Tick(), 0.0)
