Type the roles of a replica and hold them against the chart

Roles were strings in the replica's module; they are an enumeration now, and a test holds it equal to the states of replica.json. No behaviour changed.

--- a/packages/core/src/lacewingrudder_core/replica.py
+++ b/packages/core/src/lacewingrudder_core/replica.py
@@ -32,6 +32,7 @@
     StopPlanned,
 )
 from .replica_state import ReplicaState
+from .roles import Role
 from .types import HostName
 from .voting import Voting
 
@@ -39,14 +40,6 @@
 NO_QUORUM = "no quorum"
 LEADERSHIP_LOST = "the leader changed before the answer; send it again"
 
-BLANK = "blank"
-LEARNER = "learner"
-FOLLOWER = "follower"
-PRE_CANDIDATE = "pre_candidate"
-CANDIDATE = "candidate"
-LEADER = "leader"
-IMPAIRED = "impaired"
-
 
 class ReplicaCore(Core[ReplicaEvent, ReplicaEffect]):
     """Decisions of one replica.
@@ -98,8 +91,8 @@
         return self._state
 
     @property
-    def role(self) -> str:
-        """The state of the chart that this replica is in."""
+    def role(self) -> Role:
+        """What this replica does now."""
         return self._role
 
     @property
@@ -111,7 +104,7 @@
         """Return the leader that this side hears, empty if there is none."""
         if self._leading is not None:
             return self._state.me.name if self._leading.lease_holds(now) else ""
-        if self._leader is None or not self._hears_leader(now) or self._role == IMPAIRED:
+        if self._leader is None or not self._hears_leader(now) or self._role == Role.IMPAIRED:
             return ""
         return self._leader.name
 
@@ -133,7 +126,7 @@
             self._persist_failed(event)
         elif isinstance(event, Propose):
             self._propose(event)
-        elif self._role == IMPAIRED:
+        elif self._role == Role.IMPAIRED:
             return
         elif isinstance(event, ReplicaHeard):
             self._heard(event)
@@ -145,26 +138,26 @@
     def _turn(self, event: str) -> None:
         """Let the chart answer an event, and start or end what comes with the role."""
         before = self._role
-        self._role = self._chart.next(before, event).state
+        self._role = Role(self._chart.next(before, event).state)
         if self._role == before:
             return
-        if before == LEADER:
+        if before == Role.LEADER:
             self._leading = None
             self._state.abandon(LEADERSHIP_LOST)
         self._timer.restart(self._now)
         self._state.emit(RoleChanged(self._role, self._state.term))
 
-    def _recovered_role(self) -> str:
+    def _recovered_role(self) -> Role:
         events = {True: "recover", False: "recover_learner"}
         event = events[self._state.is_voter] if self._state.cluster else "recover_blank"
-        return self._chart.next(IMPAIRED, event).state
+        return Role(self._chart.next(Role.IMPAIRED, event).state)
 
     def _check_membership(self) -> None:
         self._turn("promote" if self._state.is_voter else "demote")
 
     def _persisted(self, event: Persisted) -> None:
         self._state.persisted(event.number)
-        if self._role == IMPAIRED and not self._state.has_writes:
+        if self._role == Role.IMPAIRED and not self._state.has_writes:
             self._impaired_by = ""
             self._role = self._recovered_role()
             self._timer.restart(self._now)
@@ -199,9 +192,9 @@
         if self._leading is not None:
             self._leading.tick(now)
             return
-        if not self._hears_leader(now) or self._role == LEARNER:
+        if not self._hears_leader(now) or self._role == Role.LEARNER:
             self._form(self._formation.tick(now))
-        if self._role in (BLANK, LEARNER):
+        if self._role in (Role.BLANK, Role.LEARNER):
             return
         alone = quorum_size(self._state.log.voters) == 1
         if alone or self._timer.expired(now):
@@ -259,7 +252,7 @@
         self._stand_if_won()
 
     def _stand_if_won(self) -> None:
-        if self._role == PRE_CANDIDATE and self._voting.is_won:
+        if self._role == Role.PRE_CANDIDATE and self._voting.is_won:
             self._turn("win")
             self._voting.ask()
             self._lead_if_won()
@@ -269,14 +262,14 @@
             self._leading.hand_over()
 
     def _handover_asked(self, message: m.Handover) -> None:
-        if self._role == FOLLOWER and message.header.term == self._state.term:
+        if self._role == Role.FOLLOWER and message.header.term == self._state.term:
             self._turn("timeout")
             self._turn("win")
             self._voting.ask(is_handover=True)
             self._lead_if_won()
 
     def _lead_if_won(self) -> None:
-        if self._role == CANDIDATE and self._voting.is_won:
+        if self._role == Role.CANDIDATE and self._voting.is_won:
             self._turn("win")
             self._leading = Leading(self._state, self._names, self._now)
 
@@ -284,7 +277,7 @@
         self._voting.answer_before(message, self._is_led())
 
     def _pre_vote_answered(self, message: m.PreVoteReply) -> None:
-        if self._role == PRE_CANDIDATE:
+        if self._role == Role.PRE_CANDIDATE:
             self._voting.count(message)
             self._stand_if_won()
 
@@ -293,7 +286,7 @@
             self._timer.restart(self._now)
 
     def _vote_answered(self, message: m.VoteReply) -> None:
-        if self._role == CANDIDATE and message.header.term == self._state.term:
+        if self._role == Role.CANDIDATE and message.header.term == self._state.term:
             self._voting.count(message)
             self._lead_if_won()
 
--- a/packages/core/src/lacewingrudder_core/replica_events.py
+++ b/packages/core/src/lacewingrudder_core/replica_events.py
@@ -7,6 +7,7 @@
 from .durable import Write
 from .notes import Catalogue, Note, Outcome, SubmitReply
 from .replica_messages import ForwardMessage, ReplicaMessage
+from .roles import Role
 from .types import HostName, TargetOrder
 
 
@@ -87,7 +88,7 @@
 class RoleChanged(NamedTuple):
     """This replica has another role."""
 
-    role: str
+    role: Role
     term: int
 
 
--- a/packages/core/tests/replica_cluster.py
+++ b/packages/core/tests/replica_cluster.py
@@ -10,7 +10,8 @@
 from lacewingrudder_core.durable import Durable, Write
 from lacewingrudder_core.log import LogEntry, Voter
 from lacewingrudder_core.notes import Catalogue, Note, SubmitReply, SubmitTag
-from lacewingrudder_core.replica import LEADER, ReplicaCore
+from lacewingrudder_core.replica import ReplicaCore
+from lacewingrudder_core.roles import Role
 from lacewingrudder_core.types import Kind, OrderAction, Service, TargetOrder
 from replica_chart import replica_chart
 
@@ -235,10 +236,10 @@
         state = host.core.state
         self._check_agreement(host)
         assert state.catalogue.revision >= host.revision
-        if host.core.role == LEADER and self.leaders.get(state.term) is None:
+        if host.core.role == Role.LEADER and self.leaders.get(state.term) is None:
             self.leaders[state.term] = state.me
             self._check_completeness(host)
-        if host.core.role == LEADER:
+        if host.core.role == Role.LEADER:
             assert self.leaders[state.term] == state.me, "two leaders in one term"
 
     def _check_agreement(self, host: Host) -> None:
@@ -350,7 +351,7 @@
         self.cluster.tick(self._random.uniform(0.02, 0.25))
 
     def _submit(self) -> None:
-        leading = [host for host in self.cluster.up() if host.core.role == LEADER]
+        leading = [host for host in self.cluster.up() if host.core.role == Role.LEADER]
         if not leading and self._random.random() < 0.8:
             return
         host = self._random.choice(leading or [self._any()])
--- a/packages/core/tests/test_chart.py
+++ b/packages/core/tests/test_chart.py
@@ -1,6 +1,8 @@
 import unittest
 
 from lacewingrudder_core.chart import Chart
+from lacewingrudder_core.roles import Role
+from replica_chart import replica_chart
 
 
 class ChartTest(unittest.TestCase):
@@ -18,3 +20,8 @@
     def test_unknown_state_is_refused(self) -> None:
         with self.assertRaisesRegex(ValueError, "gone"):
             Chart({"initial": "off", "states": {"off": {"on": {"press": "gone"}}}})
+
+
+class ReplicaChartTest(unittest.TestCase):
+    def test_roles_are_the_states_of_the_chart(self) -> None:
+        self.assertEqual(replica_chart().states, frozenset(Role))
--- a/packages/core/tests/test_replica_faults.py
+++ b/packages/core/tests/test_replica_faults.py
@@ -11,9 +11,10 @@
 from lacewingrudder_core.log import LogEntry, LogSnapshot, Voter
 from lacewingrudder_core.notes import Catalogue, SubmitReply, SubmitTag
 from lacewingrudder_core.reconfiguration import next_voters
-from lacewingrudder_core.replica import LEADER, NO_QUORUM
+from lacewingrudder_core.replica import NO_QUORUM
 from lacewingrudder_core.replica_events import Installed, Persist, SendReplica, StopPlanned
 from lacewingrudder_core.replica_state import ReplicaState
+from lacewingrudder_core.roles import Role
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from replica_cluster import Cluster, Host, make_note
 
@@ -133,7 +134,7 @@
         self.cluster.propose(self.leader, make_note(1, 0))
         self.cluster.feed(self.leader, StopPlanned())
         self.cluster.settle()
-        self.assertEqual(self.leader.core.role, LEADER)
+        self.assertEqual(self.leader.core.role, Role.LEADER)
 
 
 class FollowerLossTest(ReplicaTestCase):
@@ -208,7 +209,7 @@
         term = self.leader.core.state.term
         self.cluster.run(LONG_SECONDS)
         self.assertEqual(self.leader.core.state.term, term)
-        self.assertEqual(self.leader.core.role, LEADER)
+        self.assertEqual(self.leader.core.role, Role.LEADER)
         self.cluster.cuts.clear()
         self.cluster.run(5.0)
         self.assertEqual(self.leader.core.state.term, term)
--- a/packages/daemon/src/lacewingrudder_daemon/control_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/control_task.py
@@ -11,7 +11,7 @@
 from lacewingrudder_core import control as decisions
 from lacewingrudder_core import replica_events as replica
 from lacewingrudder_core.durable import Write
-from lacewingrudder_core.replica import LEADER
+from lacewingrudder_core.roles import Role
 from lacewingrudder_core.spread import SendHost
 from lacewingrudder_core.survey import SendSurvey
 from lacewingrudder_core.types import HostName
@@ -78,7 +78,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + HANDOVER_SECONDS
         self.handle(replica.StopPlanned())
-        while self._core.replica.role == LEADER and loop.time() < deadline:
+        while self._core.replica.role == Role.LEADER and loop.time() < deadline:
             await asyncio.sleep(TICK_SECONDS)
 
     def close(self) -> None:
