--- a/packages/core/tests/test_endpoint_reuse.py
+++ b/packages/core/tests/test_endpoint_reuse.py
@@ -107,4 +107,3 @@
             self.run_for(QUARANTINE_SECONDS / 2)
             self.core.handle(PeerMessage("entry-2", TargetsInUse((PROOF.name,))), self.now)
         self.assertIn("may still have its flows", self.announce(announcement(SHEET, 1)))
-
