Bound what packets of no flow cost other hosts

9,000 stray packets to one host went through 27,000 relays and as many probes as searches allow; a home now asks for 2,000 a second at most and counts the rest (test failed first: 6,058 look-ups at two hosts against a bound of 6,000 is what the bound leaves).

--- a/packages/core/src/lacewingrudder_core/flow_core.py
+++ b/packages/core/src/lacewingrudder_core/flow_core.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from .admission import AdmissionPolicy
+from .budget import Budget
 from .core import Core
 from .flow_keeper import FlowKeeper
 from .flow_table import WINDOW_BYTES, Flow, FlowState
@@ -45,6 +46,7 @@
 from .view import KindRoute, RoutingView, TargetRoute
 
 RECENT_SECONDS = 5.0
+LOOKUPS_PER_SECOND = 2_000.0
 TARGET_MOVED = "target_moved"
 
 
@@ -75,6 +77,7 @@
         self._table = self._keeper.table
         self._opener = Opener(self._keeper, self._routes, uses, loads, admission, placement, health)
         self._lookup = Lookup(self._keeper, self._routes)
+        self._lookups = Budget(LOOKUPS_PER_SECOND, LOOKUPS_PER_SECOND)
         self._silence = SilenceWatch(self._keeper, health)
         self._serving = Serving(self._keeper, self._opener, self._silence, health)
 
@@ -211,6 +214,8 @@
         if looked is not None:
             return self._carry_on(event.segment, looked, now)
         hop = next_hop(self._name, rank, event.stage)
+        if hop is not None and hop.stage is Stage.SECOND and not self._lookups.take(1, now):
+            return [Drop(DropReason.TOO_MANY_LOOKUPS)]
         if hop is not None:
             return [Relay(hop.host, hop.stage)]
         return self._carry_on(event.segment, self._lookup.unknown(event, key, now), now)
--- a/packages/core/src/lacewingrudder_core/flow_table.py
+++ b/packages/core/src/lacewingrudder_core/flow_table.py
@@ -5,7 +5,7 @@
 import enum
 from collections.abc import Iterator
 
-from .flow_types import ACK, FIN, RST, SEQUENCE_MASK, SYN, Segment
+from .flow_types import ACK, RST, SEQUENCE_MASK, SYN, Segment
 from .flow_use import FlowUse
 from .homes import HomeTable
 from .types import Endpoint, FlowKey, TargetName
@@ -195,13 +195,12 @@
             self.target_floor = (ack - WINDOW_BYTES // 4) & SEQUENCE_MASK
         return True
 
-    def has_ended(self, segment: Segment, end: int) -> bool:
+    def has_ended(self, end: int) -> bool:
         """Take note of an end's FIN; return whether both ends have sent theirs.
 
         :param end: :data:`CALLER_END` or :data:`TARGET_END`.
         """
-        if segment.flags & FIN:
-            self.fins |= end
+        self.fins |= end
         return self.fins == CALLER_END | TARGET_END
 
 
--- a/packages/core/src/lacewingrudder_core/flow_types.py
+++ b/packages/core/src/lacewingrudder_core/flow_types.py
@@ -94,6 +94,7 @@
     NOT_READY = "not_ready"
     NO_TARGET = "no_target"
     UNKNOWN_FLOW = "unknown_flow"
+    TOO_MANY_LOOKUPS = "too_many_lookups"
     OLD_INCARNATION = "old_incarnation"
     ABANDONED_TARGET = "abandoned_target"
     OTHER_TARGET = "other_target"
--- a/packages/core/src/lacewingrudder_core/pins.py
+++ b/packages/core/src/lacewingrudder_core/pins.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from .budget import Budget
 from .homes import HomeTable
 from .messages import PinGroup, Pins
 from .types import HostName, TargetName
@@ -40,8 +41,7 @@
         self._own: dict[int, TargetName] = {}
         self._held: dict[int, TargetName] = {}
         self._queues: dict[HostName, dict[int, TargetName]] = {}
-        self._tokens = PIN_BURST_BYTES
-        self._filled_at = 0.0
+        self._budget = Budget(PIN_BYTES_PER_SECOND, PIN_BURST_BYTES)
         self.bytes_sent = 0
 
     @property
@@ -106,15 +106,17 @@
 
     def due(self, now: float) -> list[DuePins]:
         """Return what may be sent now within the byte budget."""
-        earned = (now - self._filled_at) * PIN_BYTES_PER_SECOND
-        self._tokens = min(PIN_BURST_BYTES, self._tokens + earned)
-        self._filled_at = now
         sent = []
         for host, queue in self._queues.items():
-            count = int(self._tokens - GROUP_BYTES) // HASH_BYTES
-            if not queue or count <= 0:
+            if not queue:
                 continue
-            sent.append(DuePins(host, self._take(queue, count)))
+            granted = self._budget.take(GROUP_BYTES + HASH_BYTES * len(queue), now)
+            count = (granted - GROUP_BYTES) // HASH_BYTES
+            if count <= 0:
+                break
+            pins = self._take(queue, count)
+            self._budget.take(_size(pins) - granted, now)
+            sent.append(DuePins(host, pins))
         return sent
 
     def flush(self) -> list[DuePins]:
@@ -130,10 +132,9 @@
             PinGroup(target, struct.pack(f"!{len(hashes)}Q", *hashes))
             for target, hashes in by_target.items()
         )
-        size = sum(GROUP_BYTES + len(group.hashes) for group in groups)
-        self._tokens -= size
-        self.bytes_sent += size
-        return Pins(self._name, groups)
+        pins = Pins(self._name, groups)
+        self.bytes_sent += _size(pins)
+        return pins
 
     def _queue(self, digest: int, target: TargetName, hosts: Iterable[HostName]) -> None:
         for host in hosts:
@@ -143,3 +144,7 @@
         rank = homes.rank(digest)
         names = dict.fromkeys((rank.second, rank.heir))
         return [name for name in names if name is not None and name != self._name]
+
+
+def _size(pins: Pins) -> int:
+    return sum(GROUP_BYTES + len(group.hashes) for group in pins.groups)
--- a/packages/core/src/lacewingrudder_core/serving.py
+++ b/packages/core/src/lacewingrudder_core/serving.py
@@ -4,7 +4,7 @@
 
 from .flow_keeper import FlowKeeper
 from .flow_table import CALLER_END, TARGET_END, Flow, FlowState
-from .flow_types import RST, SYN, FlowEffect, Segment, ToCaller, ToTarget, VerdictReached
+from .flow_types import FIN, RST, SYN, FlowEffect, Segment, ToCaller, ToTarget, VerdictReached
 from .health import HealthBook
 from .opening import Opener
 from .silence import SilenceWatch
@@ -40,7 +40,7 @@
             return [ToTarget(flow.endpoint)]
         if segment.payload:
             self._keeper.asked(flow, segment, now)
-        if flow.has_ended(segment, CALLER_END):
+        if segment.flags & FIN and flow.has_ended(CALLER_END):
             self._keeper.close(flow, now)
         return [ToTarget(flow.endpoint)]
 
@@ -74,7 +74,7 @@
         if segment.payload:
             self._silence.answered(flow.target, now)
             self._keeper.answered(flow, now)
-        if flow.has_ended(segment, TARGET_END):
+        if segment.flags & FIN and flow.has_ended(TARGET_END):
             self._keeper.close(flow, now)
         return [ToCaller(service)]
 
--- a/packages/core/tests/test_flow_sessions.py
+++ b/packages/core/tests/test_flow_sessions.py
@@ -3,7 +3,11 @@
 import unittest
 from pathlib import Path
 
-from flow_session import Session, play
+from flow_session import SERVICE, Session, play
+from lacewingrudder_core import flows
+from lacewingrudder_core.flow_core import LOOKUPS_PER_SECOND
+from lacewingrudder_core.search import SEARCHES_MAX
+from lacewingrudder_core.types import Endpoint
 
 FOLDER = Path(__file__).parent / "sessions"
 
@@ -91,6 +95,17 @@
     def test_flow_of_nobody_is_reset_last(self) -> None:
         self.replay("flow_of_nobody")
 
+    def test_stray_packets_cost_other_hosts_only_so_much(self) -> None:
+        session = play("> hosts a:adum b:suame c:ahodwo\n> targets t1 t2 t3\n")
+        for number in range(9000):
+            source = Endpoint(0xC6130000 + number, 5001)
+            session.segment("a", flows.Segment(source, SERVICE, flows.ACK, 1, 1, 50))
+        relays = [line for line in session.log if "relay to" in line and "as second" in line]
+        self.assertLessEqual(len(relays), 3 * LOOKUPS_PER_SECOND)
+        probes = [line for line in session.log if ": probe" in line]
+        self.assertLessEqual(len(probes), 3 * SEARCHES_MAX)
+        self.assertTrue(any("too_many_lookups" in line for line in session.log))
+
     def test_recorded_demo_cuts_no_flow(self) -> None:
         session = self.replay("recorded_demo")
         done = [line.split(": ", 1)[1] for line in session.log if line.startswith("  ")]
