Split the targets' part off the entry host's core

The view is rebuilt once for each batch of records instead of once for each effect.

262 tests of core, tests.test_whole_path and tests.test_control_plane pass.

--- a/packages/core/src/lacewingrudder_core/entry.py
+++ b/packages/core/src/lacewingrudder_core/entry.py
@@ -16,7 +16,6 @@
     ReadinessChanged,
     SendPeer,
     StopPlanned,
-    TargetSeen,
     Tick,
 )
 from .flows import (
@@ -35,7 +34,6 @@
     ViewChanged,
 )
 from .follower import ControlMessage, InForce, Kept
-from .gossip import SendTargets, TargetGossip
 from .health import HealthBook
 from .membership import (
     MemberLeft,
@@ -64,21 +62,12 @@
 from .opening import refuse
 from .overload import SynLimiter
 from .placement import SparingPlacement
-from .quarantine import CLAIM_SECONDS
 from .readiness import Readiness
 from .revisions import RevisionEffect, Revisions
 from .shares import ShareAdmission
-from .targets import (
-    Announced,
-    Answer,
-    CatalogueChanged,
-    InUse,
-    MembersSeen,
-    RecordsHeard,
-    TargetCore,
-    TargetEffect,
-)
-from .types import WORKING_STATES, HostName, Member, TargetName, ZoneName
+from .target_table import TableEffect, TargetTable
+from .targets import Announced, CatalogueChanged, MembersSeen
+from .types import HostName, Member, TargetName, ZoneName
 from .view import ViewBuilder
 
 __all__ = [
@@ -121,16 +110,11 @@
         in_force = catalogue or Catalogue()
         self._revisions = Revisions(me, in_force, controls, keeps, rng)
         self._membership = MembershipCore(me, peers, rng)
-        self._gossip = TargetGossip(rng)
         self._has_seeds = bool(set(peers) - {me.name})
         self._readiness = Readiness()
-        self._targets = TargetCore(me.name, me.zone, target_chart)
-        self._targets.handle(CatalogueChanged(in_force), 0.0)
+        self._targets = TargetTable(me, target_chart, in_force, rng)
         self._health = HealthBook()
         placement = SparingPlacement(me.zone, self._health)
-        self._claimed = float("-inf")
-        self._was_ready = False
-        self._stood_still = False
         self._views = ViewBuilder()
         view = self._views.build([me], in_force, ())
         self._limiter = SynLimiter()
@@ -165,7 +149,7 @@
     @property
     def serving_targets(self) -> int:
         """How many targets take new flows."""
-        return sum(record.state in WORKING_STATES for record in self._targets.records)
+        return self._targets.serving
 
     @property
     def followed(self) -> HostName:
@@ -180,7 +164,7 @@
     def handle(self, event: EntryEvent, now: float) -> list[EntryEffect]:
         """Take one event."""
         is_alone = not self._has_seeds and self.member_count == 1
-        self._stood_still |= self._readiness.notice(now, is_alone)
+        self._readiness.notice(now, is_alone)
         if isinstance(event, SegmentArrived):
             return self._segment(event, now)
         if isinstance(event, PeerMessage):
@@ -189,7 +173,7 @@
             may_begin = self._readiness.may_learn(now)
             return self._revised(self._revisions.control(event, may_begin, now), now)
         if isinstance(event, Announced):
-            return self._target_effects(self._targets.handle(event, now), now)
+            return self._target_effects(self._targets.feed(event, now), now)
         if isinstance(event, LoadMeasured):
             self._limiter.measured(event.backlog, event.lag)
             return []
@@ -211,52 +195,20 @@
     def _tick(self, now: float) -> list[EntryEffect]:
         self._readiness.tick(now)
         effects = self._member_effects(self._membership.handle(membership.Tick(), now), now)
-        effects += self._target_effects(self._targets.handle(targets.Tick(), now), now)
+        effects += self._target_effects(self._targets.feed(targets.Tick(), now), now)
         effects += self._revised(self._revisions.follow(follower.Tick(), now), now)
         effects += self._flow_effects(self._flows.handle(FlowTick(), now))
-        effects += self._claims(now)
-        effects += self._readiness_effects(now)
-        return effects + self._gossiped(self._gossip.tick(self._membership.neighbours, now))
-
-    def _readiness_effects(self, now: float) -> list[EntryEffect]:
-        effects: list[EntryEffect] = []
-        if self._stood_still:
-            self._stood_still = self._was_ready = False
-            effects.append(ReadinessChanged(False))
-        if not self._was_ready and self._readiness.is_ready(now):
-            self._was_ready = True
-            effects.append(ReadinessChanged(True))
-        return effects
-
-    def _claims(self, now: float) -> list[EntryEffect]:
-        """Claim the lost targets that still have flows here, at the hosts of their zones."""
-        if now - self._claimed < CLAIM_SECONDS:
-            return []
-        self._claimed = now
-        by_zone: dict[ZoneName, list[TargetName]] = {}
-        for record in self._targets.lost(self._flows.targets_in_use):
-            by_zone.setdefault(record.target.zone, []).append(record.target.name)
-        effects: list[EntryEffect] = []
-        for zone, names in by_zone.items():
-            claim = TargetsInUse(tuple(sorted(names)))
-            self._targets.handle(InUse(claim.targets), now)
-            effects += [SendPeer(name, claim) for name in self._others_in(zone)]
+        effects += self._targets.claim(self._flows.targets_in_use, self.zones, now)
+        effects += self._targets.tell(self._membership.neighbours, now)
+        effects += [ReadinessChanged(ready) for ready in self._readiness.take_changes(now)]
         return effects
 
-    def _others_in(self, zone: ZoneName) -> list[HostName]:
-        return [name for name, at in self.zones.items() if at == zone and name != self._me.name]
-
     def _peer(self, event: PeerMessage, now: float) -> list[EntryEffect]:
         sender, body = event
         if isinstance(body, Ping | Ack | ProbeRequest | MembersPull | MemberUpdates):
             return self._swim(sender, body, now)
-        if isinstance(body, TargetUpdates):
-            self._gossip.receive(body)
-            return self._target_effects(self._targets.handle(RecordsHeard(body.records), now), now)
-        if isinstance(body, TargetsInUse):
-            self._targets.handle(InUse(body.targets), now)
-        if isinstance(body, TargetsPull):
-            return self._gossiped(self._gossip.pulled(sender, body.digests, now))
+        if isinstance(body, TargetUpdates | TargetsPull | TargetsInUse):
+            return self._target_effects(self._targets.receive(sender, body, now), now)
         if isinstance(body, Goodbye):
             return self._member_effects(self._membership.handle(MemberLeft(body.member), now), now)
         if isinstance(body, Subscribe | SnapshotPull):
@@ -271,9 +223,9 @@
         )
         if not isinstance(body, Ping | Ack):
             return effects
-        effects += self._gossiped(self._gossip.compare(sender, body.targets, now))
+        effects += self._targets.compare(sender, body.targets, now)
         effects += self._revised(self._revisions.peer_seen(sender, body.revision, now), now)
-        same_targets = body.targets == self._gossip.digest
+        same_targets = body.targets == self._targets.digest
         self._readiness.compare(same_targets and body.revision <= self.revision)
         return effects
 
@@ -294,7 +246,7 @@
         for effect in effects:
             done.append(effect)
             if isinstance(effect, InForce):
-                changed = self._targets.handle(CatalogueChanged(effect.catalogue), now)
+                changed = self._targets.feed(CatalogueChanged(effect.catalogue), now)
                 done += self._target_effects(changed, now)
                 done += self._refresh(now)
         return done
@@ -304,7 +256,7 @@
         for effect in effects:
             if isinstance(effect, MembersChanged):
                 self._revisions.learn_zones(self.zones, now)
-                self._targets.handle(MembersSeen(self.zones), now)
+                self._targets.feed(MembersSeen(self.zones), now)
                 done += self._refresh(now)
                 done.append(effect)
             elif isinstance(effect, PeerConfirmed):
@@ -315,22 +267,11 @@
 
     def _filled_in(self, body: SwimMessage) -> SwimMessage:
         if isinstance(body, Ping | Ack):
-            return body._replace(revision=self.revision, targets=self._gossip.digest)
+            return body._replace(revision=self.revision, targets=self._targets.digest)
         return body
 
-    def _target_effects(self, effects: list[TargetEffect], now: float) -> list[EntryEffect]:
-        done: list[EntryEffect] = []
-        for effect in effects:
-            if isinstance(effect, Answer):
-                done.append(effect)
-                continue
-            changed = self._gossip.refresh(self._targets.records, now)
-            done += [TargetSeen(r.target.name, r.state, r.owner) for r in changed]
-            done += self._refresh(now)
-        return done
-
-    def _gossiped(self, effects: list[SendTargets]) -> list[EntryEffect]:
-        return [SendPeer(effect.host, effect.body) for effect in effects]
+    def _target_effects(self, effects: list[TableEffect], now: float) -> list[EntryEffect]:
+        return [*effects, *(self._refresh(now) if self._targets.take_change() else ())]
 
     def _refresh(self, now: float) -> list[EntryEffect]:
         members = sorted(self._membership.members)
--- a/packages/core/src/lacewingrudder_core/readiness.py
+++ b/packages/core/src/lacewingrudder_core/readiness.py
@@ -18,6 +18,8 @@
         self._last_tick: float | None = None
         self._waits_since: float | None = None
         self._is_confirmed = False
+        self._stood_still = False
+        self._was_ready = False
 
     def notice(self, now: float, is_alone: bool) -> bool:
         """Look at the time before any other decision.
@@ -30,6 +32,7 @@
             return False
         self._last_tick = now
         self._is_confirmed = False
+        self._stood_still = True
         self._waits_since = None if is_alone else now
         return True
 
@@ -55,3 +58,14 @@
         if self._waits_since is not None and now - self._waits_since > WAIT_SECONDS:
             self._waits_since = None
         return self._waits_since is None
+
+    def take_changes(self, now: float) -> list[bool]:
+        """Return what :meth:`is_ready` changed to since the last call, in order."""
+        changes = []
+        if self._stood_still:
+            self._stood_still = self._was_ready = False
+            changes.append(False)
+        if not self._was_ready and self.is_ready(now):
+            self._was_ready = True
+            changes.append(True)
+        return changes
