Send pins again to a holder that restarted unnoticed

A host that is back before it was suspected has the same name in the ranking, so the home took nothing as changed and the holder stayed without pins. The new session fails with the detection of the new incarnation switched off in pins.py (tried on a scratch copy).

--- a/packages/core/src/lacewingrudder_core/flow_core.py
+++ b/packages/core/src/lacewingrudder_core/flow_core.py
@@ -115,9 +115,9 @@
 
     def _change_view(self, view: RoutingView, now: float) -> list[FlowEffect]:
         moved = self._routes.update(view, now)
-        homes = view.homes
-        if homes.members == self._keeper.homes.members:
-            homes = self._keeper.homes
+        homes, known = view.homes, self._keeper.homes
+        if homes.members == known.members and not homes.restarted_since(known):
+            homes = known
         elif self._is_leaving and len(homes.members) > 1:
             homes = homes.without(self._name)
         self._keeper.change_view(view, homes, now)
--- a/packages/core/src/lacewingrudder_core/homes.py
+++ b/packages/core/src/lacewingrudder_core/homes.py
@@ -72,6 +72,14 @@
         others = (member for member in self._members.values() if member.name != name)
         return HomeTable(others, self)
 
+    def restarted_since(self, former: HomeTable) -> frozenset[HostName]:
+        """Return the hosts of both tables that have another incarnation now."""
+        both = self._members.keys() & former._members.keys()
+        changed = (
+            n for n in both if self._members[n].incarnation != former._members[n].incarnation
+        )
+        return frozenset(changed)
+
     def rank(self, digest: int) -> HomeRank:
         """Return the hosts for a flow's 64-bit hash.
 
--- a/packages/core/src/lacewingrudder_core/pins.py
+++ b/packages/core/src/lacewingrudder_core/pins.py
@@ -88,8 +88,9 @@
             del self._held[next(iter(self._held))]
 
     def rehome(self, before: HomeTable, after: HomeTable) -> None:
-        """Replicate again where the membership gave pins another home or other receivers."""
+        """Replicate again where pins have another home, another receiver, or one that restarted."""
         self._queues = {host: q for host, q in self._queues.items() if host in after.members}
+        restarted = after.restarted_since(before)
         for digest, target in list(self._held.items()):
             if after.rank(digest).home == self._name:
                 self._own[digest] = self._held.pop(digest)
@@ -100,7 +101,7 @@
                 self._held[digest] = self._own.pop(digest)
                 self._queue(digest, target, [home])
                 continue
-            known = self._receivers(digest, before)
+            known = set(self._receivers(digest, before)) - restarted
             fresh = [name for name in self._receivers(digest, after) if name not in known]
             self._queue(digest, target, fresh)
 
--- a/packages/core/tests/flow_session.py
+++ b/packages/core/tests/flow_session.py
@@ -2,7 +2,8 @@
 
 A line that starts with ``>`` is a step, the lines below it are what the hosts did. Steps:
 
-* ``> hosts a:adum b:suame`` and ``> targets t1 t2 t3`` set the view of all hosts that run;
+* ``> hosts a:adum b:suame:2`` (a second incarnation of b) and ``> targets t1 t2 t3`` set the view
+  of all hosts that run;
 * ``> view a hosts=a,b targets=t1,t2`` sets the view of one host, which starts if need be;
 * ``> caller 5001 S 100 0 0 via a`` gives host ``a`` a caller's segment (flags, seq, ack, payload);
 * ``> target t1 5001 SA 900 101 0 via b`` gives host ``b`` a segment of a target;
@@ -42,8 +43,9 @@
     """Return a view; ``NAME:ZONE`` gives a host's zone."""
     members = []
     for index, host in enumerate(hosts):
-        name, _, zone = host.partition(":")
-        members.append(Member(name, zone, 1, Endpoint(index, 1), Endpoint(index, 2)))
+        name, zone, *incarnation = host.split(":")
+        started = int(incarnation[0]) if incarnation else 1
+        members.append(Member(name, zone, started, Endpoint(index, 1), Endpoint(index, 2)))
     table = PlacementTable([Entry(name, 1.0) for name in targets])
     endpoints = {name: endpoint(name) for name in [*TARGETS, *targets]}
     route = KindRoute("proofdesk", KIND, table, endpoints)
--- a/packages/core/tests/test_flow_sessions.py
+++ b/packages/core/tests/test_flow_sessions.py
@@ -62,6 +62,9 @@
     def test_pins_follow_the_home(self) -> None:
         self.replay("pins_follow_the_home")
 
+    def test_pins_go_to_a_holder_that_restarted(self) -> None:
+        self.replay("holder_of_pins_restarts")
+
     def test_handshake_that_ends_at_a_new_home(self) -> None:
         self.replay("handshake_ends_at_new_home")
 
