--- a/packages/core/tests/test_spread.py
+++ b/packages/core/tests/test_spread.py
@@ -1,12 +1,14 @@
 import unittest
 
-from lacewingrudder_core.messages import Changes, SnapshotPart, Standing, Subscribe
+from lacewingrudder_core.messages import Changes, SnapshotPart, SnapshotPull, Standing, Subscribe
 from lacewingrudder_core.snapshots import catalogue_digest
 from lacewingrudder_core.spread import (
     CHANGES_KEPT,
     CHANGES_PER_MESSAGE,
     LEASE_SECONDS,
+    PARTS_PER_SECOND,
     Advanced,
+    SnapshotPulled,
     SpreadCore,
     Subscribed,
 )
@@ -40,6 +42,14 @@
         sends = self.advanced(CHANGES_KEPT + 10).handle(subscribe(3), 1.0)
         self.assertIsInstance(sends[1].body, SnapshotPart)
 
+    def test_parts_of_snapshots_are_sent_at_a_bounded_rate(self) -> None:
+        core = self.advanced(3)
+        pull = SnapshotPulled(SnapshotPull("entry-1", 3, 0))
+        at_once = [send for _ in range(500) for send in core.handle(pull, 1.0)]
+        self.assertEqual(len(at_once), PARTS_PER_SECOND)
+        later = [send for _ in range(500) for send in core.handle(pull, 1.5)]
+        self.assertEqual(len(later), PARTS_PER_SECOND / 2)
+
     def test_other_contents_at_the_same_revision_are_repaired(self) -> None:
         core = self.advanced(3)
         same = core.handle(subscribe(3, catalogue_digest(catalogue(3))), 1.0)
--- /dev/null
+++ b/packages/wire/tests/test_codec.py
@@ -0,0 +1,44 @@
+import random
+import unittest
+
+import cbor2
+from lacewingrudder_core import messages as m
+from lacewingrudder_core.clock import HybridTime
+from lacewingrudder_core.types import Endpoint, Member
+from lacewingrudder_wire.codec import Envelope, decode, encode
+from lacewingrudder_wire.exceptions import CodecError
+
+TIME = HybridTime(1_800_000_000_000, 3)
+MEMBER = Member("entry-1", "adum", 7, Endpoint(1, 2), Endpoint(3, 4))
+PING = m.Ping(9, MEMBER, 5, 6, 7, (m.MemberUpdate(MEMBER, m.MemberStatus.SUSPECT),))
+
+
+class CodecTest(unittest.TestCase):
+    def test_message_survives_the_way_there(self) -> None:
+        self.assertEqual(decode(encode(Envelope(TIME, PING))), Envelope(TIME, PING))
+
+    def test_what_is_no_message_is_refused_and_raises_nothing_else(self) -> None:
+        good = encode(Envelope(TIME, PING))
+        rng = random.Random(1)
+        for _ in range(3000):
+            data = bytearray(good)
+            for _ in range(rng.randint(1, 4)):
+                data[rng.randrange(len(data))] = rng.randrange(256)
+            try:
+                decode(bytes(data[: rng.randint(0, len(data))]))
+            except CodecError:
+                continue
+
+    def test_fields_are_checked_against_their_types(self) -> None:
+        wrong = (
+            [1, 0, 62, [1]],
+            [1, 0, 62, ["1", "entry-1"]],
+            [1, 0, 62, [True, "entry-1"]],
+            [1, 0, 999, []],
+            [1.5, 0, 62, [1, "entry-1"]],
+            {"tag": 62},
+            [1, 0, 64, [[[list(MEMBER), 17]]]],
+        )
+        for value in wrong:
+            with self.subTest(value), self.assertRaises(CodecError):
+                decode(cbor2.dumps(value))
