Bound a message of changes by size, not by their number alone

A host up to 200 changes behind gets 50 of them in one message. Notes that change some hundred services each make that more than the 1 MiB that a link takes, the link closes, and the host asks for the same again. Changes go in a message up to a weight now, at least one; the largest note that is taken fits a message, which a test in the wire package holds. Found by reading; the new test of spread was not run against the code before, which knew no bound but the number.

--- a/packages/core/src/lacewingrudder_core/spread.py
+++ b/packages/core/src/lacewingrudder_core/spread.py
@@ -11,6 +11,7 @@
 
 from .budget import Budget
 from .core import Core
+from .log import note_weight
 from .messages import (
     Changes,
     HostStatus,
@@ -26,6 +27,7 @@
 
 CHANGES_KEPT = 200
 CHANGES_PER_MESSAGE = 50
+WEIGHT_PER_MESSAGE = 1000
 LEASE_SECONDS = 5.0
 HOSTS_KEPT = 2_000
 PARTS_PER_SECOND = 64.0
@@ -121,7 +123,7 @@
     def _missing(self, subscribe: Subscribe, now: float) -> list[SendHost]:
         missing = [c for c in self._recent if c.revision > subscribe.revision]
         if missing and missing[0].revision == subscribe.revision + 1:
-            return [SendHost(subscribe.host, Changes(tuple(missing[:CHANGES_PER_MESSAGE])))]
+            return [SendHost(subscribe.host, Changes(_fitting(missing)))]
         return self._part(subscribe.host, 0, now)
 
     def _part(self, host: HostName, index: int, now: float) -> list[SendHost]:
@@ -135,3 +137,15 @@
             oldest = next(iter(self._heard))
             del self._heard[oldest]
             del self._hosts[oldest]
+
+
+def _fitting(changes: list[Change]) -> tuple[Change, ...]:
+    """Return the first changes, at least one, that fit a message."""
+    total = 0
+    kept: list[Change] = []
+    for change in changes[:CHANGES_PER_MESSAGE]:
+        total += 1 if change.note is None else note_weight(change.note)
+        if kept and total > WEIGHT_PER_MESSAGE:
+            break
+        kept.append(change)
+    return tuple(kept)
--- a/packages/core/tests/test_spread.py
+++ b/packages/core/tests/test_spread.py
@@ -1,6 +1,7 @@
 import unittest
 
 from lacewingrudder_core.messages import Changes, SnapshotPart, SnapshotPull, Standing, Subscribe
+from lacewingrudder_core.notes import Change, Note
 from lacewingrudder_core.snapshots import catalogue_digest
 from lacewingrudder_core.spread import (
     CHANGES_KEPT,
@@ -12,6 +13,7 @@
     SpreadCore,
     Subscribed,
 )
+from lacewingrudder_core.types import Kind, Service
 from test_follower import catalogue, change
 
 from standins.nodes import ControlNode, EntryNode, make_members
@@ -38,6 +40,16 @@
         self.assertEqual([type(send.body) for send in sends], [Standing, Changes])
         self.assertEqual(len(sends[1].body.changes), CHANGES_PER_MESSAGE)
 
+    def test_deltas_of_large_notes_are_bounded_by_size(self) -> None:
+        core, state = SpreadCore(catalogue(0)), catalogue(0)
+        many = tuple(Service(f"s{n}", n, "key", (Kind("k", 1, 0, True, 0),)) for n in range(200))
+        for number in range(1, 21):
+            large = Change(number, Note(number, number - 1, many, (), (), "digest"), None)
+            state = state.apply(large)
+            core.handle(Advanced(large, state), 0.0)
+        sends = core.handle(subscribe(0), 1.0)
+        self.assertEqual([c.revision for c in sends[1].body.changes], [1, 2])
+
     def test_follower_far_behind_gets_a_snapshot(self) -> None:
         sends = self.advanced(CHANGES_KEPT + 10).handle(subscribe(3), 1.0)
         self.assertIsInstance(sends[1].body, SnapshotPart)
--- a/packages/wire/tests/test_replica_codec.py
+++ b/packages/wire/tests/test_replica_codec.py
@@ -4,8 +4,16 @@
 from lacewingrudder_core import replica_messages as r
 from lacewingrudder_core.clock import HybridTime
 from lacewingrudder_core.durable import Durable, Write
-from lacewingrudder_core.log import LogEntry, LogSnapshot, Voter, join_snapshot, split_snapshot
+from lacewingrudder_core.log import (
+    LogEntry,
+    LogSnapshot,
+    Voter,
+    join_snapshot,
+    note_weight,
+    split_snapshot,
+)
 from lacewingrudder_core.notes import Catalogue, Note, NoteReceipt, SubmitReply, SubmitTag
+from lacewingrudder_core.submissions import NOTE_WEIGHT_LIMIT
 from lacewingrudder_core.types import Kind, OrderAction, Service, TargetOrder
 from lacewingrudder_wire.codec import (
     MESSAGE_LIMIT_BYTES,
@@ -62,6 +70,14 @@
         self.assertEqual(decode_value(Durable, encode_value(state)), state)
         self.assertEqual(decode_value(Write, encode_value(write)), write)
 
+    def test_largest_note_that_is_taken_fits_a_message(self) -> None:
+        kind = Kind("k" * 63, 65535, 9, False, 0.123456789)
+        one = Service("s" * 63, 2**32 - 1, "k" * 256, (kind,))
+        note = NOTE._replace(added=(one,) * (NOTE_WEIGHT_LIMIT // 2 - 1))
+        self.assertLessEqual(note_weight(note), NOTE_WEIGHT_LIMIT)
+        body = r.AppendRequest(HEADER, 0.5, 0, 0, (LogEntry(1, 1, note),), 1)
+        self.assertLess(len(encode(Envelope(TIME, body))), MESSAGE_LIMIT_BYTES)
+
     def test_large_snapshot_goes_in_parts_below_the_message_limit(self) -> None:
         services = tuple(service(number) for number in range(3000))
         receipts = tuple(NoteReceipt(number, "d" * 64, number) for number in range(10_000))
