--- a/packages/wire/src/lacewingrudder_wire/client.py
+++ b/packages/wire/src/lacewingrudder_wire/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Sequence
 from typing import Any
@@ -19,6 +20,7 @@
 from .handshake import OperatorHello
 
 ANSWER_SECONDS = 5.0
+STATUS_SECONDS = 2.0
 
 _FINAL_TAGS = (SubmitTag.ACCEPTED, SubmitTag.CONFLICT, SubmitTag.INVALID)
 
@@ -31,6 +33,8 @@
 
     :raises UnreachableError: if no host answers a question that changes nothing.
     """
+    if isinstance(body, StatusRequest):
+        return asyncio.run(_Request(body).ask_status(controls))
     return asyncio.run(_Request(body).ask(controls))
 
 
@@ -43,15 +47,33 @@
         self._may_be_accepted = False
         self._problems: list[str] = []
 
+    async def ask_status(self, controls: Sequence[Endpoint]) -> Status:
+        """Ask all hosts at once; the first that accepts notes answers, else any that answers."""
+        tasks = [asyncio.create_task(self._try(endpoint)) for endpoint in controls]
+        fallback: Status | None = None
+        with contextlib.suppress(TimeoutError):
+            for done in asyncio.as_completed(tasks, timeout=STATUS_SECONDS):
+                answer = await done
+                if isinstance(answer, Status) and answer.accepting:
+                    fallback = answer
+                    break
+                if isinstance(answer, Status):
+                    fallback = answer
+                elif isinstance(answer, OperatorReply):
+                    self._problems.append(answer.reply.detail)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if fallback is None:
+            raise UnreachableError(f"no control host answered: {self._problem_text}")
+        return fallback
+
     async def ask(self, controls: Sequence[Endpoint]) -> Any:
         refusal: Any = None
         for endpoint in controls:
             answer = await self._try(endpoint)
             if answer is None:
                 continue
-            if isinstance(answer, Status) and not answer.accepting:
-                refusal = answer
-                continue
             if not isinstance(answer, OperatorReply) or answer.reply.tag in _FINAL_TAGS:
                 return answer
             if answer.reply.tag is SubmitTag.UNKNOWN:
@@ -59,10 +81,6 @@
                 self._problems.append(f"{endpoint}: {answer.reply.detail}")
             else:
                 refusal = answer
-        if isinstance(self._body, StatusRequest):
-            if refusal is not None:
-                return refusal
-            raise UnreachableError(f"no control host answered: {self._problem_text}")
         return refusal if refusal is not None and not self._may_be_accepted else self._outcome()
 
     @property
--- a/packages/wire/tests/test_client.py
+++ b/packages/wire/tests/test_client.py
@@ -1,14 +1,15 @@
 import asyncio
 import socket
 import threading
+import time
 import unittest
 from typing import Any
 
 from lacewingrudder_core.clock import HybridTime
-from lacewingrudder_core.messages import OperatorReply, StatusRequest, SubmitOrder
+from lacewingrudder_core.messages import OperatorReply, Status, StatusRequest, SubmitOrder
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
 from lacewingrudder_core.types import Endpoint, OrderAction, TargetOrder, parse_address
-from lacewingrudder_wire.client import request
+from lacewingrudder_wire.client import STATUS_SECONDS, request
 from lacewingrudder_wire.codec import Envelope, encode
 from lacewingrudder_wire.exceptions import UnreachableError
 from lacewingrudder_wire.handshake import Challenge
@@ -17,14 +18,17 @@
 ORDER = SubmitOrder(TargetOrder("10.0.0.1:80", OrderAction.DRAIN))
 TIME = HybridTime(1, 0)
 ADDRESS = "127.0.0.1"
+ACCEPTING = Status(5, "entry-1", True, (), (), (), ())
+CUT_OFF = Status(4, "", False, (), (), (), ())
 
 
 class ControlStandIn(threading.Thread):
     """Takes one request after another; answers each alike, or hangs up after it."""
 
-    def __init__(self, tag: SubmitTag | None) -> None:
+    def __init__(self, tag: SubmitTag | None, status: Status | None = None) -> None:
         super().__init__(daemon=True)
         self._tag = tag
+        self._status = status
         self.requests = 0
         self._ready = threading.Event()
         self._loop = asyncio.new_event_loop()
@@ -52,6 +56,8 @@
         await connection.recv()
         await connection.recv()
         self.requests += 1
+        if self._status is not None:
+            await connection.send(encode(Envelope(TIME, self._status)))
         if self._tag is not None:
             reply = OperatorReply(SubmitReply(self._tag, 1, "detail"))
             await connection.send(encode(Envelope(TIME, reply)))
@@ -85,6 +91,31 @@
         self.assertEqual(self.tag(hosts), SubmitTag.CONFLICT)
         self.assertEqual(hosts[1].requests, 0)
 
+    def status_of(self, *hosts: ControlStandIn) -> Any:
+        for host in hosts:
+            self.addCleanup(host.stop)
+        return request([host.endpoint for host in hosts], StatusRequest())
+
+    def test_status_comes_from_a_host_that_accepts_notes(self) -> None:
+        cut_off, leader = ControlStandIn(None, CUT_OFF), ControlStandIn(None, ACCEPTING)
+        self.assertEqual(self.status_of(cut_off, leader), ACCEPTING)
+
+    def test_cut_off_host_tells_its_status_if_no_other_does(self) -> None:
+        hosts = ControlStandIn(SubmitTag.REFUSED), ControlStandIn(None, CUT_OFF)
+        self.assertEqual(self.status_of(*hosts), CUT_OFF)
+
+    def test_frozen_hosts_do_not_hold_up_the_status(self) -> None:
+        with socket.socket() as frozen:
+            frozen.bind((ADDRESS, 0))
+            frozen.listen()
+            endpoint = Endpoint(parse_address(ADDRESS), frozen.getsockname()[1])
+            host = ControlStandIn(None, ACCEPTING)
+            self.addCleanup(host.stop)
+            started = time.monotonic()
+            status = request([endpoint, endpoint, host.endpoint], StatusRequest())
+        self.assertEqual(status, ACCEPTING)
+        self.assertLess(time.monotonic() - started, STATUS_SECONDS)
+
     def test_request_that_left_for_nobody_is_refused(self) -> None:
         with socket.socket() as closed:
             closed.bind((ADDRESS, 0))
