--- a/packages/core/src/lacewingrudder_core/flow_keeper.py
+++ b/packages/core/src/lacewingrudder_core/flow_keeper.py
@@ -16,7 +16,8 @@
 from .view import KindRoute, RoutingView
 
 CLOSED_SECONDS = 5.0
-SETTLE_SECONDS = 5.0
+SETTLE_SECONDS = 2.0
+RESENT_SECONDS = 0.9
 REPINS_PER_TICK = 2000
 
 
@@ -70,9 +71,13 @@
         return flow.digest if flow is not None else flow_hash(key)
 
     def is_home(self, flow: Flow) -> bool:
-        """Return whether this host is the flow's home under the present ranking."""
+        """Return whether this host is the flow's home under the present ranking.
+
+        After a change of the ranking, silence is watched for anew: packets may have gone elsewhere.
+        """
         if flow.homes is not self.homes:
             flow.homes = self.homes
+            self.heard(flow)
             flow.is_home = self.homes.rank(flow.digest).home == self._name
             if not flow.is_home:
                 self.answered(flow, flow.last_seen)
@@ -133,7 +138,8 @@
         if not is_new and flow.asked_at is None:
             return
         if flow.asked_at is not None:
-            flow.resent += segment.seq == flow.asked_seq
+            is_late = now - flow.asked_at >= RESENT_SECONDS
+            flow.resent += is_late and segment.seq == flow.asked_seq
         else:
             flow.asked_at = now
             flow.asked_seq = segment.seq
--- a/packages/core/src/lacewingrudder_core/opening.py
+++ b/packages/core/src/lacewingrudder_core/opening.py
@@ -173,13 +173,16 @@
         service = Endpoint(flow.key.service, flow.key.service_port)
         self._keeper.close(flow, now)
         return [
-            reset_target(flow, flow.endpoint),
             Reset(service, caller, 0, flow.caller_next, RST | ACK),
             _not_run(flow, StartReason.UNANSWERED),
         ]
 
     def _retry(self, flow: Flow, now: float) -> list[FlowEffect]:
-        """Place a flow on another target, or return nothing if that is not possible now."""
+        """Place a flow on another target, or return nothing if that is not possible now.
+
+        The first target is reset when its answer comes after all. It is not reset before: an answer
+        that went through another home may have connected the caller.
+        """
         if not flow.syn or now - flow.opened_at >= SYN_DEADLINE_SECONDS:
             return []
         if not self._keeper.is_settled(now):
@@ -190,10 +193,9 @@
         endpoint = self._routes.endpoint(Endpoint(flow.key.service, flow.key.service_port), target)
         if endpoint is None or not self._budget.spend():
             return []
-        before = flow.endpoint
         self._keeper.move(flow, target, endpoint)
         self._wait(flow, now)
-        return [reset_target(flow, before), Resend(flow.syn, endpoint)]
+        return [Resend(flow.syn, endpoint)]
 
     def _wait(self, flow: Flow, now: float) -> None:
         unanswered = self._keeper.table.unanswered
--- a/packages/core/src/lacewingrudder_core/silence.py
+++ b/packages/core/src/lacewingrudder_core/silence.py
@@ -49,13 +49,17 @@
         return silent + self._idle(now)
 
     def _unanswered(self, now: float) -> list[FlowEffect]:
-        silent = []
+        due = []
         for flow in self._keeper.table.waiting.values():
             if flow.asked_at is None or now - flow.asked_at < SILENT_SECONDS:
                 break
-            if flow.resent and self._answers_others(flow, flow.asked_at):
-                silent.append(flow)
-        return [effect for flow in silent for effect in self._end(flow, now)]
+            due.append(flow)
+        return [effect for flow in due if self._is_silent(flow) for effect in self._end(flow, now)]
+
+    def _is_silent(self, flow: Flow) -> bool:
+        if not self._keeper.is_home(flow) or flow.asked_at is None:
+            return False
+        return flow.resent > 0 and self._answers_others(flow, flow.asked_at)
 
     def _idle(self, now: float) -> list[FlowEffect]:
         effects: list[FlowEffect] = []
