Take a flow over by a target's segment only if it shows a finished handshake

Payload or FIN show the handshake; an empty acknowledgement does not, and during a search only its answer counts.

--- a/packages/core/src/lacewingrudder_core/lookup.py
+++ b/packages/core/src/lacewingrudder_core/lookup.py
@@ -7,6 +7,7 @@
 from .flow_keeper import FlowKeeper
 from .flow_table import Flow, FlowState
 from .flow_types import (
+    FIN,
     RST,
     SYN,
     Drop,
@@ -80,7 +81,7 @@
         if _is_from_caller(segment, key):
             return self._caller_unknown(event, key, now)
         answer = self._routes.answer(segment.source)
-        if answer is None or segment.flags & (SYN | RST):
+        if answer is None or not _shows_connection(segment) or self._searches.get(key):
             return _dropped(DropReason.UNKNOWN_FLOW)
         is_expected = answer.target == self._keeper.generations.expected(key)
         if is_expected or self._searches.sighted(key, answer.target, now):
@@ -168,5 +169,12 @@
     return segment.source == (key.caller, key.caller_port)
 
 
+def _shows_connection(segment: Segment) -> bool:
+    """Return whether a target sent this only after the caller completed the handshake with it."""
+    if segment.flags & (SYN | RST):
+        return False
+    return segment.payload > 0 or bool(segment.flags & FIN)
+
+
 def _dropped(reason: DropReason) -> Looked:
     return Looked(None, [Drop(reason)])
