--- a/measure/whole_system.py
+++ b/measure/whole_system.py
@@ -27,6 +27,7 @@
 PATIENCE_SECONDS = 2.0
 RESULT_SECONDS = 60.0
 SETTLE_SECONDS = 1.0
+SENT_METRIC = "lwr_link_sent_bytes_total"
 
 Result = dict[str, Any]
 
@@ -45,14 +46,22 @@
 
 
 def measure_balance(shape: FirmShape) -> None:
-    """Print how evenly flows fall on the targets of a service below its capacity."""
+    """Print how evenly flows fall on targets below their capacity, and the control bytes."""
     service = shape.services[0]
     with Fleet(shape, ENTRY_HOSTS) as fleet:
         fleet.start()
+        before, started = _sent_bytes(fleet), time.monotonic()
         results = fleet.start_callers(_even_loads(service)).results(RESULT_SECONDS)
+        passed = time.monotonic() - started
+        sent = [b - a for a, b in zip(before, _sent_bytes(fleet), strict=True)]
+    print(f"control_bytes_per_s={max(sent) / passed:.0f}  # the host that sends most")
     print(f"imbalance_max_over_mean={imbalance(results, service):.3f}  # of {len(results)} flows")
 
 
+def _sent_bytes(fleet: Fleet) -> list[float]:
+    return [fleet.metric(host, SENT_METRIC) for host in fleet.hosts]
+
+
 def measure_flood(shape: FirmShape, prefix: str, admission: str) -> None:
     """Print what the other kinds keep while the least urgent kind of the first service floods."""
     options = {"admission": admission}
