--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -14,11 +14,9 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from lacewingrudder_core.homes import HomeTable
-from lacewingrudder_core.loads import LoadBook
+from lacewingrudder_core.admission import ShareAdmission, SynLimiter
 from lacewingrudder_core.notes import Catalogue, NoteReceipt
-from lacewingrudder_core.overload import SynLimiter
-from lacewingrudder_core.shares import ShareAdmission
+from lacewingrudder_core.routing import HomeTable, LoadBook, RoutingView, ViewBuilder
 from lacewingrudder_core.types import (
     Endpoint,
     Kind,
@@ -29,7 +27,6 @@
     TargetRecord,
     TargetState,
 )
-from lacewingrudder_core.view import RoutingView, ViewBuilder
 from lacewingrudder_wire.codec import encode_value
 
 HOSTS = (7, 100, 490)
--- a/measure/flood_model.py
+++ b/measure/flood_model.py
@@ -17,11 +17,11 @@
 
 from lacewingrudder_core import entry
 from lacewingrudder_core.admission import AdmissionPolicy
-from lacewingrudder_core.flow_types import SEQUENCE_MASK
 from lacewingrudder_core.flows import (
     ACK,
     FIN,
     RST,
+    SEQUENCE_MASK,
     SYN,
     Probe,
     Relay,
--- a/measure/floods.py
+++ b/measure/floods.py
@@ -16,8 +16,12 @@
 from concurrent.futures import ProcessPoolExecutor
 from typing import NamedTuple
 
-from lacewingrudder_core.admission import AdmissionPolicy, AdmitAll
-from lacewingrudder_core.shares import ShareAdmission, SharedLimitAdmission
+from lacewingrudder_core.admission import (
+    AdmissionPolicy,
+    AdmitAll,
+    ShareAdmission,
+    SharedLimitAdmission,
+)
 
 from standins.firms import FIRMS, GANTS_LAURENTIDE, FirmShape, KindShape, ServiceShape
 
--- a/measure/flows.py
+++ b/measure/flows.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 
 from lacewingrudder_core import flows
+from lacewingrudder_core.flows import PIN_BYTES_PER_SECOND
 from lacewingrudder_core.hashing import flow_hash
-from lacewingrudder_core.pins import PIN_BYTES_PER_SECOND
 from lacewingrudder_core.types import Endpoint, FlowKey
 from lacewingrudder_daemon import packets
 
--- a/measure/log.py
+++ b/measure/log.py
@@ -16,14 +16,20 @@
 from lacewingrudder_core.control import ControlCore, ForwardHeard, Requested
 from lacewingrudder_core.messages import OperatorReply, SubmitNote
 from lacewingrudder_core.notes import Note, SubmitTag
-from lacewingrudder_core.replica import ReplicaCore
-from lacewingrudder_core.replica_events import Persist, Persisted, Propose, ReplicaHeard, Tick
-from lacewingrudder_core.replica_messages import ForwardReply, ForwardRequest
+from lacewingrudder_core.replica import (
+    ForwardReply,
+    ForwardRequest,
+    Persist,
+    Persisted,
+    Propose,
+    ReplicaCore,
+    ReplicaHeard,
+    Tick,
+)
 from lacewingrudder_core.types import Kind, Service
 from lacewingrudder_daemon.control_task import ControlTask
-from lacewingrudder_daemon.disk import FolderDisk
 from lacewingrudder_daemon.recorder import Recorder
-from lacewingrudder_daemon.store import ReplicaStore
+from lacewingrudder_daemon.storage import FolderDisk, ReplicaStore
 from lacewingrudder_wire.codec import Envelope, encode
 from lacewingrudder_wire.resources import load_chart
 
--- a/measure/placement.py
+++ b/measure/placement.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple, TypeVar
 
 from lacewingrudder_core.hashing import name_hash, pair_hash
-from lacewingrudder_core.maglev import Entry, PlacementTable
+from lacewingrudder_core.routing import Entry, PlacementTable
 
 from .placement_model import POLICIES, SCENARIOS, Outcome, play
 
--- a/measure/placement_model.py
+++ b/measure/placement_model.py
@@ -16,15 +16,17 @@
 from typing import NamedTuple
 
 from lacewingrudder_core.hashing import pair_hash
-from lacewingrudder_core.health import HealthBook
-from lacewingrudder_core.loads import LoadBook
 from lacewingrudder_core.notes import Catalogue
-from lacewingrudder_core.placement import (
+from lacewingrudder_core.routing import (
+    HealthBook,
+    KindRoute,
     LeastConnections,
+    LoadBook,
     ModuloPlacement,
     PlacementPolicy,
     SparingPlacement,
     TablePlacement,
+    build_view,
 )
 from lacewingrudder_core.types import (
     Endpoint,
@@ -36,7 +38,6 @@
     TargetRecord,
     TargetState,
 )
-from lacewingrudder_core.view import KindRoute, build_view
 
 HOSTS = 7
 ZONES = ("adum", "suame", "ahodwo")
--- a/packages/core/src/lacewingrudder_core/overload.py
+++ b/packages/core/src/lacewingrudder_core/_admission/overload.py
@@ -10,8 +10,8 @@
 
 from collections.abc import Mapping
 
-from .flow_types import Segment
-from .types import Endpoint
+from .._flows.types import Segment
+from ..types import Endpoint
 
 MOST_SYNS_PER_SECOND = 5000.0
 LEAST_SYNS_PER_SECOND = 50.0
--- a/packages/core/src/lacewingrudder_core/shares.py
+++ b/packages/core/src/lacewingrudder_core/_admission/shares.py
@@ -17,9 +17,9 @@
 import math
 from typing import NamedTuple
 
-from .admission import AdmissionOutcome, AdmissionPolicy, Admitted, RefusalReason, Refused
-from .loads import LoadBook
-from .view import KindRoute, ServiceCapacity
+from .._routing.loads import LoadBook
+from .._routing.view import KindRoute, ServiceCapacity
+from .policy import AdmissionOutcome, AdmissionPolicy, Admitted, RefusalReason, Refused
 
 AVERAGE_SECONDS = 2.0
 FIRST_PAYLOAD_SECONDS = 0.5
--- a/packages/core/src/lacewingrudder_core/syn_guard.py
+++ b/packages/core/src/lacewingrudder_core/_admission/syn_guard.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from .types import FlowKey
+from ..types import FlowKey
 
 HALF_OPEN_LIMIT = 512
 HALF_OPEN_SECONDS = 5.0
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_control/core.py
@@ -0,0 +1,225 @@
+"""The control host: takes notes and orders, replicates them, and spreads what is committed."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .._notes.catalogue import Change
+from .._replica.events import (
+    Answered,
+    Applied,
+    Installed,
+    Persist,
+    Persisted,
+    PersistFailed,
+    Propose,
+    ReplicaEffect,
+    ReplicaEvent,
+    ReplicaHeard,
+    RoleChanged,
+    SendReplica,
+    StopPlanned,
+    Tick,
+)
+from .._replica.messages import ForwardMessage, ForwardRequest
+from .._replica.replica import ReplicaCore
+from .._spread.spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
+from .._spread.survey import SendSurvey, Surveys
+from ..core import Core
+from ..messages import (
+    OperatorReply,
+    OperatorRequest,
+    Status,
+    StatusRequest,
+    SurveyMessage,
+    SurveyReply,
+    SurveyRequest,
+)
+from ..types import HostName
+from .submissions import OperatorAnswer, Submissions
+
+
+class Requested(NamedTuple):
+    """An operator sent a request; the answer carries the same token."""
+
+    token: int
+    request: OperatorRequest
+
+
+class ForwardHeard(NamedTuple):
+    """Another control host forwarded a request, or answered one."""
+
+    sender: HostName
+    message: ForwardMessage
+
+
+class SurveyHeard(NamedTuple):
+    """Another control host asks which entry hosts this one serves, or answered that question."""
+
+    sender: HostName
+    message: SurveyMessage
+
+
+class HostsExpected(NamedTuple):
+    """The names of the entry hosts that should be there."""
+
+    names: frozenset[HostName]
+
+
+ControlEvent = (
+    Requested
+    | SurveyHeard
+    | HostsExpected
+    | ForwardHeard
+    | ReplicaHeard
+    | Subscribed
+    | SnapshotPulled
+    | Persisted
+    | PersistFailed
+    | Tick
+    | StopPlanned
+)
+
+
+class Reply(NamedTuple):
+    """Answer an operator."""
+
+    token: int
+    body: OperatorReply | Status
+
+
+class Committed(NamedTuple):
+    """A change was committed and applied on this host."""
+
+    change: Change
+
+
+ControlEffect = Reply | SendHost | SendSurvey | SendReplica | Persist | Committed | RoleChanged
+
+
+class ControlCore(Core[ControlEvent, ControlEffect]):
+    """Decisions of a control host.
+
+    :param name: the name of this host.
+    :param replica: this host's replica of the log.
+    :param controls: names of all control hosts.
+    """
+
+    def __init__(
+        self, name: HostName, replica: ReplicaCore, controls: Iterable[HostName] = ()
+    ) -> None:
+        self._name = name
+        self._replica = replica
+        self._catalogue = replica.catalogue
+        self._spread = SpreadCore(replica.catalogue)
+        self._submissions = Submissions()
+        self._surveys = Surveys(name, controls)
+
+    @property
+    def replica(self) -> ReplicaCore:
+        """This host's replica of the log, to be read only."""
+        return self._replica
+
+    def handle(self, event: ControlEvent, now: float) -> list[ControlEffect]:
+        """Take one event."""
+        if isinstance(event, Requested):
+            return self._requested(event, now)
+        if isinstance(event, ForwardHeard):
+            return self._forward_heard(event, now)
+        if isinstance(event, SurveyHeard):
+            return self._survey_heard(event, now)
+        if isinstance(event, HostsExpected):
+            self._surveys.expect(event.names)
+            return []
+        if isinstance(event, Subscribed | SnapshotPulled):
+            return list(self._spread.handle(event, now))
+        effects = self._feed(event, now)
+        if isinstance(event, Tick):
+            effects += self._redirect(now) + self._expire(now)
+        return effects
+
+    def _requested(self, event: Requested, now: float) -> list[ControlEffect]:
+        request = event.request
+        if isinstance(request, StatusRequest):
+            return self._start_survey(event.token, now)
+        leader = self._replica.leader(now)
+        way = self._submissions.operator(
+            event.token, request, self._name, leader, self._catalogue.revision, now
+        )
+        if isinstance(way, Propose):
+            return self._feed(way, now)
+        return [_reply(way)]
+
+    def _forward_heard(self, event: ForwardHeard, now: float) -> list[ControlEffect]:
+        message = event.message
+        if isinstance(message, ForwardRequest):
+            return self._feed(self._submissions.forwarded(event.sender, message, now), now)
+        answer = self._submissions.answered(message.number, message.reply)
+        return [] if answer is None else [_reply(answer)]
+
+    def _redirect(self, now: float) -> list[ControlEffect]:
+        leader = self._replica.leader(now)
+        effects: list[ControlEffect] = []
+        for way in self._submissions.redirected(self._name, leader) if leader else ():
+            effects += self._feed(way, now) if isinstance(way, Propose) else [way]
+        return effects
+
+    def _expire(self, now: float) -> list[ControlEffect]:
+        late = self._submissions.expired(self._catalogue.revision, now)
+        return [_reply(answer) for answer in late] + self._finished_surveys(now)
+
+    def _feed(self, event: ReplicaEvent, now: float) -> list[ControlEffect]:
+        effects: list[ControlEffect] = []
+        for effect in self._replica.handle(event, now):
+            effects += self._replica_effect(effect, now)
+        return effects
+
+    def _replica_effect(self, effect: ReplicaEffect, now: float) -> list[ControlEffect]:
+        if isinstance(effect, Applied):
+            return self._applied(effect, now)
+        if isinstance(effect, Installed):
+            self._catalogue = effect.catalogue
+            return list(self._spread.handle(Replaced(effect.catalogue), now))
+        if isinstance(effect, Answered):
+            answer = self._submissions.answered(effect.token, effect.reply)
+            return [] if answer is None else [_reply(answer)]
+        return [effect]
+
+    def _applied(self, effect: Applied, now: float) -> list[ControlEffect]:
+        outcome = effect.outcome
+        effects: list[ControlEffect] = []
+        if outcome.change is not None:
+            self._catalogue = outcome.catalogue
+            effects.append(Committed(outcome.change))
+            effects += self._spread.handle(Advanced(outcome.change, outcome.catalogue), now)
+        if effect.token is not None:
+            answer = self._submissions.answered(effect.token, outcome.reply)
+            effects += [] if answer is None else [_reply(answer)]
+        return effects
+
+    def _start_survey(self, token: int, now: float) -> list[ControlEffect]:
+        request = self._surveys.start(token, self._survey_reply(0, now), now)
+        asked: list[ControlEffect] = [SendSurvey(name, request) for name in self._surveys.others]
+        return asked + self._finished_surveys(now)
+
+    def _survey_heard(self, event: SurveyHeard, now: float) -> list[ControlEffect]:
+        message = event.message
+        if isinstance(message, SurveyRequest):
+            return [SendSurvey(event.sender, self._survey_reply(message.number, now))]
+        self._surveys.answered(event.sender, message)
+        return self._finished_surveys(now)
+
+    def _survey_reply(self, number: int, now: float) -> SurveyReply:
+        leader = self._replica.leader(now)
+        hosts = self._spread.hosts(now)
+        return SurveyReply(number, self._catalogue.revision, leader, hosts)
+
+    def _finished_surveys(self, now: float) -> list[ControlEffect]:
+        return [Reply(token, status) for token, status in self._surveys.finished(now)]
+
+
+def _reply(answer: OperatorAnswer | SendReplica) -> Reply | SendReplica:
+    if isinstance(answer, SendReplica):
+        return answer
+    return Reply(answer.token, OperatorReply(answer.reply))
--- a/packages/core/src/lacewingrudder_core/submissions.py
+++ b/packages/core/src/lacewingrudder_core/_control/submissions.py
@@ -10,13 +10,13 @@
 import itertools
 from typing import NamedTuple
 
-from .log import note_weight
-from .messages import SubmitNote, SubmitOrder
-from .notes import Note, SubmitReply, SubmitTag
-from .replica import NO_QUORUM
-from .replica_events import Propose, SendReplica
-from .replica_messages import ForwardReply, ForwardRequest
-from .types import HostName
+from .._notes.catalogue import Note, SubmitReply, SubmitTag
+from .._replica.events import Propose, SendReplica
+from .._replica.log import note_weight
+from .._replica.messages import ForwardReply, ForwardRequest
+from .._replica.replica import NO_QUORUM
+from ..messages import SubmitNote, SubmitOrder
+from ..types import HostName
 
 ANSWER_SECONDS = 4.0
 NOTE_WEIGHT_LIMIT = 4000
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_entry/core.py
@@ -0,0 +1,282 @@
+"""The entry host: joins the cores of flows, targets and membership, and follows the catalogue."""
+
+from __future__ import annotations
+
+import random
+
+from .._admission.overload import SynLimiter
+from .._admission.policy import AdmissionPolicy, RefusalReason
+from .._admission.shares import ShareAdmission
+from .._flows.opening import refuse
+from .._follower import follower
+from .._follower.follower import ControlMessage, InForce, Kept
+from .._follower.revisions import RevisionEffect, Revisions
+from .._membership import core as membership
+from .._membership.core import (
+    MemberLeft,
+    MemberMessage,
+    MembersChanged,
+    MembershipCore,
+    MembershipEffect,
+    PeerConfirmed,
+)
+from .._notes.catalogue import Catalogue
+from .._routing.health import HealthBook
+from .._routing.placement import SparingPlacement
+from .._routing.target_table import TableEffect, TargetTable
+from .._routing.view import ViewBuilder
+from .._targets import core as targets
+from .._targets.events import Announced, CatalogueChanged, MembersSeen
+from ..chart import Chart
+from ..core import Core
+from ..flows import (
+    ACK,
+    SYN,
+    Drop,
+    DropReason,
+    FlowCore,
+    FlowEffect,
+    FlowTick,
+    Leaving,
+    PinsHeard,
+    Replicate,
+    SegmentArrived,
+    Stage,
+    ViewChanged,
+)
+from ..messages import (
+    Ack,
+    Goodbye,
+    MembersPull,
+    MemberUpdates,
+    Ping,
+    Pins,
+    ProbeRequest,
+    SnapshotPull,
+    Subscribe,
+    SwimMessage,
+    TargetsInUse,
+    TargetsPull,
+    TargetUpdates,
+)
+from ..types import HostName, Member, TargetName, ZoneName
+from .events import (
+    EntryEffect,
+    EntryEvent,
+    LoadMeasured,
+    PeerMessage,
+    ReadinessChanged,
+    SendPeer,
+    StopPlanned,
+    Tick,
+)
+from .readiness import Readiness
+
+__all__ = [
+    "EntryCore",
+    "EntryEffect",
+    "EntryEvent",
+    "PeerMessage",
+    "SendPeer",
+    "StopPlanned",
+    "Tick",
+]
+
+
+class EntryCore(Core[EntryEvent, EntryEffect]):
+    """All decisions of an entry host.
+
+    :param me: this host.
+    :param peers: names of the other entry hosts.
+    :param target_chart: the life cycle of targets.
+    :param catalogue: the catalogue this host last had in force, if it kept it.
+    :param controls: names of the control hosts.
+    :param keeps: whether this host makes a catalogue durable before it is in force.
+    :param rng: source of random choices in gossip.
+    :param admission: decides on new flows; by guaranteed shares if ``None``.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        peers: tuple[HostName, ...],
+        target_chart: Chart,
+        catalogue: Catalogue | None = None,
+        controls: tuple[HostName, ...] = (),
+        keeps: bool = False,
+        rng: random.Random | None = None,
+        admission: AdmissionPolicy | None = None,
+    ) -> None:
+        self._me = me
+        rng = rng or random.Random(me.name)
+        in_force = catalogue or Catalogue()
+        self._revisions = Revisions(me, in_force, controls, keeps, rng)
+        self._membership = MembershipCore(me, peers, rng)
+        self._has_seeds = bool(set(peers) - {me.name})
+        self._readiness = Readiness()
+        self._targets = TargetTable(me, target_chart, in_force, rng)
+        self._health = HealthBook()
+        placement = SparingPlacement(me.zone, self._health)
+        self._views = ViewBuilder()
+        view = self._views.build([me], in_force, ())
+        self._limiter = SynLimiter()
+        self._flows = FlowCore(
+            me.name, view, admission or ShareAdmission(), placement, self._health
+        )
+
+    @property
+    def revision(self) -> int:
+        """The revision in force on this host."""
+        return self._revisions.catalogue.revision
+
+    @property
+    def flow_count(self) -> int:
+        """How many flows this host keeps."""
+        return self._flows.flow_count
+
+    @property
+    def pin_count(self) -> int:
+        """How many of this host's flows are on another target than the table gives."""
+        return self._flows.pin_count
+
+    @property
+    def member_count(self) -> int:
+        """How many entry hosts are alive, this one included."""
+        return len(self._membership.members)
+
+    def ejected_targets(self, now: float) -> frozenset[TargetName]:
+        """Return the targets that get no new flow of this host, on its own evidence."""
+        return self._health.ejected_targets(now)
+
+    @property
+    def serving_targets(self) -> int:
+        """How many targets take new flows."""
+        return self._targets.serving
+
+    @property
+    def followed(self) -> HostName:
+        """The control host that this host follows."""
+        return self._revisions.followed
+
+    @property
+    def zones(self) -> dict[HostName, ZoneName]:
+        """The live entry hosts and their zones."""
+        return {member.name: member.zone for member in self._membership.members}
+
+    def handle(self, event: EntryEvent, now: float) -> list[EntryEffect]:
+        """Take one event."""
+        is_alone = not self._has_seeds and self.member_count == 1
+        self._readiness.notice(now, is_alone)
+        if isinstance(event, SegmentArrived):
+            return self._segment(event, now)
+        if isinstance(event, PeerMessage):
+            return self._peer(event, now)
+        if isinstance(event, ControlMessage):
+            may_begin = self._readiness.may_learn(now)
+            return self._revised(self._revisions.control(event, may_begin, now), now)
+        if isinstance(event, Announced):
+            return self._target_effects(self._targets.feed(event, now), now)
+        if isinstance(event, LoadMeasured):
+            self._limiter.measured(event.backlog, event.lag)
+            return []
+        if isinstance(event, Kept):
+            return self._revised(self._revisions.follow(event, now), now)
+        if isinstance(event, StopPlanned):
+            return self._leave(now)
+        return self._tick(now)
+
+    def _segment(self, event: SegmentArrived, now: float) -> list[EntryEffect]:
+        """Take a packet; what may open a flow waits until this host's state is fresh."""
+        opens = event.segment.flags & (SYN | ACK) == SYN
+        if opens and not self._readiness.is_ready(now):
+            return [Drop(DropReason.NOT_READY)]
+        if opens and event.stage is Stage.FABRIC and not self._limiter.admits(event.segment, now):
+            return list(refuse(event.segment, RefusalReason.OVERLOAD))
+        return self._flow_effects(self._flows.handle(event, now))
+
+    def _tick(self, now: float) -> list[EntryEffect]:
+        self._readiness.tick(now)
+        effects = self._member_effects(self._membership.handle(membership.Tick(), now), now)
+        effects += self._target_effects(self._targets.feed(targets.Tick(), now), now)
+        effects += self._revised(self._revisions.follow(follower.Tick(), now), now)
+        effects += self._flow_effects(self._flows.handle(FlowTick(), now))
+        effects += self._targets.claim(self._flows.targets_in_use, self.zones, now)
+        effects += self._targets.tell(self._membership.neighbours, now)
+        effects += [ReadinessChanged(ready) for ready in self._readiness.take_changes(now)]
+        return effects
+
+    def _peer(self, event: PeerMessage, now: float) -> list[EntryEffect]:
+        sender, body = event
+        if isinstance(body, Ping | Ack | ProbeRequest | MembersPull | MemberUpdates):
+            return self._swim(sender, body, now)
+        if isinstance(body, TargetUpdates | TargetsPull | TargetsInUse):
+            return self._target_effects(self._targets.receive(sender, body, now), now)
+        if isinstance(body, Goodbye):
+            return self._member_effects(self._membership.handle(MemberLeft(body.member), now), now)
+        if isinstance(body, Subscribe | SnapshotPull):
+            return list(self._revisions.serve(body, now))
+        if isinstance(body, Pins):
+            self._flows.handle(PinsHeard(body), now)
+        return []
+
+    def _swim(self, sender: HostName, body: SwimMessage, now: float) -> list[EntryEffect]:
+        effects = self._member_effects(
+            self._membership.handle(MemberMessage(sender, body), now), now
+        )
+        if not isinstance(body, Ping | Ack):
+            return effects
+        effects += self._targets.compare(sender, body.targets, now)
+        effects += self._revised(self._revisions.peer_seen(sender, body.revision, now), now)
+        same_targets = body.targets == self._targets.digest
+        self._readiness.compare(same_targets and body.revision <= self.revision)
+        return effects
+
+    def _leave(self, now: float) -> list[EntryEffect]:
+        self._membership.handle(membership.Leave(), now)
+        goodbye = Goodbye(self._membership.me)
+        handed_over = self._flow_effects(self._flows.handle(Leaving(), now))
+        return handed_over + [SendPeer(name, goodbye) for name in self._membership.neighbours]
+
+    def _flow_effects(self, effects: list[FlowEffect]) -> list[EntryEffect]:
+        return [
+            SendPeer(effect.host, effect.pins) if isinstance(effect, Replicate) else effect
+            for effect in effects
+        ]
+
+    def _revised(self, effects: list[RevisionEffect], now: float) -> list[EntryEffect]:
+        done: list[EntryEffect] = []
+        for effect in effects:
+            done.append(effect)
+            if isinstance(effect, InForce):
+                changed = self._targets.feed(CatalogueChanged(effect.catalogue), now)
+                done += self._target_effects(changed, now)
+                done += self._refresh(now)
+        return done
+
+    def _member_effects(self, effects: list[MembershipEffect], now: float) -> list[EntryEffect]:
+        done: list[EntryEffect] = []
+        for effect in effects:
+            if isinstance(effect, MembersChanged):
+                self._revisions.learn_zones(self.zones, now)
+                self._targets.feed(MembersSeen(self.zones), now)
+                done += self._refresh(now)
+                done.append(effect)
+            elif isinstance(effect, PeerConfirmed):
+                self._readiness.confirm()
+            else:
+                done.append(SendPeer(effect.host, self._filled_in(effect.body)))
+        return done
+
+    def _filled_in(self, body: SwimMessage) -> SwimMessage:
+        if isinstance(body, Ping | Ack):
+            return body._replace(revision=self.revision, targets=self._targets.digest)
+        return body
+
+    def _target_effects(self, effects: list[TableEffect], now: float) -> list[EntryEffect]:
+        return [*effects, *(self._refresh(now) if self._targets.take_change() else ())]
+
+    def _refresh(self, now: float) -> list[EntryEffect]:
+        members = sorted(self._membership.members)
+        view = self._views.build(members, self._revisions.catalogue, self._targets.records)
+        self._health.regroup(view.working_targets())
+        return self._flow_effects(self._flows.handle(ViewChanged(view), now))
--- a/packages/core/src/lacewingrudder_core/entry_events.py
+++ b/packages/core/src/lacewingrudder_core/_entry/events.py
@@ -4,10 +4,11 @@
 
 from typing import NamedTuple
 
-from .flows import FlowEffect, SegmentArrived
-from .follower import ControlMessage, InForce, Keep, Kept, SendControl
-from .membership import MembersChanged
-from .messages import (
+from .._follower.follower import ControlMessage, InForce, Keep, Kept, SendControl
+from .._membership.core import MembersChanged
+from .._targets.events import Announced, Answer
+from ..flows import FlowEffect, SegmentArrived
+from ..messages import (
     FollowMessage,
     Goodbye,
     Pins,
@@ -17,8 +18,7 @@
     TargetsPull,
     TargetUpdates,
 )
-from .targets import Announced, Answer
-from .types import HostName, TargetName, TargetState
+from ..types import HostName, TargetName, TargetState
 
 PeerBody = (
     SwimMessage
--- a/packages/core/src/lacewingrudder_core/flow_core.py
+++ b/packages/core/src/lacewingrudder_core/_flows/core.py
@@ -7,12 +7,24 @@
 
 from __future__ import annotations
 
-from .admission import AdmissionPolicy
-from .budget import Budget
-from .core import Core
-from .flow_keeper import FlowKeeper
-from .flow_table import WINDOW_BYTES, Flow, FlowState
-from .flow_types import (
+from .._admission.policy import AdmissionPolicy
+from .._routing.health import HealthBook
+from .._routing.loads import LoadBook
+from .._routing.placement import PlacementPolicy
+from .._routing.view import KindRoute, RoutingView, TargetRoute
+from .._spread.budget import Budget
+from ..core import Core
+from ..types import Endpoint, FlowKey, HostName, TargetName, Verdict
+from .handover import next_hop
+from .keeper import FlowKeeper
+from .lookup import Looked, Lookup
+from .opening import Opener, StartReason, refuse, reset_caller
+from .routes import RouteBook
+from .serving import Serving, verdict_on
+from .silence import SilenceWatch
+from .table import WINDOW_BYTES, Flow, FlowState
+from .target_tags import NO_TAG
+from .types import (
     ACK,
     RST,
     SEQUENCE_MASK,
@@ -31,19 +43,7 @@
     SegmentArrived,
     Stage,
 )
-from .flow_use import UseBook
-from .handover import next_hop
-from .health import HealthBook
-from .loads import LoadBook
-from .lookup import Looked, Lookup
-from .opening import Opener, StartReason, refuse, reset_caller
-from .placement import PlacementPolicy
-from .routes import RouteBook
-from .serving import Serving, verdict_on
-from .silence import SilenceWatch
-from .target_tags import NO_TAG
-from .types import Endpoint, FlowKey, HostName, TargetName, Verdict
-from .view import KindRoute, RoutingView, TargetRoute
+from .use import UseBook
 
 RECENT_SECONDS = 5.0
 LOOKUPS_PER_SECOND = 2_000.0
--- a/packages/core/src/lacewingrudder_core/generations.py
+++ b/packages/core/src/lacewingrudder_core/_flows/generations.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from .hashing import flow_hash
-from .maglev import PlacementTable
-from .types import Endpoint, FlowKey, TargetName
-from .view import RoutingView
+from .._routing.maglev import PlacementTable
+from .._routing.view import RoutingView
+from ..hashing import flow_hash
+from ..types import Endpoint, FlowKey, TargetName
 
 GENERATIONS_KEPT = 4
 
--- a/packages/core/src/lacewingrudder_core/handover.py
+++ b/packages/core/src/lacewingrudder_core/_flows/handover.py
@@ -4,9 +4,9 @@
 
 from typing import NamedTuple
 
-from .flow_types import Stage
-from .homes import HomeRank
-from .types import HostName
+from .._routing.homes import HomeRank
+from ..types import HostName
+from .types import Stage
 
 
 class Hop(NamedTuple):
--- a/packages/core/src/lacewingrudder_core/flow_keeper.py
+++ b/packages/core/src/lacewingrudder_core/_flows/keeper.py
@@ -5,15 +5,15 @@
 import math
 from collections.abc import Iterator
 
-from .flow_table import Flow, FlowState, FlowTable
-from .flow_types import Replicate, Segment
-from .flow_use import UseBook
+from .._routing.homes import HomeTable
+from .._routing.view import KindRoute, RoutingView
+from ..hashing import flow_hash
+from ..types import Endpoint, FlowKey, HostName, TargetName
 from .generations import TableGenerations
-from .hashing import flow_hash
-from .homes import HomeTable
 from .pins import PinBook
-from .types import Endpoint, FlowKey, HostName, TargetName
-from .view import KindRoute, RoutingView
+from .table import Flow, FlowState, FlowTable
+from .types import Replicate, Segment
+from .use import UseBook
 
 CLOSED_SECONDS = 5.0
 SETTLE_SECONDS = 2.0
--- a/packages/core/src/lacewingrudder_core/lookup.py
+++ b/packages/core/src/lacewingrudder_core/_flows/lookup.py
@@ -4,9 +4,13 @@
 
 from typing import NamedTuple
 
-from .flow_keeper import FlowKeeper
-from .flow_table import Flow, FlowState
-from .flow_types import (
+from ..types import Endpoint, FlowKey, TargetName, Verdict
+from .keeper import FlowKeeper
+from .opening import reset_target
+from .routes import RouteBook
+from .search import Candidate, Search, SearchBook
+from .table import Flow, FlowState
+from .types import (
     FIN,
     RST,
     SYN,
@@ -20,10 +24,6 @@
     ToTarget,
     VerdictReached,
 )
-from .opening import reset_target
-from .routes import RouteBook
-from .search import Candidate, Search, SearchBook
-from .types import Endpoint, FlowKey, TargetName, Verdict
 
 
 class Looked(NamedTuple):
--- a/packages/core/src/lacewingrudder_core/opening.py
+++ b/packages/core/src/lacewingrudder_core/_flows/opening.py
@@ -4,10 +4,17 @@
 
 import enum
 
-from .admission import AdmissionPolicy, Refused
-from .flow_keeper import FlowKeeper
-from .flow_table import Flow, FlowState
-from .flow_types import (
+from .._admission.policy import AdmissionPolicy, Refused
+from .._admission.retry_budget import RetryBudget
+from .._routing.health import HealthBook
+from .._routing.loads import LoadBook
+from .._routing.placement import PlacementPolicy
+from .._routing.view import KindRoute
+from ..types import Endpoint, FlowKey, TargetName, Verdict
+from .keeper import FlowKeeper
+from .routes import RouteBook
+from .table import Flow, FlowState
+from .types import (
     ACK,
     RST,
     SEQUENCE_MASK,
@@ -22,14 +29,7 @@
     ToTarget,
     VerdictReached,
 )
-from .flow_use import UseBook
-from .health import HealthBook
-from .loads import LoadBook
-from .placement import PlacementPolicy
-from .retry_budget import RetryBudget
-from .routes import RouteBook
-from .types import Endpoint, FlowKey, TargetName, Verdict
-from .view import KindRoute
+from .use import UseBook
 
 SYN_RETRY_SECONDS = 0.5
 SYN_DEADLINE_SECONDS = 3.0
--- a/packages/core/src/lacewingrudder_core/pins.py
+++ b/packages/core/src/lacewingrudder_core/_flows/pins.py
@@ -10,10 +10,10 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .budget import Budget
-from .homes import HomeTable
-from .messages import PinGroup, Pins
-from .types import HostName, TargetName
+from .._routing.homes import HomeTable
+from .._spread.budget import Budget
+from ..messages import PinGroup, Pins
+from ..types import HostName, TargetName
 
 PIN_BYTES_PER_SECOND = 2048.0
 PIN_BURST_BYTES = 2048.0
--- a/packages/core/src/lacewingrudder_core/routes.py
+++ b/packages/core/src/lacewingrudder_core/_flows/routes.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
+from .._routing.view import KindRoute, RoutingView, TargetRoute
+from ..types import Endpoint, TargetName
 from .target_tags import TargetTags
-from .types import Endpoint, TargetName
-from .view import KindRoute, RoutingView, TargetRoute
 
 RETIRED_SECONDS = 6 * 3600.0
 
--- a/packages/core/src/lacewingrudder_core/search.py
+++ b/packages/core/src/lacewingrudder_core/_flows/search.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Iterable
 
-from .flow_table import WINDOW_BYTES
-from .flow_types import RST, SEQUENCE_MASK, SYN, FlowEffect, Probe, Segment
-from .types import Endpoint, FlowKey, TargetName
+from ..types import Endpoint, FlowKey, TargetName
+from .table import WINDOW_BYTES
+from .types import RST, SEQUENCE_MASK, SYN, FlowEffect, Probe, Segment
 
 SEARCHES_MAX = 1024
 CANDIDATES_MAX = 16
--- a/packages/core/src/lacewingrudder_core/serving.py
+++ b/packages/core/src/lacewingrudder_core/_flows/serving.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from .flow_keeper import FlowKeeper
-from .flow_table import CALLER_END, TARGET_END, Flow, FlowState
-from .flow_types import FIN, RST, SYN, FlowEffect, Segment, ToCaller, ToTarget, VerdictReached
-from .health import HealthBook
+from .._routing.health import HealthBook
+from ..types import Endpoint, Verdict
+from .keeper import FlowKeeper
 from .opening import Opener
 from .silence import SilenceWatch
-from .types import Endpoint, Verdict
+from .table import CALLER_END, TARGET_END, Flow, FlowState
+from .types import FIN, RST, SYN, FlowEffect, Segment, ToCaller, ToTarget, VerdictReached
 
 
 class Serving:
--- a/packages/core/src/lacewingrudder_core/silence.py
+++ b/packages/core/src/lacewingrudder_core/_flows/silence.py
@@ -9,12 +9,12 @@
 
 from collections.abc import Iterator
 
-from .flow_keeper import FlowKeeper
-from .flow_table import Flow, FlowState
-from .flow_types import SEQUENCE_MASK, FlowEffect, Probe, VerdictReached
-from .health import HealthBook
+from .._routing.health import HealthBook
+from ..types import Endpoint, FlowKey, TargetName, Verdict
+from .keeper import FlowKeeper
 from .opening import reset_caller, reset_target
-from .types import Endpoint, FlowKey, TargetName, Verdict
+from .table import Flow, FlowState
+from .types import SEQUENCE_MASK, FlowEffect, Probe, VerdictReached
 
 SILENT_SECONDS = 3.0
 KEEP_ALIVE_SECONDS = 30.0
--- a/packages/core/src/lacewingrudder_core/flow_table.py
+++ b/packages/core/src/lacewingrudder_core/_flows/table.py
@@ -5,10 +5,10 @@
 import enum
 from collections.abc import Iterator
 
-from .flow_types import ACK, RST, SEQUENCE_MASK, SYN, Segment
-from .flow_use import FlowUse
-from .homes import HomeTable
-from .types import Endpoint, FlowKey, TargetName
+from .._routing.homes import HomeTable
+from ..types import Endpoint, FlowKey, TargetName
+from .types import ACK, RST, SEQUENCE_MASK, SYN, Segment
+from .use import FlowUse
 
 WINDOW_BYTES = 1 << 24
 CALLER_END = 1
--- a/packages/core/src/lacewingrudder_core/target_tags.py
+++ b/packages/core/src/lacewingrudder_core/_flows/target_tags.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable
 
-from .hashing import name_hash
-from .types import TargetName
+from ..hashing import name_hash
+from ..types import TargetName
 
 TAG_BITS = 28
 NO_TAG = 0
--- a/packages/core/src/lacewingrudder_core/flow_types.py
+++ b/packages/core/src/lacewingrudder_core/_flows/types.py
@@ -5,9 +5,9 @@
 import enum
 from typing import NamedTuple
 
-from .messages import Pins
-from .types import Endpoint, FlowKey, HostName, TargetName, Verdict
-from .view import RoutingView
+from .._routing.view import RoutingView
+from ..messages import Pins
+from ..types import Endpoint, FlowKey, HostName, TargetName, Verdict
 
 FIN = 0x01
 SYN = 0x02
--- a/packages/core/src/lacewingrudder_core/flow_use.py
+++ b/packages/core/src/lacewingrudder_core/_flows/use.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from .admission import AdmissionPolicy
-from .loads import LoadBook
-from .syn_guard import HalfOpenBook
-from .types import FlowKey, TargetName
-from .view import KindRoute
+from .._admission.policy import AdmissionPolicy
+from .._admission.syn_guard import HalfOpenBook
+from .._routing.loads import LoadBook
+from .._routing.view import KindRoute
+from ..types import FlowKey, TargetName
 
 
 class FlowUse:
--- a/packages/core/src/lacewingrudder_core/revisions.py
+++ b/packages/core/src/lacewingrudder_core/_follower/revisions.py
@@ -5,7 +5,11 @@
 import random
 from collections.abc import Mapping
 
-from .entry_events import SendPeer
+from .._entry.events import SendPeer
+from .._notes.catalogue import Catalogue
+from .._spread.spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
+from ..messages import FollowMessage, Standing, Subscribe
+from ..types import HostName, Member, ZoneName
 from .follower import (
     ControlMessage,
     FollowerCore,
@@ -15,10 +19,6 @@
     PeerSeen,
     ZonesLearnt,
 )
-from .messages import FollowMessage, Standing, Subscribe
-from .notes import Catalogue
-from .spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
-from .types import HostName, Member, ZoneName
 
 RevisionEffect = FollowerEffect | SendPeer
 
--- a/packages/core/src/lacewingrudder_core/digests.py
+++ b/packages/core/src/lacewingrudder_core/_gossip/digests.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .hashing import name_hash
+from ..hashing import name_hash
 
 DIGEST_BYTES = 4
 BUCKETS_MIN = 8
--- a/packages/core/src/lacewingrudder_core/probes.py
+++ b/packages/core/src/lacewingrudder_core/_membership/probes.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from .types import HostName
+from ..types import HostName
 
 DIRECT_SECONDS = 0.25
 INDIRECT_SECONDS = 0.5
--- a/packages/core/src/lacewingrudder_core/rings.py
+++ b/packages/core/src/lacewingrudder_core/_membership/rings.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Iterable
 
-from .hashing import name_hash
-from .types import HostName
+from ..hashing import name_hash
+from ..types import HostName
 
 RINGS = 4
 SUCCESSORS_PER_RING = 2
--- a/packages/core/src/lacewingrudder_core/members.py
+++ b/packages/core/src/lacewingrudder_core/_membership/table.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .digests import DIGEST_BYTES, Fingerprint, differing_buckets, table_digest
-from .messages import MemberStatus, MemberUpdate
-from .types import HostName, Member
+from .._gossip.digests import DIGEST_BYTES, Fingerprint, differing_buckets, table_digest
+from ..messages import MemberStatus, MemberUpdate
+from ..types import HostName, Member
 
 TRANSMISSIONS_FACTOR = 2
 DEAD_KEPT_SECONDS = 86_400.0
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_notes/catalogue.py
@@ -0,0 +1,173 @@
+"""Release notes and orders, and the catalogue that results from applying them in log order."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from ..types import OrderAction, Service, TargetName, TargetOrder
+from .checks import NoteParts, catalogue_problem, parts_problem
+
+RECEIPTS_KEPT = 10_000
+
+
+class Note(NamedTuple):
+    """A release note: all of it comes into force, or nothing.
+
+    :param number: chosen by the operator; identifies the note when it is sent again.
+    :param base: the revision that the note builds on.
+    :param digest: hash of the note's contents, as hexadecimal text.
+    """
+
+    number: int
+    base: int
+    added: tuple[Service, ...]
+    changed: tuple[Service, ...]
+    withdrawn: tuple[str, ...]
+    digest: str
+
+    @property
+    def parts(self) -> NoteParts:
+        """What the note adds, changes and withdraws."""
+        return NoteParts(self.added, self.changed, self.withdrawn)
+
+
+class Change(NamedTuple):
+    """One applied change: a note or an order, never both.
+
+    :param revision: the revision that the change produced.
+    """
+
+    revision: int
+    note: Note | None
+    order: TargetOrder | None
+
+
+class NoteReceipt(NamedTuple):
+    """What an accepted note got, kept so that the same note gets the same answer again."""
+
+    number: int
+    digest: str
+    revision: int
+
+
+class SubmitTag(enum.StrEnum):
+    """The outcomes of a submission."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    INVALID = "invalid"
+    UNKNOWN = "unknown"
+
+
+class SubmitReply(NamedTuple):
+    """The answer to a submission.
+
+    :param revision: the revision that the change produced, or the current one if it was not
+        accepted.
+    :param detail: a sentence for the operator; empty when accepted.
+    """
+
+    tag: SubmitTag
+    revision: int
+    detail: str
+
+
+class Catalogue(NamedTuple):
+    """All services and orders at one revision; immutable, so that a snapshot is a reference."""
+
+    revision: int = 0
+    services: tuple[Service, ...] = ()
+    orders: tuple[TargetOrder, ...] = ()
+    receipts: tuple[NoteReceipt, ...] = ()
+
+    def service(self, name: str) -> Service | None:
+        """Return a service by its name, or ``None``."""
+        return next((service for service in self.services if service.name == name), None)
+
+    def order(self, target: TargetName) -> OrderAction | None:
+        """Return the order in force for a target, or ``None``."""
+        return next((order.action for order in self.orders if order.target == target), None)
+
+    def check(self, note: Note) -> SubmitReply | None:
+        """Return why a note can't be applied or was applied before; ``None`` if it can be."""
+        for receipt in self.receipts:
+            if receipt.number == note.number:
+                return self._repeated(note, receipt)
+        if note.base != self.revision:
+            return SubmitReply(
+                SubmitTag.CONFLICT,
+                self.revision,
+                f"note builds on revision {note.base}, but revision {self.revision} is current",
+            )
+        services = {service.name: service for service in self.services}
+        problem = parts_problem(note.parts) or catalogue_problem(note.parts, services)
+        if problem is not None:
+            return SubmitReply(SubmitTag.INVALID, self.revision, str(problem))
+        return None
+
+    def submit_note(self, note: Note) -> Outcome:
+        """Return what comes of a note; the same on every replica."""
+        problem = self.check(note)
+        if problem is not None:
+            return Outcome(problem, None, self)
+        return self._accept(Change(self.revision + 1, note, None))
+
+    def submit_order(self, order: TargetOrder) -> Outcome:
+        """Return what comes of an order; one that is in force already makes no new revision."""
+        wanted = None if order.action is OrderAction.RESTORE else order.action
+        if self.order(order.target) == wanted:
+            return Outcome(SubmitReply(SubmitTag.ACCEPTED, self.revision, ""), None, self)
+        return self._accept(Change(self.revision + 1, None, order))
+
+    def apply(self, change: Change) -> Catalogue:
+        """Return the catalogue after a change that :meth:`check` let pass."""
+        if change.note is not None:
+            return self._with_note(change.revision, change.note)
+        if change.order is not None:
+            return self._with_order(change.revision, change.order)
+        return self._replace(revision=change.revision)
+
+    def _accept(self, change: Change) -> Outcome:
+        reply = SubmitReply(SubmitTag.ACCEPTED, change.revision, "")
+        return Outcome(reply, change, self.apply(change))
+
+    def _repeated(self, note: Note, receipt: NoteReceipt) -> SubmitReply:
+        if receipt.digest == note.digest:
+            return SubmitReply(SubmitTag.ACCEPTED, receipt.revision, "")
+        return SubmitReply(
+            SubmitTag.CONFLICT,
+            self.revision,
+            f"number {note.number} was used by another note at revision {receipt.revision}",
+        )
+
+    def _with_note(self, revision: int, note: Note) -> Catalogue:
+        services = {service.name: service for service in self.services}
+        for name in note.withdrawn:
+            del services[name]
+        for service in note.added + note.changed:
+            services[service.name] = service
+        receipt = NoteReceipt(note.number, note.digest, revision)
+        return self._replace(
+            revision=revision,
+            services=tuple(services[name] for name in sorted(services)),
+            receipts=(*self.receipts[1 - RECEIPTS_KEPT :], receipt),
+        )
+
+    def _with_order(self, revision: int, order: TargetOrder) -> Catalogue:
+        others = tuple(other for other in self.orders if other.target != order.target)
+        kept = () if order.action is OrderAction.RESTORE else (order,)
+        return self._replace(revision=revision, orders=others + kept)
+
+
+class Outcome(NamedTuple):
+    """What came of a note or an order.
+
+    :param change: the change that was applied, or ``None``.
+    :param catalogue: the catalogue afterwards.
+    """
+
+    reply: SubmitReply
+    change: Change | None
+    catalogue: Catalogue
--- a/packages/core/src/lacewingrudder_core/note_checks.py
+++ b/packages/core/src/lacewingrudder_core/_notes/checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
-from .types import Endpoint, Service
+from ..types import Endpoint, Service
 
 SHARES_ROUNDING = 1e-9
 
--- a/packages/core/src/lacewingrudder_core/replica_events.py
+++ b/packages/core/src/lacewingrudder_core/_replica/events.py
@@ -4,11 +4,11 @@
 
 from typing import NamedTuple
 
+from .._notes.catalogue import Catalogue, Note, Outcome, SubmitReply
+from ..types import HostName, TargetOrder
 from .durable import Write
-from .notes import Catalogue, Note, Outcome, SubmitReply
-from .replica_messages import ForwardMessage, ReplicaMessage
+from .messages import ForwardMessage, ReplicaMessage
 from .roles import Role
-from .types import HostName, TargetOrder
 
 
 class ReplicaHeard(NamedTuple):
--- a/packages/core/src/lacewingrudder_core/following.py
+++ b/packages/core/src/lacewingrudder_core/_replica/following.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from .log import LogSnapshotPart, join_snapshot
-from .replica_messages import AppendReply, AppendRequest, SnapshotReply, SnapshotRequest
-from .replica_state import ReplicaState
+from .messages import AppendReply, AppendRequest, SnapshotReply, SnapshotRequest
+from .state import ReplicaState
 
 
 class Following:
--- a/packages/core/src/lacewingrudder_core/formation.py
+++ b/packages/core/src/lacewingrudder_core/_replica/formation.py
@@ -9,11 +9,11 @@
 
 from collections.abc import Collection
 
+from ..types import HostName
+from .events import SendReplica
 from .log import LogEntry, Voter
-from .replica_events import SendReplica
-from .replica_messages import Found, Introduce, Introduced
-from .replica_state import ReplicaState
-from .types import HostName
+from .messages import Found, Introduce, Introduced
+from .state import ReplicaState
 
 INTRODUCE_SECONDS = 0.5
 FIRST_TERM = 1
--- a/packages/core/src/lacewingrudder_core/leading.py
+++ b/packages/core/src/lacewingrudder_core/_replica/leading.py
@@ -4,20 +4,14 @@
 
 from collections.abc import Collection
 
+from ..types import HostName
 from .election import HEARTBEAT_SECONDS, LEASE_SECONDS
+from .events import Propose
 from .log import Voter
+from .messages import AppendReply, AppendRequest, Handover, SnapshotReply, SnapshotRequest
 from .progress import Progress, ProgressTable
 from .reconfiguration import next_voters
-from .replica_events import Propose
-from .replica_messages import (
-    AppendReply,
-    AppendRequest,
-    Handover,
-    SnapshotReply,
-    SnapshotRequest,
-)
-from .replica_state import ReplicaState
-from .types import HostName
+from .state import ReplicaState
 
 
 class Leading:
--- a/packages/core/src/lacewingrudder_core/log.py
+++ b/packages/core/src/lacewingrudder_core/_replica/log.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
-from .notes import Catalogue, Note, NoteReceipt
-from .types import HostName, Service, TargetOrder
+from .._notes.catalogue import Catalogue, Note, NoteReceipt
+from ..types import HostName, Service, TargetOrder
 
 APPEND_WEIGHT = 1000
 PART_WEIGHT = 1000
--- a/packages/core/src/lacewingrudder_core/replica_messages.py
+++ b/packages/core/src/lacewingrudder_core/_replica/messages.py
@@ -4,9 +4,9 @@
 
 from typing import NamedTuple
 
+from .._notes.catalogue import Note, SubmitReply
+from ..types import TargetOrder
 from .log import LogEntry, LogSnapshotPart, Voter
-from .notes import Note, SubmitReply
-from .types import TargetOrder
 
 
 class Header(NamedTuple):
--- a/packages/core/src/lacewingrudder_core/reconfiguration.py
+++ b/packages/core/src/lacewingrudder_core/_replica/reconfiguration.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Callable, Collection
 
+from ..types import HostName
 from .log import Voter
-from .types import HostName
 
 
 def next_voters(
--- a/packages/core/src/lacewingrudder_core/replica_state.py
+++ b/packages/core/src/lacewingrudder_core/_replica/state.py
@@ -9,12 +9,12 @@
 
 import collections
 
+from .._notes.catalogue import Catalogue, Note, Outcome, SubmitReply, SubmitTag
+from ..types import TargetOrder
 from .durable import Durable, Write, entries_after
+from .events import Answered, Applied, Installed, Persist, ReplicaEffect, SendReplica
 from .log import LogEntry, LogSnapshot, ReplicaLog, Voter
-from .notes import Catalogue, Note, Outcome, SubmitReply, SubmitTag
-from .replica_events import Answered, Applied, Installed, Persist, ReplicaEffect, SendReplica
-from .replica_messages import Header, MemberMessage
-from .types import TargetOrder
+from .messages import Header, MemberMessage
 
 COMPACT_AFTER_ENTRIES = 256
 ENTRIES_KEPT = 64
--- a/packages/core/src/lacewingrudder_core/voting.py
+++ b/packages/core/src/lacewingrudder_core/_replica/voting.py
@@ -6,14 +6,8 @@
 
 from .election import Ballot
 from .log import Voter
-from .replica_messages import (
-    MemberMessage,
-    PreVoteReply,
-    PreVoteRequest,
-    VoteReply,
-    VoteRequest,
-)
-from .replica_state import ReplicaState
+from .messages import MemberMessage, PreVoteReply, PreVoteRequest, VoteReply, VoteRequest
+from .state import ReplicaState
 
 
 class Voting:
--- a/packages/core/src/lacewingrudder_core/health.py
+++ b/packages/core/src/lacewingrudder_core/_routing/health.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from .types import TargetName
+from ..types import TargetName
 
 FAILURES_TO_EJECT = 3
 EJECTION_SECONDS = 5.0
--- a/packages/core/src/lacewingrudder_core/homes.py
+++ b/packages/core/src/lacewingrudder_core/_routing/homes.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .hashing import name_hash, pair_hash
-from .types import HostName, Member
+from ..hashing import name_hash, pair_hash
+from ..types import HostName, Member
 
 BUCKET_BITS = 10
 BUCKETS = 1 << BUCKET_BITS
--- a/packages/core/src/lacewingrudder_core/loads.py
+++ b/packages/core/src/lacewingrudder_core/_routing/loads.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from .types import TargetName
+from ..types import TargetName
 
 
 class TargetLoad(NamedTuple):
--- a/packages/core/src/lacewingrudder_core/maglev.py
+++ b/packages/core/src/lacewingrudder_core/_routing/maglev.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
-from .hashing import name_hash, pair_hash
-from .types import TargetName
+from ..hashing import name_hash, pair_hash
+from ..types import TargetName
 
 TABLE_SIZES = (2039, 16381, 131071)
 SLOTS_PER_ENTRY = 50
--- a/packages/core/src/lacewingrudder_core/placement.py
+++ b/packages/core/src/lacewingrudder_core/_routing/placement.py
@@ -10,9 +10,9 @@
 import math
 from typing import NamedTuple
 
+from ..types import FULL_WEIGHT, TargetName, ZoneName
 from .health import HealthBook
 from .loads import LoadBook
-from .types import FULL_WEIGHT, TargetName, ZoneName
 from .view import KindRoute
 
 FULL_LOAD = 1.0
--- a/packages/core/src/lacewingrudder_core/target_table.py
+++ b/packages/core/src/lacewingrudder_core/_routing/target_table.py
@@ -5,14 +5,15 @@
 import random
 from collections.abc import Iterable, Mapping
 
-from .chart import Chart
-from .entry_events import SendPeer, TargetSeen
-from .gossip import SendTargets, TargetGossip
-from .messages import TargetsInUse, TargetsPull, TargetUpdates
-from .notes import Catalogue
-from .quarantine import CLAIM_SECONDS
-from .targets import Answer, CatalogueChanged, InUse, RecordsHeard, TargetCore, TargetEvent
-from .types import WORKING_STATES, HostName, Member, TargetName, TargetRecord, ZoneName
+from .._entry.events import SendPeer, TargetSeen
+from .._gossip.gossip import SendTargets, TargetGossip
+from .._notes.catalogue import Catalogue
+from .._targets.core import TargetCore
+from .._targets.events import Answer, CatalogueChanged, InUse, RecordsHeard, TargetEvent
+from .._targets.quarantine import CLAIM_SECONDS
+from ..chart import Chart
+from ..messages import TargetsInUse, TargetsPull, TargetUpdates
+from ..types import WORKING_STATES, HostName, Member, TargetName, TargetRecord, ZoneName
 
 TableEffect = Answer | TargetSeen | SendPeer
 
--- a/packages/core/src/lacewingrudder_core/view.py
+++ b/packages/core/src/lacewingrudder_core/_routing/view.py
@@ -6,11 +6,9 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from .homes import HomeTable
-from .maglev import Entry, PlacementTable
-from .notes import Catalogue
-from .records import Rank, record_endpoints, record_rank
-from .types import (
+from .._notes.catalogue import Catalogue
+from .._targets.records import Rank, record_endpoints, record_rank
+from ..types import (
     FULL_WEIGHT,
     WORKING_STATES,
     Endpoint,
@@ -25,6 +23,8 @@
     TargetState,
     ZoneName,
 )
+from .homes import HomeTable
+from .maglev import Entry, PlacementTable
 
 LOAD_FACTORS = {0.75: 7 / 8, 1.0: 3 / 4}
 
--- a/packages/core/src/lacewingrudder_core/snapshots.py
+++ b/packages/core/src/lacewingrudder_core/_spread/snapshots.py
@@ -4,9 +4,9 @@
 
 import functools
 
-from .hashing import name_hash
-from .messages import SnapshotPart
-from .notes import Catalogue
+from .._notes.catalogue import Catalogue
+from ..hashing import name_hash
+from ..messages import SnapshotPart
 
 ITEMS_PER_PART = 64
 
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_spread/spread.py
@@ -0,0 +1,151 @@
+"""How changes spread from a host that has them to the hosts that subscribe to it.
+
+A subscription is a lease: the follower repeats it, and each repetition is its receipt for the
+revision that it has in force. Control hosts serve entry hosts, and an entry host serves its peers
+where no control host is in reach.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .._notes.catalogue import Catalogue, Change
+from .._replica.log import note_weight
+from ..core import Core
+from ..messages import (
+    Changes,
+    HostStatus,
+    SnapshotPart,
+    SnapshotPull,
+    SpreadMessage,
+    Standing,
+    Subscribe,
+)
+from ..types import HostName
+from .budget import Budget
+from .snapshots import catalogue_digest, snapshot_part
+
+CHANGES_KEPT = 200
+CHANGES_PER_MESSAGE = 50
+WEIGHT_PER_MESSAGE = 1000
+LEASE_SECONDS = 5.0
+HOSTS_KEPT = 2_000
+PARTS_PER_SECOND = 64.0
+
+
+class Subscribed(NamedTuple):
+    """An entry host asked for changes."""
+
+    subscribe: Subscribe
+
+
+class SnapshotPulled(NamedTuple):
+    """An entry host asked for a part of a snapshot."""
+
+    pull: SnapshotPull
+
+
+class Advanced(NamedTuple):
+    """A change was committed and applied.
+
+    :param catalogue: the catalogue after it.
+    """
+
+    change: Change
+    catalogue: Catalogue
+
+
+class Replaced(NamedTuple):
+    """The catalogue was replaced as a whole, as by a snapshot."""
+
+    catalogue: Catalogue
+
+
+SpreadEvent = Subscribed | SnapshotPulled | Advanced | Replaced
+
+
+class SendHost(NamedTuple):
+    """Send to a subscriber."""
+
+    host: HostName
+    body: SpreadMessage
+
+
+class SpreadCore(Core[SpreadEvent, SendHost]):
+    """Keeps who subscribes and what each has in force.
+
+    :param catalogue: the catalogue to begin with.
+    """
+
+    def __init__(self, catalogue: Catalogue) -> None:
+        self._catalogue = catalogue
+        self._recent: list[Change] = []
+        self._hosts: dict[HostName, HostStatus] = {}
+        self._heard: dict[HostName, float] = {}
+        self._parts = Budget(PARTS_PER_SECOND, PARTS_PER_SECOND)
+
+    def handle(self, event: SpreadEvent, now: float) -> list[SendHost]:
+        """Take one event."""
+        if isinstance(event, Subscribed):
+            return self._subscribed(event.subscribe, now)
+        if isinstance(event, SnapshotPulled):
+            return self._part(event.pull.host, event.pull.part, now)
+        if isinstance(event, Replaced):
+            self._catalogue = event.catalogue
+            self._recent = []
+            return []
+        self._catalogue = event.catalogue
+        self._recent = [*self._recent, event.change][-CHANGES_KEPT:]
+        leased = [name for name, at in self._heard.items() if now - at <= LEASE_SECONDS]
+        return [SendHost(name, Changes((event.change,))) for name in leased]
+
+    def hosts(self, now: float) -> tuple[HostStatus, ...]:
+        """Return the entry hosts that subscribed here."""
+        return tuple(
+            host._replace(age=now - self._heard[host.name]) for host in self._hosts.values()
+        )
+
+    def _subscribed(self, subscribe: Subscribe, now: float) -> list[SendHost]:
+        host = HostStatus(subscribe.host, subscribe.zone, subscribe.revision, 0.0)
+        self._hosts[subscribe.host] = host
+        self._heard.pop(subscribe.host, None)
+        self._heard[subscribe.host] = now
+        self._forget_oldest()
+        digest = catalogue_digest(self._catalogue)
+        standing = SendHost(subscribe.host, Standing(self._catalogue.revision, digest))
+        if subscribe.revision > self._catalogue.revision:
+            return [standing]
+        if subscribe.revision == self._catalogue.revision:
+            same = subscribe.digest == digest
+            return [standing] if same else [standing, *self._part(subscribe.host, 0, now)]
+        return [standing, *self._missing(subscribe, now)]
+
+    def _missing(self, subscribe: Subscribe, now: float) -> list[SendHost]:
+        missing = [c for c in self._recent if c.revision > subscribe.revision]
+        if missing and missing[0].revision == subscribe.revision + 1:
+            return [SendHost(subscribe.host, Changes(_fitting(missing)))]
+        return self._part(subscribe.host, 0, now)
+
+    def _part(self, host: HostName, index: int, now: float) -> list[SendHost]:
+        if not self._parts.take(1, now):
+            return []
+        part: SnapshotPart = snapshot_part(self._catalogue, index)
+        return [SendHost(host, part)]
+
+    def _forget_oldest(self) -> None:
+        if len(self._heard) > HOSTS_KEPT:
+            oldest = next(iter(self._heard))
+            del self._heard[oldest]
+            del self._hosts[oldest]
+
+
+def _fitting(changes: list[Change]) -> tuple[Change, ...]:
+    """Return the first changes, at least one, that fit a message."""
+    total = 0
+    kept: list[Change] = []
+    for change in changes[:CHANGES_PER_MESSAGE]:
+        total += 1 if change.note is None else note_weight(change.note)
+        if kept and total > WEIGHT_PER_MESSAGE:
+            break
+        kept.append(change)
+    return tuple(kept)
--- a/packages/core/src/lacewingrudder_core/survey.py
+++ b/packages/core/src/lacewingrudder_core/_spread/survey.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from .messages import ControlStatus, HostStatus, Status, SurveyMessage, SurveyReply, SurveyRequest
-from .types import HostName
+from ..messages import ControlStatus, HostStatus, Status, SurveyMessage, SurveyReply, SurveyRequest
+from ..types import HostName
 
 ANSWER_SECONDS = 0.6
 HEARD_SECONDS = 5.0
--- a/packages/core/src/lacewingrudder_core/announcements.py
+++ b/packages/core/src/lacewingrudder_core/_targets/announcements.py
@@ -6,10 +6,8 @@
 import hmac
 from typing import NamedTuple
 
-from .notes import Catalogue
-from .quarantine import Quarantine
-from .records import RecordBook
-from .types import (
+from .._notes.catalogue import Catalogue
+from ..types import (
     Endpoint,
     KindPort,
     Service,
@@ -19,6 +17,8 @@
     TargetState,
     ZoneName,
 )
+from .quarantine import Quarantine
+from .records import RecordBook
 
 ANNOUNCED_STATES = frozenset({TargetState.WARMING, TargetState.SERVING, TargetState.DRAINING})
 
--- a/packages/core/src/lacewingrudder_core/target_events.py
+++ b/packages/core/src/lacewingrudder_core/_targets/events.py
@@ -6,9 +6,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from .._notes.catalogue import Catalogue
+from ..types import HostName, TargetName, TargetRecord, ZoneName
 from .announcements import Announcement
-from .notes import Catalogue
-from .types import HostName, TargetName, TargetRecord, ZoneName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/src/lacewingrudder_core/lease.py
+++ b/packages/core/src/lacewingrudder_core/_targets/lease.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from ..types import FULL_WEIGHT
 from .announcements import Announcement
-from .types import FULL_WEIGHT
 
 LEASE_SECONDS = 3.0
 STEADY_SECONDS = LEASE_SECONDS / 2
--- a/packages/core/src/lacewingrudder_core/lifecycle.py
+++ b/packages/core/src/lacewingrudder_core/_targets/lifecycle.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+from ..chart import Chart
+from ..types import FULL_WEIGHT, WORKING_STATES, HostName, OrderAction, TargetRecord, TargetState
 from .announcements import Announcement
-from .chart import Chart
 from .lease import DRAINED_WEIGHT, WARMING_WEIGHTS, Lease, next_weight
 from .records import RecordBook
-from .types import FULL_WEIGHT, WORKING_STATES, HostName, OrderAction, TargetRecord, TargetState
 
 
 class LifeCycle:
--- a/packages/core/src/lacewingrudder_core/quarantine.py
+++ b/packages/core/src/lacewingrudder_core/_targets/quarantine.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable
 
-from .types import TargetName, TargetRecord, TargetState
+from ..types import TargetName, TargetRecord, TargetState
 
 CLAIM_SECONDS = 5.0
 QUARANTINE_SECONDS = 20.0
--- a/packages/core/src/lacewingrudder_core/records.py
+++ b/packages/core/src/lacewingrudder_core/_targets/records.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Iterable
 
-from .hashing import name_hash
-from .types import Endpoint, HostName, TargetName, TargetRecord, TargetState
+from ..hashing import name_hash
+from ..types import Endpoint, HostName, TargetName, TargetRecord, TargetState
 
 _STATE_RANK = {state: rank for rank, state in enumerate(TargetState)}
 
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -5,7 +5,7 @@
 import enum
 from typing import NamedTuple
 
-from .notes import Change, Note, SubmitReply
+from ._notes.catalogue import Change, Note, SubmitReply
 from .types import (
     HostName,
     Member,
--- a/packages/core/src/lacewingrudder_core/replica.py
+++ b/packages/core/src/lacewingrudder_core/replica.py
@@ -1,321 +1,35 @@
-"""One replica of the replicated log: its role, and who leads.
-
-The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote, check-quorum and changes of one
-voter at a time (Ongaro's dissertation, 2014).
-"""
-
-from __future__ import annotations
-
-import random
-from collections.abc import Callable, Collection
-from typing import Any
-
-from . import replica_messages as m
-from .chart import Chart
-from .core import Core
-from .durable import Durable
-from .election import ELECTION_SECONDS, ElectionTimer, quorum_size
-from .following import Following
-from .formation import Formation
-from .leading import Leading
-from .log import Voter
-from .notes import Catalogue, SubmitReply, SubmitTag
-from .replica_events import (
-    Answered,
-    Persisted,
-    PersistFailed,
-    Propose,
-    ReplicaEffect,
-    ReplicaEvent,
-    ReplicaHeard,
-    RoleChanged,
-    StopPlanned,
-)
-from .replica_state import ReplicaState
-from .roles import Role
-from .types import HostName
-from .voting import Voting
-
-PROPOSALS_LIMIT = 64
-NO_QUORUM = "no quorum"
-LEADERSHIP_LOST = "the leader changed before the answer; send it again"
-
-
-class ReplicaCore(Core[ReplicaEvent, ReplicaEffect]):
-    """Decisions of one replica.
-
-    :param name: this host.
-    :param names: all control hosts of the settings, this one among them.
-    :param chart: the roles of a replica.
-    :param durable: what the disk holds.
-    :param rng: seeded generator for the election timer.
-    """
-
-    def __init__(
-        self,
-        name: HostName,
-        names: Collection[HostName],
-        chart: Chart,
-        durable: Durable,
-        rng: random.Random,
-    ) -> None:
-        self._chart = chart
-        self._state = ReplicaState(Voter(name, durable.identity), durable)
-        self._names = frozenset(names)
-        self._following = Following(self._state)
-        self._formation = Formation(self._state, self._names)
-        self._timer = ElectionTimer(rng)
-        self._timer_runs = False
-        self._voting = Voting(self._state)
-        self._leading: Leading | None = None
-        self._leader: Voter | None = None
-        self._leader_heard = float("-inf")
-        self._impaired_by = ""
-        self._role = self._recovered_role()
-        self._now = 0.0
-        self._handlers: dict[type[Any], Callable[[Any], None]] = {
-            m.PreVoteRequest: self._pre_vote_asked,
-            m.PreVoteReply: self._pre_vote_answered,
-            m.VoteRequest: self._vote_asked,
-            m.VoteReply: self._vote_answered,
-            m.AppendRequest: self._append_asked,
-            m.AppendReply: self._append_answered,
-            m.SnapshotRequest: self._snapshot_asked,
-            m.SnapshotReply: self._snapshot_answered,
-            m.Handover: self._handover_asked,
-        }
-
-    @property
-    def state(self) -> ReplicaState:
-        """Term, log and catalogue, to be read only."""
-        return self._state
-
-    @property
-    def role(self) -> Role:
-        """What this replica does now."""
-        return self._role
-
-    @property
-    def catalogue(self) -> Catalogue:
-        """The catalogue after all committed entries."""
-        return self._state.catalogue
-
-    def leader(self, now: float) -> HostName:
-        """Return the leader that this side hears, empty if there is none."""
-        if self._leading is not None:
-            return self._state.me.name if self._leading.lease_holds(now) else ""
-        if self._leader is None or not self._hears_leader(now) or self._role == Role.IMPAIRED:
-            return ""
-        return self._leader.name
-
-    def handle(self, event: ReplicaEvent, now: float) -> list[ReplicaEffect]:
-        """Take one event."""
-        self._now = now
-        if not self._timer_runs:
-            self._timer_runs = True
-            self._timer.restart(now)
-        if self._leading is not None and not self._leading.lease_holds(now):
-            self._turn("lapse")
-        self._take(event)
-        return self._state.finish()
-
-    def _take(self, event: ReplicaEvent) -> None:
-        if isinstance(event, Persisted):
-            self._persisted(event)
-        elif isinstance(event, PersistFailed):
-            self._persist_failed(event)
-        elif isinstance(event, Propose):
-            self._propose(event)
-        elif self._role == Role.IMPAIRED:
-            return
-        elif isinstance(event, ReplicaHeard):
-            self._heard(event)
-        elif isinstance(event, StopPlanned):
-            self._hand_over()
-        else:
-            self._tick()
-
-    def _turn(self, event: str) -> None:
-        """Let the chart answer an event, and start or end what comes with the role."""
-        before = self._role
-        self._role = Role(self._chart.next(before, event).state)
-        if self._role == before:
-            return
-        if before == Role.LEADER:
-            self._leading = None
-            self._state.abandon(LEADERSHIP_LOST)
-        self._timer.restart(self._now)
-        self._state.emit(RoleChanged(self._role, self._state.term))
-
-    def _recovered_role(self) -> Role:
-        events = {True: "recover", False: "recover_learner"}
-        event = events[self._state.is_voter] if self._state.cluster else "recover_blank"
-        return Role(self._chart.next(Role.IMPAIRED, event).state)
-
-    def _check_membership(self) -> None:
-        self._turn("promote" if self._state.is_voter else "demote")
-
-    def _persisted(self, event: Persisted) -> None:
-        self._state.persisted(event.number)
-        if self._role == Role.IMPAIRED and not self._state.has_writes:
-            self._impaired_by = ""
-            self._role = self._recovered_role()
-            self._timer.restart(self._now)
-            self._state.emit(RoleChanged(self._role, self._state.term))
-        elif self._leading is not None:
-            self._leading.advance(self._now)
-
-    def _persist_failed(self, event: PersistFailed) -> None:
-        self._impaired_by = event.reason
-        self._turn("fail")
-        self._state.drop_sends()
-
-    def _propose(self, event: Propose) -> None:
-        problem = self._refusal()
-        if problem:
-            reply = SubmitReply(SubmitTag.REFUSED, self._state.catalogue.revision, problem)
-            self._state.emit(Answered(event.token, reply))
-        elif self._leading is not None:
-            self._leading.propose(event, self._now)
-
-    def _refusal(self) -> str:
-        if self._impaired_by:
-            return f"the disk of {self._state.me.name} refuses writes: {self._impaired_by}"
-        if self._leading is None:
-            return NO_QUORUM
-        if self._state.waiting >= PROPOSALS_LIMIT:
-            return "too many changes wait for their commit"
-        return ""
-
-    def _tick(self) -> None:
-        now = self._now
-        if self._leading is not None:
-            self._leading.tick(now)
-            return
-        if not self._hears_leader(now) or self._role == Role.LEARNER:
-            self._form(self._formation.tick(now))
-        if self._role in (Role.BLANK, Role.LEARNER):
-            return
-        alone = quorum_size(self._state.log.voters) == 1
-        if alone or self._timer.expired(now):
-            self._canvass()
-
-    def _form(self, joined: bool) -> None:
-        if joined:
-            self._turn("form")
-
-    def _heard(self, event: ReplicaHeard) -> None:
-        message = event.message
-        if isinstance(message, m.Introduce):
-            self._introduce(event.sender, message)
-        elif isinstance(message, m.Introduced):
-            self._form(self._formation.introduced(message))
-        elif isinstance(message, m.Found):
-            self._form(self._formation.found(message))
-        elif self._is_for_me(message):
-            self._member_message(message)
-
-    def _introduce(self, sender: HostName, message: m.Introduce) -> None:
-        self._formation.introduce(sender, message)
-        if self._leading is not None and message.cluster in ("", self._state.cluster):
-            self._leading.admit(message.voter, self._now)
-
-    def _is_for_me(self, message: m.MemberMessage) -> bool:
-        header = message.header
-        if header.receiver != self._state.me.identity:
-            return False
-        if not self._state.cluster and isinstance(message, m.AppendRequest | m.SnapshotRequest):
-            self._state.join(header.cluster)
-            self._turn("adopt")
-        return header.cluster == self._state.cluster
-
-    def _member_message(self, message: m.MemberMessage) -> None:
-        term = message.header.term
-        if isinstance(message, m.VoteRequest) and self._is_led() and not message.is_handover:
-            return
-        if term > self._state.term and not isinstance(message, m.PreVoteRequest):
-            self._state.enter_term(term)
-            self._leader = None
-            self._turn("hear")
-        self._handlers[type(message)](message)
-
-    def _hears_leader(self, now: float) -> bool:
-        return now - self._leader_heard < ELECTION_SECONDS
-
-    def _is_led(self) -> bool:
-        return self._leading is not None or self._hears_leader(self._now)
-
-    def _canvass(self) -> None:
-        self._turn("timeout")
-        self._timer.restart(self._now)
-        self._voting.ask_before()
-        self._stand_if_won()
-
-    def _stand_if_won(self) -> None:
-        if self._role == Role.PRE_CANDIDATE and self._voting.is_won:
-            self._turn("win")
-            self._voting.ask()
-            self._lead_if_won()
-
-    def _hand_over(self) -> None:
-        if self._leading is not None:
-            self._leading.hand_over()
-
-    def _handover_asked(self, message: m.Handover) -> None:
-        if self._role == Role.FOLLOWER and message.header.term == self._state.term:
-            self._turn("timeout")
-            self._turn("win")
-            self._voting.ask(is_handover=True)
-            self._lead_if_won()
-
-    def _lead_if_won(self) -> None:
-        if self._role == Role.CANDIDATE and self._voting.is_won:
-            self._turn("win")
-            self._leading = Leading(self._state, self._names, self._now)
-
-    def _pre_vote_asked(self, message: m.PreVoteRequest) -> None:
-        self._voting.answer_before(message, self._is_led())
-
-    def _pre_vote_answered(self, message: m.PreVoteReply) -> None:
-        if self._role == Role.PRE_CANDIDATE:
-            self._voting.count(message)
-            self._stand_if_won()
-
-    def _vote_asked(self, message: m.VoteRequest) -> None:
-        if self._voting.answer(message):
-            self._timer.restart(self._now)
-
-    def _vote_answered(self, message: m.VoteReply) -> None:
-        if self._role == Role.CANDIDATE and message.header.term == self._state.term:
-            self._voting.count(message)
-            self._lead_if_won()
-
-    def _follow(self, message: m.AppendRequest | m.SnapshotRequest) -> bool:
-        header = message.header
-        if header.term < self._state.term:
-            reply = m.AppendReply(self._state.header(header.sender), message.sent, False, 0)
-            self._state.send(header.sender, reply)
-            return False
-        self._turn("hear")
-        self._leader = header.sender
-        self._leader_heard = self._now
-        self._timer.restart(self._now)
-        return True
-
-    def _append_asked(self, message: m.AppendRequest) -> None:
-        if self._follow(message):
-            self._following.append(message)
-            self._check_membership()
-
-    def _snapshot_asked(self, message: m.SnapshotRequest) -> None:
-        if self._follow(message):
-            self._following.snapshot(message)
-            self._check_membership()
-
-    def _append_answered(self, message: m.AppendReply) -> None:
-        if self._leading is not None and message.header.term == self._state.term:
-            self._leading.append_answered(message, self._now)
-
-    def _snapshot_answered(self, message: m.SnapshotReply) -> None:
-        if self._leading is not None and message.header.term == self._state.term:
-            self._leading.snapshot_answered(message, self._now)
+"""One replica of the replicated log of changes."""
+
+from ._replica.durable import Durable as Durable
+from ._replica.durable import Write as Write
+from ._replica.events import Answered as Answered
+from ._replica.events import Applied as Applied
+from ._replica.events import Installed as Installed
+from ._replica.events import Persist as Persist
+from ._replica.events import Persisted as Persisted
+from ._replica.events import PersistFailed as PersistFailed
+from ._replica.events import Propose as Propose
+from ._replica.events import ReplicaEffect as ReplicaEffect
+from ._replica.events import ReplicaEvent as ReplicaEvent
+from ._replica.events import ReplicaHeard as ReplicaHeard
+from ._replica.events import RoleChanged as RoleChanged
+from ._replica.events import SendReplica as SendReplica
+from ._replica.events import StopPlanned as StopPlanned
+from ._replica.events import Tick as Tick
+from ._replica.messages import AppendReply as AppendReply
+from ._replica.messages import AppendRequest as AppendRequest
+from ._replica.messages import ForwardReply as ForwardReply
+from ._replica.messages import ForwardRequest as ForwardRequest
+from ._replica.messages import Found as Found
+from ._replica.messages import Handover as Handover
+from ._replica.messages import Header as Header
+from ._replica.messages import Introduce as Introduce
+from ._replica.messages import Introduced as Introduced
+from ._replica.messages import PreVoteReply as PreVoteReply
+from ._replica.messages import PreVoteRequest as PreVoteRequest
+from ._replica.messages import SnapshotReply as SnapshotReply
+from ._replica.messages import SnapshotRequest as SnapshotRequest
+from ._replica.messages import VoteReply as VoteReply
+from ._replica.messages import VoteRequest as VoteRequest
+from ._replica.replica import ReplicaCore as ReplicaCore
+from ._replica.roles import Role as Role
--- a/packages/core/tests/flow_session.py
+++ b/packages/core/tests/flow_session.py
@@ -15,12 +15,17 @@
 
 from lacewingrudder_core import flows
 from lacewingrudder_core.admission import AdmitAll
-from lacewingrudder_core.health import HealthBook
-from lacewingrudder_core.homes import HomeTable
-from lacewingrudder_core.maglev import Entry, PlacementTable
-from lacewingrudder_core.placement import TablePlacement
+from lacewingrudder_core.routing import (
+    Entry,
+    HealthBook,
+    HomeTable,
+    KindRoute,
+    PlacementTable,
+    RoutingView,
+    TablePlacement,
+    TargetRoute,
+)
 from lacewingrudder_core.types import Endpoint, Kind, Member
-from lacewingrudder_core.view import KindRoute, RoutingView, TargetRoute
 
 TICK_SECONDS = 0.1
 SERVICE = Endpoint(0x0A0A0001, 443)
--- a/packages/core/tests/replica_cluster.py
+++ b/packages/core/tests/replica_cluster.py
@@ -6,12 +6,10 @@
 import random
 from typing import Any
 
-from lacewingrudder_core import replica_events as e
-from lacewingrudder_core.durable import Durable, Write
-from lacewingrudder_core.log import LogEntry, Voter
+from lacewingrudder_core import replica as e
+from lacewingrudder_core._replica.log import LogEntry, Voter
 from lacewingrudder_core.notes import Catalogue, Note, SubmitReply, SubmitTag
-from lacewingrudder_core.replica import ReplicaCore
-from lacewingrudder_core.roles import Role
+from lacewingrudder_core.replica import Durable, ReplicaCore, Role, Write
 from lacewingrudder_core.types import Kind, OrderAction, Service, TargetOrder
 from replica_chart import replica_chart
 
--- a/packages/core/tests/target_fakes.py
+++ b/packages/core/tests/target_fakes.py
@@ -4,21 +4,18 @@
 from importlib.resources import files
 from typing import Any
 
-from lacewingrudder_core.announcements import Announcement, announcement_mac
-from lacewingrudder_core.chart import Chart
-from lacewingrudder_core.notes import Catalogue
-from lacewingrudder_core.targets import (
-    Announced,
-    Answer,
+from lacewingrudder_core._targets.core import TargetCore
+from lacewingrudder_core._targets.events import (
     CatalogueChanged,
     MembersSeen,
     RecordsChanged,
     RecordsHeard,
-    Rejected,
-    TargetCore,
     TargetEvent,
     Tick,
 )
+from lacewingrudder_core.chart import Chart
+from lacewingrudder_core.notes import Catalogue
+from lacewingrudder_core.targets import Announced, Announcement, Answer, Rejected, announcement_mac
 from lacewingrudder_core.types import (
     Kind,
     KindPort,
--- a/packages/core/tests/test_chart.py
+++ b/packages/core/tests/test_chart.py
@@ -1,7 +1,7 @@
 import unittest
 
 from lacewingrudder_core.chart import Chart
-from lacewingrudder_core.roles import Role
+from lacewingrudder_core.replica import Role
 from replica_chart import replica_chart
 
 
--- a/packages/core/tests/test_control.py
+++ b/packages/core/tests/test_control.py
@@ -3,10 +3,9 @@
 import unittest
 from typing import Any
 
-from lacewingrudder_core import replica_events as e
-from lacewingrudder_core import replica_messages as m
+from lacewingrudder_core import replica as m
+from lacewingrudder_core._control.submissions import NOTE_WEIGHT_LIMIT, OperatorAnswer, Submissions
 from lacewingrudder_core.control import Committed, ControlCore, ForwardHeard, Reply, Requested
-from lacewingrudder_core.durable import Durable
 from lacewingrudder_core.messages import (
     OperatorReply,
     Status,
@@ -15,8 +14,7 @@
     SubmitOrder,
 )
 from lacewingrudder_core.notes import Note, SubmitReply, SubmitTag
-from lacewingrudder_core.replica import ReplicaCore
-from lacewingrudder_core.submissions import NOTE_WEIGHT_LIMIT, OperatorAnswer, Submissions
+from lacewingrudder_core.replica import Durable, ReplicaCore
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from replica_cluster import CHART, make_note
 
@@ -42,9 +40,9 @@
     def feed(self, name: str, event: Any) -> None:
         for effect in self.cores[name].handle(event, self.now):
             match effect:
-                case e.Persist(write):
-                    self.feed(name, e.Persisted(write.number))
-                case e.SendReplica(host, message):
+                case m.Persist(write):
+                    self.feed(name, m.Persisted(write.number))
+                case m.SendReplica(host, message):
                     self.messages.append((name, host, message))
                 case Reply(token, body):
                     assert token not in self.answers
@@ -58,7 +56,7 @@
             if self.isolated & {sender, receiver}:
                 continue
             forward = isinstance(message, m.ForwardRequest | m.ForwardReply)
-            heard = ForwardHeard if forward else e.ReplicaHeard
+            heard = ForwardHeard if forward else m.ReplicaHeard
             self.feed(receiver, heard(sender, message))
 
     def run(self, seconds: float) -> None:
@@ -66,7 +64,7 @@
         while self.now < end:
             self.now += 0.1
             for name in NAMES:
-                self.feed(name, e.Tick())
+                self.feed(name, m.Tick())
             self.settle()
 
     def request(self, name: str, request: Any) -> int:
@@ -141,7 +139,7 @@
     def test_refusal_of_a_request_that_went_to_two_leaders_is_unknown(self) -> None:
         waiting = Submissions()
         way = waiting.operator(7, SubmitNote(make_note(1, 0)), "c1", "c2", 0, 0.0)
-        assert isinstance(way, e.SendReplica) and isinstance(way.message, m.ForwardRequest)
+        assert isinstance(way, m.SendReplica) and isinstance(way.message, m.ForwardRequest)
         self.assertEqual(waiting.redirected("c1", "c2"), [])
         self.assertEqual(waiting.redirected("c1", "c3"), [way._replace(host="c3")])
         answer = waiting.answered(way.message.number, SubmitReply(SubmitTag.REFUSED, 0, "full"))
@@ -185,12 +183,12 @@
     def test_nothing_leaves_before_its_write_is_durable(self) -> None:
         replica = ReplicaCore("c1", ["c1"], CHART, Durable("c1-1"), random.Random(1))
         core = ControlCore("c1", replica)
-        writes = [eff for eff in core.handle(e.Tick(), 0.0) if isinstance(eff, e.Persist)]
-        core.handle(e.Persisted(writes[-1].write.number), 0.0)
-        effects = core.handle(e.Tick(), 0.1)
+        writes = [eff for eff in core.handle(m.Tick(), 0.0) if isinstance(eff, m.Persist)]
+        core.handle(m.Persisted(writes[-1].write.number), 0.0)
+        effects = core.handle(m.Tick(), 0.1)
         effects += core.handle(Requested(1, SubmitNote(make_note(1, 0))), 0.1)
         self.assertFalse([eff for eff in effects if isinstance(eff, Reply | Committed)])
         for _ in range(4):
-            last = max(eff.write.number for eff in effects if isinstance(eff, e.Persist))
-            effects = [*effects, *core.handle(e.Persisted(last), 0.2)]
+            last = max(eff.write.number for eff in effects if isinstance(eff, m.Persist))
+            effects = [*effects, *core.handle(m.Persisted(last), 0.2)]
         self.assertIn(Reply(1, OperatorReply(SubmitReply(SubmitTag.ACCEPTED, 1, ""))), effects)
--- a/packages/core/tests/test_endpoint_reuse.py
+++ b/packages/core/tests/test_endpoint_reuse.py
@@ -3,16 +3,14 @@
 import unittest
 
 from lacewingrudder_core import flows
+from lacewingrudder_core._flows.core import TARGET_MOVED
+from lacewingrudder_core._targets.quarantine import QUARANTINE_SECONDS
 from lacewingrudder_core.admission import AdmitAll
 from lacewingrudder_core.entry import EntryCore, PeerMessage, Tick
-from lacewingrudder_core.flow_core import TARGET_MOVED
-from lacewingrudder_core.health import HealthBook
 from lacewingrudder_core.messages import TargetsInUse
-from lacewingrudder_core.placement import TablePlacement
-from lacewingrudder_core.quarantine import QUARANTINE_SECONDS
+from lacewingrudder_core.routing import HealthBook, TablePlacement, build_view
 from lacewingrudder_core.targets import Announced, Answer, Rejected
 from lacewingrudder_core.types import Endpoint, Member, TargetRecord, TargetState, Verdict
-from lacewingrudder_core.view import build_view
 from target_fakes import CATALOGUE, CHART, announcement, proof_target, sheet_target
 from test_view import EDITS
 
--- a/packages/core/tests/test_entry_freshness.py
+++ b/packages/core/tests/test_entry_freshness.py
@@ -1,10 +1,10 @@
 import unittest
 
+from lacewingrudder_core._entry.readiness import FROZEN_SECONDS, WAIT_SECONDS, Readiness
 from lacewingrudder_core.entry import PeerMessage, SendPeer, Tick
 from lacewingrudder_core.flows import Drop, Segment, SegmentArrived, Stage
 from lacewingrudder_core.follower import ControlMessage
 from lacewingrudder_core.messages import Ack, Changes, Ping
-from lacewingrudder_core.readiness import FROZEN_SECONDS, WAIT_SECONDS, Readiness
 from lacewingrudder_core.types import Endpoint
 from test_follower import catalogue, change
 
--- a/packages/core/tests/test_flow_pins.py
+++ b/packages/core/tests/test_flow_pins.py
@@ -1,8 +1,9 @@
 import unittest
 
 from flow_session import make_view
+from lacewingrudder_core._flows.pins import HELD_PINS_MAX, PinBook
+from lacewingrudder_core.flows import PIN_BYTES_PER_SECOND
 from lacewingrudder_core.messages import PinGroup, Pins
-from lacewingrudder_core.pins import HELD_PINS_MAX, PIN_BYTES_PER_SECOND, PinBook
 
 HOMES = make_view(["a:adum", "b:suame", "c:ahodwo"], []).homes
 OWN = [n << 50 for n in range(1 << 14) if HOMES.rank(n << 50).home == "a"]
--- a/packages/core/tests/test_flow_routes.py
+++ b/packages/core/tests/test_flow_routes.py
@@ -2,12 +2,12 @@
 from unittest import mock
 
 import flow_session
-from lacewingrudder_core import target_tags
-from lacewingrudder_core.generations import GENERATIONS_KEPT, TableGenerations
-from lacewingrudder_core.routes import RETIRED_SECONDS, RouteBook
-from lacewingrudder_core.target_tags import NO_TAG, TargetTags
+from lacewingrudder_core._flows import target_tags
+from lacewingrudder_core._flows.generations import GENERATIONS_KEPT, TableGenerations
+from lacewingrudder_core._flows.routes import RETIRED_SECONDS, RouteBook
+from lacewingrudder_core._flows.target_tags import NO_TAG, TargetTags
+from lacewingrudder_core.routing import RoutingView
 from lacewingrudder_core.types import FlowKey
-from lacewingrudder_core.view import RoutingView
 
 VIEW = flow_session.make_view(["a:adum"], ["t1", "t2"])
 EMPTY = RoutingView(VIEW.homes, {}, {})
--- a/packages/core/tests/test_flow_sessions.py
+++ b/packages/core/tests/test_flow_sessions.py
@@ -5,8 +5,8 @@
 
 from flow_session import SERVICE, Session, play
 from lacewingrudder_core import flows
-from lacewingrudder_core.flow_core import LOOKUPS_PER_SECOND
-from lacewingrudder_core.search import SEARCHES_MAX
+from lacewingrudder_core._flows.core import LOOKUPS_PER_SECOND
+from lacewingrudder_core._flows.search import SEARCHES_MAX
 from lacewingrudder_core.types import Endpoint
 
 FOLDER = Path(__file__).parent / "sessions"
--- a/packages/core/tests/test_follower.py
+++ b/packages/core/tests/test_follower.py
@@ -1,22 +1,18 @@
 import random
 import unittest
 
-from lacewingrudder_core.follower import (
+from lacewingrudder_core._follower.follower import (
     BACKOFF_LAST_SECONDS,
     SILENCE_SECONDS,
-    ControlMessage,
     FollowerCore,
-    InForce,
-    Keep,
-    Kept,
     PeerSeen,
-    SendControl,
     Tick,
     ZonesLearnt,
 )
+from lacewingrudder_core._spread.snapshots import ITEMS_PER_PART, catalogue_digest, snapshot_part
+from lacewingrudder_core.follower import ControlMessage, InForce, Keep, Kept, SendControl
 from lacewingrudder_core.messages import Changes, SnapshotPart, SnapshotPull, Standing
 from lacewingrudder_core.notes import Catalogue, Change
-from lacewingrudder_core.snapshots import ITEMS_PER_PART, catalogue_digest, snapshot_part
 from lacewingrudder_core.types import Kind, OrderAction, Service, TargetOrder
 
 CONTROLS = ("control-1", "control-2", "control-3")
--- a/packages/core/tests/test_gossip.py
+++ b/packages/core/tests/test_gossip.py
@@ -1,14 +1,14 @@
 import random
 import unittest
 
-from lacewingrudder_core.gossip import (
+from lacewingrudder_core._gossip.gossip import (
     FANOUT,
     RECORDS_PER_PULL,
     RUMOUR_BURST,
     RUMOURS_PER_SECOND,
     SendTargets,
-    TargetGossip,
 )
+from lacewingrudder_core.gossip import TargetGossip
 from lacewingrudder_core.messages import TargetUpdates
 from lacewingrudder_core.types import KindPort, Target, TargetRecord, TargetState
 
--- a/packages/core/tests/test_health.py
+++ b/packages/core/tests/test_health.py
@@ -1,12 +1,12 @@
 import unittest
 
-from lacewingrudder_core.health import (
+from lacewingrudder_core._routing.health import (
     EJECTION_SECONDS,
     EJECTION_SECONDS_MAX,
     FAILURES_TO_EJECT,
     GOOD_SECONDS_TO_FORGET,
-    HealthBook,
 )
+from lacewingrudder_core.routing import HealthBook
 
 SEVEN = [f"target-{number}" for number in range(7)]
 
--- a/packages/core/tests/test_homes.py
+++ b/packages/core/tests/test_homes.py
@@ -1,7 +1,8 @@
 import random
 import unittest
 
-from lacewingrudder_core.homes import BUCKETS, HomeTable
+from lacewingrudder_core._routing.homes import BUCKETS
+from lacewingrudder_core.routing import HomeTable
 from lacewingrudder_core.types import Endpoint, Member
 
 ZONES = ("adum", "suame", "ahodwo")
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -2,13 +2,8 @@
 import unittest
 from collections.abc import Callable
 
-from lacewingrudder_core.membership import (
-    SUSPICION_SECONDS,
-    Leave,
-    MemberMessage,
-    MembershipCore,
-    Tick,
-)
+from lacewingrudder_core._membership.core import SUSPICION_SECONDS, Leave
+from lacewingrudder_core.membership import MemberMessage, MembershipCore, Tick
 from lacewingrudder_core.messages import Goodbye, MemberStatus, MemberUpdate, MemberUpdates
 
 from standins.nodes import MemberNode, make_member, make_members
--- a/packages/core/tests/test_overload.py
+++ b/packages/core/tests/test_overload.py
@@ -1,13 +1,13 @@
 import unittest
 
-from lacewingrudder_core.flow_types import SYN, Segment
-from lacewingrudder_core.overload import (
+from lacewingrudder_core._admission.overload import (
     LEAST_SYNS_PER_SECOND,
     MOST_SYNS_PER_SECOND,
     WINDOW_SECONDS,
-    SynLimiter,
     fair_parts,
 )
+from lacewingrudder_core._flows.types import SYN, Segment
+from lacewingrudder_core.admission import SynLimiter
 from lacewingrudder_core.types import Endpoint
 
 FLOOD, OTHER = Endpoint(1, 443), Endpoint(1, 8443)
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -1,13 +1,20 @@
 import unittest
 from collections import Counter
 
+from lacewingrudder_core._routing.health import FAILURES_TO_EJECT
+from lacewingrudder_core._routing.maglev import table_size
+from lacewingrudder_core._routing.placement import SECOND_CHOICE_BURST
 from lacewingrudder_core.hashing import pair_hash
-from lacewingrudder_core.health import FAILURES_TO_EJECT, HealthBook
-from lacewingrudder_core.loads import LoadBook
-from lacewingrudder_core.maglev import Entry, PlacementTable, table_size
-from lacewingrudder_core.placement import SECOND_CHOICE_BURST, SparingPlacement
+from lacewingrudder_core.routing import (
+    Entry,
+    HealthBook,
+    KindRoute,
+    LoadBook,
+    PlacementTable,
+    SparingPlacement,
+    build_view,
+)
 from lacewingrudder_core.types import TargetRecord
-from lacewingrudder_core.view import KindRoute, build_view
 from target_fakes import CATALOGUE
 from test_view import EDITS, MEMBERS, RECORDS
 
--- a/packages/core/tests/test_replica_faults.py
+++ b/packages/core/tests/test_replica_faults.py
@@ -2,19 +2,17 @@
 import unittest
 from unittest import mock
 
-from lacewingrudder_core import replica_messages as m
-from lacewingrudder_core import replica_state
-from lacewingrudder_core.durable import Durable
-from lacewingrudder_core.election import LEASE_SECONDS, quorum_size
-from lacewingrudder_core.formation import Formation
-from lacewingrudder_core.leading import Leading
-from lacewingrudder_core.log import LogEntry, LogSnapshot, Voter
+from lacewingrudder_core import replica as m
+from lacewingrudder_core._replica import state as replica_state
+from lacewingrudder_core._replica.election import LEASE_SECONDS, quorum_size
+from lacewingrudder_core._replica.formation import Formation
+from lacewingrudder_core._replica.leading import Leading
+from lacewingrudder_core._replica.log import LogEntry, LogSnapshot, Voter
+from lacewingrudder_core._replica.reconfiguration import next_voters
+from lacewingrudder_core._replica.replica import NO_QUORUM
+from lacewingrudder_core._replica.state import ReplicaState
 from lacewingrudder_core.notes import Catalogue, SubmitReply, SubmitTag
-from lacewingrudder_core.reconfiguration import next_voters
-from lacewingrudder_core.replica import NO_QUORUM
-from lacewingrudder_core.replica_events import Installed, Persist, SendReplica, StopPlanned
-from lacewingrudder_core.replica_state import ReplicaState
-from lacewingrudder_core.roles import Role
+from lacewingrudder_core.replica import Durable, Installed, Persist, Role, SendReplica, StopPlanned
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from replica_cluster import Cluster, Host, make_note
 
--- a/packages/core/tests/test_replica_schedules.py
+++ b/packages/core/tests/test_replica_schedules.py
@@ -1,7 +1,7 @@
 import unittest
 from unittest import mock
 
-from lacewingrudder_core import replica_state
+from lacewingrudder_core._replica import state as replica_state
 from replica_cluster import Schedule
 
 STEPS = 240
--- a/packages/core/tests/test_shares.py
+++ b/packages/core/tests/test_shares.py
@@ -1,11 +1,10 @@
 import unittest
 
-from lacewingrudder_core.admission import AdmissionPolicy, Admitted, RefusalReason, Refused
-from lacewingrudder_core.loads import LoadBook
-from lacewingrudder_core.maglev import PlacementTable
-from lacewingrudder_core.shares import ShareAdmission, SharedLimitAdmission
+from lacewingrudder_core._admission.policy import Admitted, RefusalReason, Refused
+from lacewingrudder_core._routing.view import ServiceCapacity
+from lacewingrudder_core.admission import AdmissionPolicy, ShareAdmission, SharedLimitAdmission
+from lacewingrudder_core.routing import KindRoute, LoadBook, PlacementTable
 from lacewingrudder_core.types import Kind
-from lacewingrudder_core.view import KindRoute, ServiceCapacity
 
 CAPACITY = ServiceCapacity(slots=10, flows=100, shares=0.8, homes=1)
 URGENT = Kind("urgent", 443, 9, False, 0.5)
--- a/packages/core/tests/test_spread.py
+++ b/packages/core/tests/test_spread.py
@@ -1,18 +1,15 @@
 import unittest
 
-from lacewingrudder_core.messages import Changes, SnapshotPart, SnapshotPull, Standing, Subscribe
-from lacewingrudder_core.notes import Change, Note
-from lacewingrudder_core.snapshots import catalogue_digest
-from lacewingrudder_core.spread import (
+from lacewingrudder_core._spread.snapshots import catalogue_digest
+from lacewingrudder_core._spread.spread import (
     CHANGES_KEPT,
     CHANGES_PER_MESSAGE,
     LEASE_SECONDS,
     PARTS_PER_SECOND,
-    Advanced,
-    SnapshotPulled,
-    SpreadCore,
-    Subscribed,
 )
+from lacewingrudder_core.messages import Changes, SnapshotPart, SnapshotPull, Standing, Subscribe
+from lacewingrudder_core.notes import Change, Note
+from lacewingrudder_core.spread import Advanced, SnapshotPulled, SpreadCore, Subscribed
 from lacewingrudder_core.types import Kind, Service
 from test_follower import catalogue, change
 
--- a/packages/core/tests/test_survey.py
+++ b/packages/core/tests/test_survey.py
@@ -1,7 +1,7 @@
 import unittest
 
+from lacewingrudder_core._spread.survey import ANSWER_SECONDS, HEARD_SECONDS, Surveys
 from lacewingrudder_core.messages import ControlStatus, HostStatus, SurveyReply
-from lacewingrudder_core.survey import ANSWER_SECONDS, HEARD_SECONDS, Surveys
 
 
 def reply(number: int, revision: int, *hosts: HostStatus, leader: str = "c1") -> SurveyReply:
--- a/packages/core/tests/test_syn_guard.py
+++ b/packages/core/tests/test_syn_guard.py
@@ -1,7 +1,7 @@
 import unittest
 
-from lacewingrudder_core.retry_budget import RetryBudget
-from lacewingrudder_core.syn_guard import HALF_OPEN_SECONDS, HalfOpenBook
+from lacewingrudder_core._admission.retry_budget import RetryBudget
+from lacewingrudder_core._admission.syn_guard import HALF_OPEN_SECONDS, HalfOpenBook
 from lacewingrudder_core.types import FlowKey
 
 
--- a/packages/core/tests/test_target_spread.py
+++ b/packages/core/tests/test_target_spread.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 
 from lacewingrudder_core import flows
+from lacewingrudder_core._targets.quarantine import QUARANTINE_SECONDS
 from lacewingrudder_core.notes import Change
-from lacewingrudder_core.quarantine import QUARANTINE_SECONDS
 from lacewingrudder_core.targets import Announced, Answer, Rejected
 from lacewingrudder_core.types import (
     Endpoint,
--- a/packages/core/tests/test_targets.py
+++ b/packages/core/tests/test_targets.py
@@ -1,20 +1,20 @@
 import random
 import unittest
 
-from lacewingrudder_core.announcements import KEY_OVERLAP_SECONDS
-from lacewingrudder_core.lease import LEASE_SECONDS
-from lacewingrudder_core.notes import Catalogue
-from lacewingrudder_core.quarantine import QUARANTINE_SECONDS
-from lacewingrudder_core.records import records_digest, supersedes
-from lacewingrudder_core.targets import (
-    ORPHAN_SECONDS,
-    Announced,
+from lacewingrudder_core._targets.announcements import KEY_OVERLAP_SECONDS
+from lacewingrudder_core._targets.core import ORPHAN_SECONDS
+from lacewingrudder_core._targets.events import (
     CatalogueChanged,
     InUse,
     MembersSeen,
     RecordsHeard,
     Tick,
 )
+from lacewingrudder_core._targets.lease import LEASE_SECONDS
+from lacewingrudder_core._targets.quarantine import QUARANTINE_SECONDS
+from lacewingrudder_core._targets.records import records_digest, supersedes
+from lacewingrudder_core.notes import Catalogue
+from lacewingrudder_core.targets import Announced
 from lacewingrudder_core.types import KindPort, OrderAction, TargetState
 from target_fakes import (
     CATALOGUE,
--- a/packages/core/tests/test_view.py
+++ b/packages/core/tests/test_view.py
@@ -1,6 +1,7 @@
 import unittest
 
 from lacewingrudder_core.notes import Catalogue
+from lacewingrudder_core.routing import RoutingView, ViewBuilder, build_view
 from lacewingrudder_core.types import (
     Endpoint,
     Kind,
@@ -10,7 +11,6 @@
     TargetRecord,
     TargetState,
 )
-from lacewingrudder_core.view import RoutingView, ViewBuilder, build_view
 from target_fakes import CATALOGUE, PROOFDESK, SHEETROOM, order, proof_target, sheet_target
 
 NOWHERE = Endpoint(0x7F000001, 9)
--- a/packages/daemon/src/lacewingrudder_daemon/channel.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_links/channel.py
@@ -6,15 +6,15 @@
 import secrets
 from typing import Any
 
-from lacewingrudder_core.budget import Budget
+from lacewingrudder_core.spread import Budget
 from lacewingrudder_core.types import HostName
 from lacewingrudder_wire import handshake
 from lacewingrudder_wire.codec import MESSAGE_LIMIT_BYTES, Envelope, decode, encode
 from lacewingrudder_wire.exceptions import CodecError, UnauthenticatedError
 from websockets.asyncio.connection import Connection
 
-from .link_counts import LinkCounts, purpose_of
-from .recorder import Recorder
+from ..recorder import Recorder
+from .counts import LinkCounts, purpose_of
 
 GREETING_LIMIT_BYTES = 1024
 SEND_BYTES_PER_SECOND = 262_144.0
--- a/packages/daemon/src/lacewingrudder_daemon/load_meter.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_packets/load_meter.py
@@ -5,7 +5,7 @@
 import socket
 import struct
 
-from lacewingrudder_core.entry_events import LoadMeasured
+from lacewingrudder_core.entry import LoadMeasured
 
 _SO_MEMINFO = 55
 _MEMINFO = struct.Struct("=9I")
--- a/packages/daemon/src/lacewingrudder_daemon/store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/log_store.py
@@ -12,7 +12,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from lacewingrudder_core.durable import Durable, Write
+from lacewingrudder_core.replica import Durable, Write
 from lacewingrudder_wire.codec import decode_value, encode_value
 from lacewingrudder_wire.exceptions import LacewingrudderError
 
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -14,26 +14,29 @@
 from aiohttp import web
 from lacewingrudder_core import control, entry, follower, spread
 from lacewingrudder_core import messages as m
-from lacewingrudder_core import replica_messages as r
-from lacewingrudder_core.admission import AdmissionPolicy, AdmitAll
+from lacewingrudder_core import replica as r
+from lacewingrudder_core.admission import (
+    AdmissionPolicy,
+    AdmitAll,
+    ShareAdmission,
+    SharedLimitAdmission,
+)
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
-from lacewingrudder_core.replica import ReplicaCore
-from lacewingrudder_core.replica_events import ReplicaHeard
-from lacewingrudder_core.shares import ShareAdmission, SharedLimitAdmission
+from lacewingrudder_core.replica import ReplicaCore, ReplicaHeard
 from lacewingrudder_core.types import HostName, Member
 from lacewingrudder_wire.exceptions import LacewingrudderError
 from lacewingrudder_wire.resources import load_chart
 
-from .catalogue_store import CatalogueStore
+from ._links.hub import Incoming, LinkHub
+from ._storage.catalogue_store import CatalogueStore
+from ._storage.disk import FolderDisk
+from ._storage.log_store import ReplicaStore
 from .control_task import ControlTask
-from .disk import FolderDisk
 from .entry_task import EntryTask
 from .http import announcement_app, metrics_app, start_app
-from .links import Incoming, LinkHub
 from .metrics import ProcessMetrics
 from .recorder import Recorder
 from .settings import EntrySettings, Settings
-from .store import ReplicaStore
 
 IDENTITY_BYTES = 8
 
--- a/packages/daemon/src/lacewingrudder_daemon/control_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/control_task.py
@@ -9,15 +9,13 @@
 from typing import Any
 
 from lacewingrudder_core import control as decisions
-from lacewingrudder_core import replica_events as replica
-from lacewingrudder_core.durable import Write
-from lacewingrudder_core.roles import Role
-from lacewingrudder_core.spread import SendHost
-from lacewingrudder_core.survey import SendSurvey
+from lacewingrudder_core import replica
+from lacewingrudder_core.replica import Role, Write
+from lacewingrudder_core.spread import SendHost, SendSurvey
 from lacewingrudder_core.types import HostName
 
+from ._storage.log_store import ReplicaStore
 from .recorder import Recorder
-from .store import ReplicaStore
 
 TICK_SECONDS = 0.05
 RETRY_SECONDS = 0.5
--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -8,22 +8,17 @@
 from typing import Any
 
 from lacewingrudder_core import entry, flows
-from lacewingrudder_core.entry_events import ReadinessChanged, TargetSeen
+from lacewingrudder_core.entry import ReadinessChanged, TargetSeen
 from lacewingrudder_core.follower import InForce, Keep, Kept, SendControl
 from lacewingrudder_core.membership import MembersChanged
 from lacewingrudder_core.notes import Catalogue
-from lacewingrudder_core.targets import (
-    Announced,
-    Announcement,
-    AnnounceOutcome,
-    Answer,
-    Rejected,
-)
+from lacewingrudder_core.targets import Announced, Announcement, AnnounceOutcome, Answer, Rejected
 from lacewingrudder_core.types import Endpoint, FlowKey, HostName, Member, TargetName, Verdict
 
-from . import encapsulation, load_meter, packets
-from .catalogue_store import CatalogueStore
-from .datagrams import Address, DatagramSocket
+from ._packets import encapsulation, load_meter
+from ._packets import segments as packets
+from ._packets.datagrams import Address, DatagramSocket
+from ._storage.catalogue_store import CatalogueStore
 from .recorder import Recorder
 from .settings import EntrySettings
 
--- a/packages/daemon/src/lacewingrudder_daemon/http.py
+++ b/packages/daemon/src/lacewingrudder_daemon/http.py
@@ -6,8 +6,7 @@
 from typing import Any
 
 from aiohttp import web
-from lacewingrudder_core.announcements import Announcement
-from lacewingrudder_core.targets import Rejected
+from lacewingrudder_core.targets import Announcement, Rejected
 from lacewingrudder_core.types import Endpoint, KindPort, Target, TargetState, parse_address
 from lacewingrudder_wire.documents import check_document
 from lacewingrudder_wire.exceptions import DocumentError
--- a/packages/daemon/src/lacewingrudder_daemon/metrics.py
+++ b/packages/daemon/src/lacewingrudder_daemon/metrics.py
@@ -8,10 +8,10 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from ._links.counts import Rejection
+from ._links.hub import LinkHub
 from .control_task import ControlTask
 from .entry_task import EntryTask
-from .link_counts import Rejection
-from .links import LinkHub
 
 
 class ProcessMetrics(Collector):
--- a/packages/daemon/src/lacewingrudder_daemon/recorder.py
+++ b/packages/daemon/src/lacewingrudder_daemon/recorder.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import TextIO
 
-from lacewingrudder_core.budget import Budget
 from lacewingrudder_core.clock import HybridClock, HybridTime
+from lacewingrudder_core.spread import Budget
 from lacewingrudder_wire.timeline import ROTATED_SUFFIX, TimelineEvent
 
 MILLISECONDS_PER_SECOND = 1000
--- a/packages/daemon/tests/fake_disk.py
+++ b/packages/daemon/tests/fake_disk.py
@@ -4,7 +4,7 @@
 
 import errno
 
-from lacewingrudder_daemon.disk import Disk
+from lacewingrudder_daemon._storage.disk import Disk
 
 
 class FakeDisk(Disk):
--- a/packages/daemon/tests/test_catalogue_store.py
+++ b/packages/daemon/tests/test_catalogue_store.py
@@ -4,7 +4,7 @@
 
 from lacewingrudder_core.notes import Catalogue
 from lacewingrudder_core.types import OrderAction, TargetOrder
-from lacewingrudder_daemon.catalogue_store import FILE_NAME, CatalogueStore
+from lacewingrudder_daemon._storage.catalogue_store import FILE_NAME, CatalogueStore
 
 
 class CatalogueStoreTest(unittest.TestCase):
--- a/packages/daemon/tests/test_control_settings.py
+++ b/packages/daemon/tests/test_control_settings.py
@@ -7,8 +7,8 @@
 from lacewingrudder_core.messages import OperatorReply, SubmitOrder
 from lacewingrudder_core.notes import SubmitTag
 from lacewingrudder_core.types import OrderAction, TargetOrder
+from lacewingrudder_daemon._links.hub import Incoming
 from lacewingrudder_daemon.composition import Process
-from lacewingrudder_daemon.links import Incoming
 from lacewingrudder_daemon.settings import read_settings
 from lacewingrudder_wire.exceptions import DocumentError, LacewingrudderError
 
--- a/packages/daemon/tests/test_control_task.py
+++ b/packages/daemon/tests/test_control_task.py
@@ -13,7 +13,7 @@
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from lacewingrudder_daemon.control_task import ControlTask
 from lacewingrudder_daemon.recorder import Recorder
-from lacewingrudder_daemon.store import ReplicaStore
+from lacewingrudder_daemon.storage import ReplicaStore
 from lacewingrudder_wire.resources import load_chart
 
 ANSWER_SECONDS = 5.0
--- a/packages/daemon/tests/test_datagrams.py
+++ b/packages/daemon/tests/test_datagrams.py
@@ -2,7 +2,7 @@
 import socket
 import unittest
 
-from lacewingrudder_daemon.datagrams import BATCH_DATAGRAMS, DatagramSocket
+from lacewingrudder_daemon._packets.datagrams import BATCH_DATAGRAMS, DatagramSocket
 
 LOCAL = "127.0.0.1"
 
--- a/packages/daemon/tests/test_entry_keeping.py
+++ b/packages/daemon/tests/test_entry_keeping.py
@@ -5,7 +5,7 @@
 from lacewingrudder_core.follower import Keep, Kept
 from lacewingrudder_core.notes import Catalogue
 from lacewingrudder_core.types import Endpoint
-from lacewingrudder_daemon.catalogue_store import CatalogueStore
+from lacewingrudder_daemon._storage.catalogue_store import CatalogueStore
 from lacewingrudder_daemon.entry_task import EntryTask
 from lacewingrudder_daemon.recorder import Recorder
 from lacewingrudder_daemon.settings import EntrySettings
--- a/packages/daemon/tests/test_entry_task.py
+++ b/packages/daemon/tests/test_entry_task.py
@@ -3,10 +3,12 @@
 from unittest import mock
 
 from lacewingrudder_core import flows
+from lacewingrudder_core._targets.events import Renewed
 from lacewingrudder_core.membership import MembersChanged
-from lacewingrudder_core.targets import Answer, Rejected, Renewed
+from lacewingrudder_core.targets import Answer, Rejected
 from lacewingrudder_core.types import Endpoint, Member
-from lacewingrudder_daemon import encapsulation, entry_task, packets
+from lacewingrudder_daemon import entry_task, packets
+from lacewingrudder_daemon._packets import encapsulation
 from lacewingrudder_daemon.recorder import Recorder
 from lacewingrudder_daemon.settings import EntrySettings
 
--- a/packages/daemon/tests/test_http.py
+++ b/packages/daemon/tests/test_http.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 from aiohttp.test_utils import TestClient, TestServer
-from lacewingrudder_core.announcements import Announcement, announcement_mac
-from lacewingrudder_core.targets import AnnounceOutcome, Rejected, Renewed
+from lacewingrudder_core._targets.events import Renewed
+from lacewingrudder_core.targets import Announcement, AnnounceOutcome, Rejected, announcement_mac
 from lacewingrudder_core.types import KindPort, TargetState
 from lacewingrudder_daemon.http import (
     ANNOUNCEMENT_LIMIT_BYTES,
--- a/packages/daemon/tests/test_links.py
+++ b/packages/daemon/tests/test_links.py
@@ -10,10 +10,11 @@
 from lacewingrudder_core import messages as m
 from lacewingrudder_core.clock import HybridTime
 from lacewingrudder_core.types import Endpoint
-from lacewingrudder_daemon import channel, links
-from lacewingrudder_daemon.link_counts import Rejection
-from lacewingrudder_daemon.links import Incoming, LinkHub
-from lacewingrudder_daemon.outbox import OUTBOX_MESSAGES
+from lacewingrudder_daemon._links import channel
+from lacewingrudder_daemon._links import hub as links
+from lacewingrudder_daemon._links.counts import Rejection
+from lacewingrudder_daemon._links.hub import Incoming, LinkHub
+from lacewingrudder_daemon._links.outbox import OUTBOX_MESSAGES
 from lacewingrudder_daemon.recorder import Recorder
 from lacewingrudder_wire import handshake
 from lacewingrudder_wire.codec import MESSAGE_LIMIT_BYTES, Envelope, decode, encode
--- a/packages/daemon/tests/test_load_meter.py
+++ b/packages/daemon/tests/test_load_meter.py
@@ -1,7 +1,7 @@
 import socket
 import unittest
 
-from lacewingrudder_daemon.load_meter import backlog, measure
+from lacewingrudder_daemon._packets.load_meter import backlog, measure
 
 
 class LoadMeterTest(unittest.TestCase):
--- a/packages/daemon/tests/test_outbox.py
+++ b/packages/daemon/tests/test_outbox.py
@@ -2,7 +2,7 @@
 import unittest
 
 from lacewingrudder_core import messages as m
-from lacewingrudder_daemon.outbox import Outbox
+from lacewingrudder_daemon._links.outbox import Outbox
 
 PULL = m.MembersPull(b"")
 
--- a/packages/daemon/tests/test_store.py
+++ b/packages/daemon/tests/test_store.py
@@ -5,12 +5,12 @@
 from pathlib import Path
 
 from fake_disk import FakeDisk
-from lacewingrudder_core.durable import Durable, Write
-from lacewingrudder_core.log import LogEntry, LogSnapshot, Voter
+from lacewingrudder_core._replica.log import LogEntry, LogSnapshot, Voter
 from lacewingrudder_core.notes import Catalogue, Note
+from lacewingrudder_core.replica import Durable, Write
 from lacewingrudder_core.types import Kind, OrderAction, Service, TargetOrder
-from lacewingrudder_daemon.disk import FolderDisk
-from lacewingrudder_daemon.store import LOG_NAME, CorruptLogError, ReplicaStore
+from lacewingrudder_daemon._storage.log_store import LOG_NAME, CorruptLogError
+from lacewingrudder_daemon.storage import FolderDisk, ReplicaStore
 
 VOTERS = (Voter("c1", "one"), Voter("c2", "two"))
 
--- a/packages/wire/src/lacewingrudder_wire/codec.py
+++ b/packages/wire/src/lacewingrudder_wire/codec.py
@@ -10,7 +10,7 @@
 
 import cbor2
 from lacewingrudder_core import messages as m
-from lacewingrudder_core import replica_messages as r
+from lacewingrudder_core import replica as r
 from lacewingrudder_core.clock import HybridTime
 
 from . import handshake as h
--- a/packages/wire/src/lacewingrudder_wire/documents.py
+++ b/packages/wire/src/lacewingrudder_wire/documents.py
@@ -8,8 +8,7 @@
 from typing import Any
 
 import jsonschema
-from lacewingrudder_core.note_checks import parts_problem
-from lacewingrudder_core.notes import Note
+from lacewingrudder_core.notes import Note, parts_problem
 from lacewingrudder_core.types import Kind, Service, parse_address
 
 from .exceptions import DocumentError
--- a/packages/wire/tests/test_replica_codec.py
+++ b/packages/wire/tests/test_replica_codec.py
@@ -1,10 +1,9 @@
 import unittest
 from typing import Any
 
-from lacewingrudder_core import replica_messages as r
-from lacewingrudder_core.clock import HybridTime
-from lacewingrudder_core.durable import Durable, Write
-from lacewingrudder_core.log import (
+from lacewingrudder_core import replica as r
+from lacewingrudder_core._control.submissions import NOTE_WEIGHT_LIMIT
+from lacewingrudder_core._replica.log import (
     LogEntry,
     LogSnapshot,
     Voter,
@@ -12,8 +11,9 @@
     note_weight,
     split_snapshot,
 )
+from lacewingrudder_core.clock import HybridTime
 from lacewingrudder_core.notes import Catalogue, Note, NoteReceipt, SubmitReply, SubmitTag
-from lacewingrudder_core.submissions import NOTE_WEIGHT_LIMIT
+from lacewingrudder_core.replica import Durable, Write
 from lacewingrudder_core.types import Kind, OrderAction, Service, TargetOrder
 from lacewingrudder_wire.codec import (
     MESSAGE_LIMIT_BYTES,
--- a/standins/targets.py
+++ b/standins/targets.py
@@ -16,7 +16,7 @@
 from typing import Any, TypedDict
 
 import aiohttp
-from lacewingrudder_core.announcements import announcement_mac
+from lacewingrudder_core.targets import announcement_mac
 from lacewingrudder_core.types import KindPort, Target, parse_address
 
 from . import tcp, wire, work
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -1,7 +1,11 @@
 import unittest
 
-from lacewingrudder_core.admission import AdmissionPolicy, AdmitAll
-from lacewingrudder_core.shares import ShareAdmission, SharedLimitAdmission
+from lacewingrudder_core.admission import (
+    AdmissionPolicy,
+    AdmitAll,
+    ShareAdmission,
+    SharedLimitAdmission,
+)
 
 from measure.floods import (
     FORGED_WINDOWS,
