Judge a flow by its payload, also in a SYN, and refuse nothing while hosts change

Cause: two ways to a false "not run". A SYN may carry payload (RFC 9293 allows it), and its flow was reported as not run when it went unanswered or was refused. And a half-open flow past its deadline was reset and reported as not run even while the hosts changed, when another host may be its home and have passed on payload. Ruled out: retries of such a SYN, which were barred already.

The payload of a SYN now counts from the start, a refusal may acknowledge it, and at the deadline a home waits until the members have been the same for a while.

--- a/packages/core/src/lacewingrudder_core/_flows/core.py
+++ b/packages/core/src/lacewingrudder_core/_flows/core.py
@@ -14,13 +14,13 @@
 from .._routing.view import KindRoute, RoutingView, TargetRoute
 from .._spread.budget import Budget
 from ..core import Core
-from ..types import Endpoint, FlowKey, HostName, TargetName, Verdict
+from ..types import Endpoint, FlowKey, HostName, TargetName
 from .handover import next_hop
 from .keeper import FlowKeeper
 from .lookup import Looked, Lookup
 from .opening import Opener, StartReason, refuse, reset_caller
 from .routes import RouteBook
-from .serving import Serving, verdict_on
+from .serving import Serving
 from .silence import SilenceWatch
 from .table import WINDOW_BYTES, Flow, FlowState
 from .target_tags import NO_TAG
@@ -44,6 +44,7 @@
     Stage,
 )
 from .use import UseBook
+from .verdicts import verdict_on
 
 RECENT_SECONDS = 5.0
 LOOKUPS_PER_SECOND = 2_000.0
@@ -131,8 +132,7 @@
                 continue
             self._keeper.forget(flow, now)
             if flow.state is not FlowState.CLOSED:
-                ran = Verdict.MAY_HAVE_RUN if flow.has_payload else Verdict.NOT_RUN
-                effects += [reset_caller(flow), verdict_on(flow, ran, TARGET_MOVED)]
+                effects += [reset_caller(flow), verdict_on(flow, TARGET_MOVED)]
         return effects
 
     def _leave(self, now: float) -> list[FlowEffect]:
--- a/packages/core/src/lacewingrudder_core/_flows/opening.py
+++ b/packages/core/src/lacewingrudder_core/_flows/opening.py
@@ -30,6 +30,7 @@
     VerdictReached,
 )
 from .use import UseBook
+from .verdicts import verdict_on
 
 SYN_RETRY_SECONDS = 0.5
 SYN_DEADLINE_SECONDS = 3.0
@@ -97,7 +98,7 @@
             return [Drop(DropReason.REFUSAL_RETRIED), *retry]
         self._keeper.close(flow, now)
         service = Endpoint(flow.key.service, flow.key.service_port)
-        return [ToCaller(service), _not_run(flow, StartReason.REFUSED_BY_TARGET)]
+        return [ToCaller(service), verdict_on(flow, StartReason.REFUSED_BY_TARGET)]
 
     def tick(self, now: float) -> list[FlowEffect]:
         """Retry or give up half-open flows."""
@@ -146,8 +147,7 @@
         if flow.state is FlowState.CLOSED:
             self._keeper.forget(flow, now)
             return []
-        ran = Verdict.MAY_HAVE_RUN if flow.has_payload else Verdict.NOT_RUN
-        verdict = VerdictReached(flow.key, flow.target, ran, "superseded")
+        verdict = verdict_on(flow, "superseded")
         self._keeper.forget(flow, now)
         return [reset_target(flow, flow.endpoint), verdict]
 
@@ -164,7 +164,7 @@
 
     def _unanswered(self, flow: Flow, now: float) -> list[FlowEffect]:
         self._health.syn_failed(flow.target, now)
-        if now - flow.opened_at < SYN_DEADLINE_SECONDS:
+        if now - flow.opened_at < SYN_DEADLINE_SECONDS or not self._keeper.is_settled(now):
             retry = self._retry(flow, now)
             if not retry:
                 self._wait(flow, now)
@@ -174,7 +174,7 @@
         self._keeper.close(flow, now)
         return [
             Reset(service, caller, 0, flow.caller_next, RST | ACK),
-            _not_run(flow, StartReason.UNANSWERED),
+            verdict_on(flow, StartReason.UNANSWERED),
         ]
 
     def _retry(self, flow: Flow, now: float) -> list[FlowEffect]:
@@ -229,10 +229,6 @@
     return Reset(service, caller, flow.target_next, flow.caller_next, RST | ACK)
 
 
-def _not_run(flow: Flow, reason: str) -> VerdictReached:
-    return VerdictReached(flow.key, flow.target, Verdict.NOT_RUN, reason)
-
-
 def refuse(segment: Segment, reason: str) -> list[FlowEffect]:
     """Return the reset that answers a refused SYN, and its verdict."""
     key = FlowKey(*segment.source, *segment.destination)
--- a/packages/core/src/lacewingrudder_core/_flows/serving.py
+++ b/packages/core/src/lacewingrudder_core/_flows/serving.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from .._routing.health import HealthBook
-from ..types import Endpoint, Verdict
+from ..types import Endpoint
 from .keeper import FlowKeeper
 from .opening import Opener
 from .silence import SilenceWatch
 from .table import CALLER_END, TARGET_END, Flow, FlowState
-from .types import FIN, RST, SYN, FlowEffect, Segment, ToCaller, ToTarget, VerdictReached
+from .types import FIN, RST, SYN, FlowEffect, Segment, ToCaller, ToTarget
+from .verdicts import verdict_on
 
 
 class Serving:
@@ -46,10 +47,8 @@
 
     def _caller_reset(self, flow: Flow, now: float) -> list[FlowEffect]:
         effects: list[FlowEffect] = [ToTarget(flow.endpoint)]
-        if flow.state is FlowState.HALF_OPEN:
-            effects.append(verdict_on(flow, Verdict.NOT_RUN, "cancelled"))
-        elif flow.use.is_busy:
-            effects.append(verdict_on(flow, Verdict.MAY_HAVE_RUN, "cancelled"))
+        if flow.state is FlowState.HALF_OPEN or flow.use.is_busy:
+            effects.append(verdict_on(flow, "cancelled"))
         self._keeper.close(flow, now)
         return effects
 
@@ -90,11 +89,5 @@
             return [ToCaller(service)]
         if flow.state is FlowState.HALF_OPEN and flow.target_isn is None:
             return self._opener.refused(flow, now)
-        verdict = Verdict.MAY_HAVE_RUN if flow.has_payload else Verdict.NOT_RUN
         self._keeper.close(flow, now)
-        return [ToCaller(service), verdict_on(flow, verdict, "reset_by_target")]
-
-
-def verdict_on(flow: Flow, verdict: Verdict, reason: str) -> VerdictReached:
-    """Return the verdict on a flow."""
-    return VerdictReached(flow.key, flow.target, verdict, reason)
+        return [ToCaller(service), verdict_on(flow, "reset_by_target")]
--- a/packages/core/src/lacewingrudder_core/_flows/silence.py
+++ b/packages/core/src/lacewingrudder_core/_flows/silence.py
@@ -10,11 +10,12 @@
 from collections.abc import Iterator
 
 from .._routing.health import HealthBook
-from ..types import Endpoint, FlowKey, TargetName, Verdict
+from ..types import Endpoint, FlowKey, TargetName
 from .keeper import FlowKeeper
 from .opening import reset_caller, reset_target
 from .table import Flow, FlowState
-from .types import SEQUENCE_MASK, FlowEffect, Probe, VerdictReached
+from .types import SEQUENCE_MASK, FlowEffect, Probe
+from .verdicts import verdict_on
 
 SILENT_SECONDS = 3.0
 KEEP_ALIVE_SECONDS = 30.0
@@ -117,9 +118,8 @@
     def _end(self, flow: Flow, now: float) -> list[FlowEffect]:
         self._health.silent(flow.target, now)
         self._keeper.close(flow, now)
-        verdict = Verdict.MAY_HAVE_RUN if flow.has_payload else Verdict.NOT_RUN
         return [
             reset_caller(flow),
             reset_target(flow, flow.endpoint),
-            VerdictReached(flow.key, flow.target, verdict, "silent"),
+            verdict_on(flow, "silent"),
         ]
--- a/packages/core/src/lacewingrudder_core/_flows/table.py
+++ b/packages/core/src/lacewingrudder_core/_flows/table.py
@@ -136,7 +136,8 @@
         if segment.source != self.endpoint:
             return False
         if self.state is FlowState.HALF_OPEN and self.target_isn is None:
-            return bool(segment.flags & (SYN | RST)) and segment.ack == self.caller_next
+            answers_syn = segment.ack in (self.caller_next, self.caller_sent)
+            return answers_syn and bool(segment.flags & (SYN | RST))
         if segment.flags & RST:
             return (segment.seq - self.target_floor) & SEQUENCE_MASK < WINDOW_BYTES
         return self.fits_target(segment)
@@ -146,7 +147,8 @@
         self.isn = segment.seq
         self.caller_floor = segment.seq
         self.caller_next = (segment.seq + 1) & SEQUENCE_MASK
-        self.caller_sent = self.caller_next
+        self.caller_sent = (self.caller_next + segment.payload) & SEQUENCE_MASK
+        self.has_payload = segment.payload > 0
         self.previous_isn = previous_isn
 
     def answer(self, segment: Segment) -> None:
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_flows/verdicts.py
@@ -0,0 +1,16 @@
+"""The verdict on a flow that ends otherwise than by its ends."""
+
+from __future__ import annotations
+
+from ..types import Verdict
+from .table import Flow
+from .types import VerdictReached
+
+
+def verdict_on(flow: Flow, reason: str) -> VerdictReached:
+    """Return the verdict on a flow: not run only if no payload can have reached a target.
+
+    :param reason: why the flow ended; the label of a metric.
+    """
+    verdict = Verdict.MAY_HAVE_RUN if flow.has_payload else Verdict.NOT_RUN
+    return VerdictReached(flow.key, flow.target, verdict, reason)
--- a/packages/core/tests/test_flow_sessions.py
+++ b/packages/core/tests/test_flow_sessions.py
@@ -83,6 +83,12 @@
     def test_unanswered_syn_is_not_run(self) -> None:
         self.replay("unanswered_syn")
 
+    def test_request_in_a_syn_may_have_run(self) -> None:
+        self.replay("syn_with_payload")
+
+    def test_no_flow_is_refused_while_another_host_may_be_its_home(self) -> None:
+        self.replay("unanswered_in_new_view")
+
     def test_silent_flow_is_reset_at_both_ends(self) -> None:
         self.replay("silent_flow")
 
