Work out a catalogue's digest once for each catalogue

Cause: the digest was cached by the catalogue's hash, and to hash a catalogue goes through all of its receipts at each subscription. Ruled out: the digest itself, which is worked out once a change.

Catalogues are immutable, so the memo compares them by identity.

--- a/packages/core/src/lacewingrudder_core/_follower/follower.py
+++ b/packages/core/src/lacewingrudder_core/_follower/follower.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from .._notes.catalogue import Catalogue, Change
-from .._spread.snapshots import SnapshotBuilder, catalogue_digest
+from .._spread.snapshots import DigestMemo, SnapshotBuilder
 from ..core import Core
 from ..hashing import name_hash, pair_hash
 from ..messages import Changes, SnapshotPart, SnapshotPull, SpreadMessage, Standing, Subscribe
@@ -104,6 +104,7 @@
         self._name = name
         self._zone = zone
         self._catalogue = catalogue._replace(receipts=())
+        self._digests = DigestMemo()
         self._controls = sorted(controls, key=self._rank)
         self._rng = rng
         self._keeps = keeps
@@ -252,7 +253,7 @@
         return [effect, SendControl(self.followed, self._subscription())]
 
     def _subscription(self) -> Subscribe:
-        digest = catalogue_digest(self._catalogue)
+        digest = self._digests.of(self._catalogue)
         return Subscribe(self._name, self._zone, self._catalogue.revision, digest)
 
     def _rank(self, control: HostName) -> int:
--- a/packages/core/src/lacewingrudder_core/_spread/snapshots.py
+++ b/packages/core/src/lacewingrudder_core/_spread/snapshots.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import functools
-
 from .._notes.catalogue import Catalogue
 from ..hashing import name_hash
 from ..messages import SnapshotPart
@@ -11,12 +9,29 @@
 ITEMS_PER_PART = 64
 
 
-@functools.lru_cache(maxsize=8)
 def catalogue_digest(catalogue: Catalogue) -> int:
     """Return a hash of the services and orders of a catalogue; receipts do not count."""
     return name_hash(repr((catalogue.services, sorted(catalogue.orders)))) >> 1
 
 
+class DigestMemo:
+    """Keeps the digest of the last catalogue it was asked for, so that it is worked out once.
+
+    Catalogues are compared by identity: to hash or compare one costs as much as its digest.
+    """
+
+    def __init__(self) -> None:
+        self._catalogue: Catalogue | None = None
+        self._digest = 0
+
+    def of(self, catalogue: Catalogue) -> int:
+        """Return the digest of a catalogue."""
+        if catalogue is not self._catalogue:
+            self._catalogue = catalogue
+            self._digest = catalogue_digest(catalogue)
+        return self._digest
+
+
 def part_count(catalogue: Catalogue) -> int:
     """Return how many parts a catalogue makes."""
     items = max(len(catalogue.services), len(catalogue.orders))
--- a/packages/core/src/lacewingrudder_core/_spread/spread.py
+++ b/packages/core/src/lacewingrudder_core/_spread/spread.py
@@ -23,7 +23,7 @@
 )
 from ..types import HostName
 from .budget import Budget
-from .snapshots import catalogue_digest, snapshot_part
+from .snapshots import DigestMemo, snapshot_part
 
 CHANGES_KEPT = 200
 CHANGES_PER_MESSAGE = 50
@@ -79,6 +79,7 @@
 
     def __init__(self, catalogue: Catalogue) -> None:
         self._catalogue = catalogue
+        self._digests = DigestMemo()
         self._recent: list[Change] = []
         self._hosts: dict[HostName, HostStatus] = {}
         self._heard: dict[HostName, float] = {}
@@ -111,7 +112,7 @@
         self._heard.pop(subscribe.host, None)
         self._heard[subscribe.host] = now
         self._forget_oldest()
-        digest = catalogue_digest(self._catalogue)
+        digest = self._digests.of(self._catalogue)
         standing = SendHost(subscribe.host, Standing(self._catalogue.revision, digest))
         if subscribe.revision > self._catalogue.revision:
             return [standing]
