Pass over targets that answer far more slowly than others

Ruled out: admission, which refused none of the lost flows, and reports of load, which changed no result.

A home now estimates each target's time to an answer, from past answers that fade with a half-life of 2 s and from flows that wait, and leaves a first choice that takes five times as long as the best of four others, within the budget for second choices.

--- a/measure/placement_model.py
+++ b/measure/placement_model.py
@@ -166,7 +166,9 @@
         self._ask(_Flow(home, name))
 
     def _ask(self, flow: _Flow) -> None:
-        self._loads[flow.home].became_busy(flow.target)
+        loads = self._loads[flow.home]
+        loads.became_busy(flow.target)
+        loads.answer_times.asked(flow.target, self._now)
         flow.asked = self._now
         self._targets[flow.target].queue.append(flow)
         self._work(self._targets[flow.target])
@@ -183,13 +185,15 @@
     def _answer(self, flow: _Flow) -> None:
         target = self._targets[flow.target]
         target.busy -= 1
-        self._loads[flow.home].became_idle(flow.target)
+        loads = self._loads[flow.home]
+        loads.became_idle(flow.target)
+        loads.answer_times.answered(flow.target, flow.asked, self._now)
         flow.left -= 1
         if flow.left:
             pause = self._rng.expovariate(1 / PAUSE_SECONDS)
             self._later(pause, lambda: self._ask(flow))
         else:
-            self._loads[flow.home].closed(flow.target)
+            loads.closed(flow.target)
             target.flows -= 1
         self._work(target)
 
--- a/packages/core/src/lacewingrudder_core/_flows/use.py
+++ b/packages/core/src/lacewingrudder_core/_flows/use.py
@@ -12,7 +12,7 @@
 class FlowUse:
     """One flow's part in the books; only :class:`UseBook` changes it."""
 
-    __slots__ = ("service", "kind", "target", "is_half_open", "is_busy")
+    __slots__ = ("service", "kind", "target", "is_half_open", "is_busy", "asked_at")
 
     def __init__(self, service: str, kind: str, target: TargetName) -> None:
         self.service = service
@@ -20,6 +20,7 @@
         self.target = target
         self.is_half_open = True
         self.is_busy = False
+        self.asked_at = 0.0
 
 
 class UseBook:
@@ -71,6 +72,8 @@
         """Take note of payload from the caller."""
         if not use.is_busy:
             use.is_busy = True
+            use.asked_at = now
+            self._loads.answer_times.asked(use.target, now)
             self._loads.became_busy(use.target)
             self._admission.became_busy(use.service, use.kind, now)
 
@@ -78,6 +81,7 @@
         """Take note of payload from the target."""
         if use.is_busy:
             use.is_busy = False
+            self._loads.answer_times.answered(use.target, use.asked_at, now)
             self._loads.became_idle(use.target)
             self._admission.became_idle(use.service, use.kind, now)
 
--- a/packages/core/src/lacewingrudder_core/_routing/loads.py
+++ b/packages/core/src/lacewingrudder_core/_routing/loads.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from ..types import TargetName
+from .answer_times import AnswerTimes
 
 
 class TargetLoad(NamedTuple):
@@ -24,6 +25,12 @@
     def __init__(self) -> None:
         self._flows: dict[TargetName, int] = {}
         self._busy: dict[TargetName, int] = {}
+        self._answer_times = AnswerTimes()
+
+    @property
+    def answer_times(self) -> AnswerTimes:
+        """How long the targets take to answer."""
+        return self._answer_times
 
     @property
     def in_use(self) -> frozenset[TargetName]:
--- a/packages/core/src/lacewingrudder_core/_routing/placement.py
+++ b/packages/core/src/lacewingrudder_core/_routing/placement.py
@@ -20,6 +20,8 @@
 SECOND_CHOICE_BURST = 40.0
 UNEVEN_FACTOR = 1.25
 UNEVEN_FLOWS_PER_SLOT = 2 / 3
+SLOW_FACTOR = 5.0
+SLOW_LEAST_SECONDS = 0.1
 
 _CANDIDATES = 4
 _SALTS = 16
@@ -88,8 +90,8 @@
     """The table's choice, unless this host's evidence speaks against it.
 
     A second choice is made when the first is ejected, when it holds its connection limit divided by
-    the number of hosts, or, within a budget, when its slots are busy while another's are free or it
-    has far more flows than the table's next choice. Where the choice is free, targets of this
+    the number of hosts, or, within a budget, when its slots are busy while another's are free, it
+    has far more flows than the table's next choice, or it answers far more slowly than others. Where the choice is free, targets of this
     host's zone come first.
 
     :param zone: this host's zone.
@@ -112,6 +114,10 @@
         if attempt:
             return self._retry(route, digest, attempt, now)
         need = self._need(route, first, loads, now)
+        if need is None or need.free_slot:
+            faster = self._faster(route, digest, first, loads, now)
+            if faster is not None:
+                return faster
         if need is None:
             return self._lighter(route, digest, first, loads, now)
         return self._second(route, digest, first, need, loads, now)
@@ -125,6 +131,30 @@
             return _Need(free_slot=True)
         return None
 
+    def _faster(
+        self, route: KindRoute, digest: int, first: TargetName, loads: LoadBook, now: float
+    ) -> TargetName | None:
+        """Return the fastest of a few further choices if the first is far slower than that.
+
+        Busy slots alone do not tell a slow target in a flood, when all slots are busy.
+        """
+        expected = loads.answer_times.estimate(first, now)
+        if expected < SLOW_LEAST_SECONDS:
+            return None
+        others = [
+            name
+            for name in self._order(route, digest)[1:]
+            if not self._health.ejected(name, now) and not _at_limit(route, name, loads)
+        ][:_CANDIDATES]
+        if not others:
+            return None
+        best = min(others, key=lambda name: loads.answer_times.estimate(name, now))
+        bound = max(SLOW_LEAST_SECONDS, SLOW_FACTOR * loads.answer_times.estimate(best, now))
+        if expected < bound or not self._has_budget(now):
+            return None
+        self._budget -= 1
+        return best
+
     def _lighter(
         self, route: KindRoute, digest: int, first: TargetName, loads: LoadBook, now: float
     ) -> TargetName:
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -106,6 +106,20 @@
         first = self.route.table.choose(DIGESTS[0])
         self.assertEqual(self.choose(), first)
 
+    def test_target_that_answers_far_more_slowly_is_passed_over_until_that_fades(self) -> None:
+        times = self.loads.answer_times
+        for name in self.names:
+            times.asked(name, 0.0)
+            times.answered(name, 0.0, 0.1)
+            self.loads.became_busy(name)
+        self.assertEqual(self.choose(now=0.2), self.first)
+        times.asked(self.first or "", 0.2)
+        self.assertEqual(self.choose(now=0.3), self.first)
+        self.assertNotEqual(self.choose(now=0.6), self.first)
+        times.answered(self.first or "", 0.2, 1.2)
+        self.assertNotEqual(self.choose(now=1.3), self.first)
+        self.assertEqual(self.choose(now=9.0), self.first)
+
     def test_second_choices_for_busy_slots_are_bounded(self) -> None:
         for _ in range(3):
             self.loads.became_busy(self.first or "")
