--- a/packages/core/src/lacewingrudder_core/_routing/placement.py
+++ b/packages/core/src/lacewingrudder_core/_routing/placement.py
@@ -91,8 +91,8 @@
 
     A second choice is made when the first is ejected, when it holds its connection limit divided by
     the number of hosts, or, within a budget, when its slots are busy while another's are free, it
-    has far more flows than the table's next choice, or it answers far more slowly than others. Where the choice is free, targets of this
-    host's zone come first.
+    has far more flows than the table's next choice, or it answers far more slowly than others.
+    Where the choice is free, targets of this host's zone come first.
 
     :param zone: this host's zone.
     :param health: this host's evidence on targets.
--- a/packages/daemon/src/lacewingrudder_daemon/packets.py
+++ b/packages/daemon/src/lacewingrudder_daemon/packets.py
@@ -1,5 +1,6 @@
 """Packets as they come from the network: sockets, encapsulation, headers."""
 
+from ._packets.datagrams import DatagramSocket as DatagramSocket
 from ._packets.encapsulation import decapsulate as decapsulate
 from ._packets.encapsulation import encapsulate as encapsulate
 from ._packets.encapsulation import encapsulate_relay as encapsulate_relay
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -51,6 +51,13 @@
             with self.subTest(step.label):
                 self._keeps_the_goal(run_step(GANTS_LAURENTIDE, step, ShareAdmission, SEED))
 
+    def test_forged_syns_of_one_kind_leave_the_other_alone_and_soon_its_own_callers_too(
+        self,
+    ) -> None:
+        kept = run_forged(GANTS_LAURENTIDE, ShareAdmission, SEED)
+        self.assertEqual(kept["stock-watch"], [1.0] * FORGED_WINDOWS)
+        self.assertGreater(kept["order-lines"][-1], 0.9)
+
     def test_both_firms_keep_their_share_while_a_target_is_cold(self) -> None:
         for shape, seed in itertools.product(FIRMS, COLD_SEEDS):
             for step in steps(shape, 5, Pace.STEADY, Fault.COLD):
