Remove two unused names, and ask the budget before the work it pays for

Found in the last read of the change: ElectionTimer.hurry and the union EntryMessage were used nowhere, and a home without budget for second choices still ordered all choices before it looked. Behaviour is as before: the order of the two questions does not change the answer.

--- a/packages/core/src/lacewingrudder_core/_replica/election.py
+++ b/packages/core/src/lacewingrudder_core/_replica/election.py
@@ -62,10 +62,6 @@
         """Wait a random time of one to two election timeouts."""
         self._due = now + ELECTION_SECONDS * self._rng.uniform(1.0, 2.0)
 
-    def hurry(self, now: float) -> None:
-        """Let the timer end at once, for a voter that needs nobody else."""
-        self._due = now
-
     def expired(self, now: float) -> bool:
         """Return whether the time is over."""
         return now >= self._due
--- a/packages/core/src/lacewingrudder_core/_routing/placement.py
+++ b/packages/core/src/lacewingrudder_core/_routing/placement.py
@@ -139,7 +139,7 @@
         Busy slots alone do not tell a slow target in a flood, when all slots are busy.
         """
         expected = loads.answer_times.estimate(first, now)
-        if expected < SLOW_LEAST_SECONDS:
+        if expected < SLOW_LEAST_SECONDS or not self._has_budget(now):
             return None
         others = [
             name
@@ -150,7 +150,7 @@
             return None
         best = min(others, key=lambda name: loads.answer_times.estimate(name, now))
         bound = max(SLOW_LEAST_SECONDS, SLOW_FACTOR * loads.answer_times.estimate(best, now))
-        if expected < bound or not self._has_budget(now):
+        if expected < bound:
             return None
         self._budget -= 1
         return best
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -283,5 +283,4 @@
 SurveyMessage = SurveyRequest | SurveyReply
 SpreadMessage = Standing | Changes | SnapshotPart
 FollowMessage = Subscribe | SnapshotPull
-EntryMessage = SwimMessage | SpreadMessage | TargetUpdates | TargetsPull | Goodbye | Pins
 OperatorRequest = SubmitNote | SubmitOrder | StatusRequest
