--- a/measure/log.py
+++ b/measure/log.py
@@ -22,6 +22,7 @@
     Persist,
     Persisted,
     Propose,
+    NamedVoters,
     ReplicaCore,
     ReplicaHeard,
     Tick,
@@ -96,7 +97,7 @@
         store = ReplicaStore(FolderDisk(folder))
         durable = store.recover(f"{name}-identity")
         rng = random.Random(name)
-        replica = ReplicaCore(name, self._names, load_chart("replica"), durable, rng)
+        replica = ReplicaCore(name, NamedVoters(self._names), load_chart("replica"), durable, rng)
         core = ControlCore(name, replica)
         return ControlTask(core, store, recorder, self._sender(name), self._answer)
 
@@ -201,7 +202,7 @@
     """Let one replica alone take notes, and return the bytes on its disk."""
     store = ReplicaStore(UnsyncedDisk(folder))
     durable = store.recover("identity")
-    core = ReplicaCore("c1", ["c1"], load_chart("replica"), durable, random.Random(1))
+    core = ReplicaCore("c1", NamedVoters(["c1"]), load_chart("replica"), durable, random.Random(1))
     events: list[Any] = [Tick(), Tick()]
     events += [Propose(note.number, note, None) for note in notes(count)]
     for event in events:
@@ -235,7 +236,7 @@
 def _recover(folder: Path, count: int) -> ReplicaCore:
     store = ReplicaStore(FolderDisk(folder))
     durable = store.recover("another")
-    core = ReplicaCore("c1", ["c1"], load_chart("replica"), durable, random.Random(count))
+    core = ReplicaCore("c1", NamedVoters(["c1"]), load_chart("replica"), durable, random.Random(count))
     store.close()
     return core
 
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -0,0 +1,293 @@
+"""Check-ins on a control host: confirms what targets say once those who must know have heard it."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .._notes.configurations import StoredConfiguration
+from ..core import Core
+from ..types import HostName, TargetName, ZoneName
+from .registry import CheckInOutcome, Registry
+from .types import CheckIn, ConfigurationUpdate, Subscription, TargetEntry, Update
+
+SUBSCRIBER_SECONDS = 2.5
+"""A subscriber that is silent for this long, five of its heartbeats, need not confirm a drain."""
+
+CONFIRM_SECONDS = 0.6
+"""How long a drain waits for its confirmations; a target waits a second for its answer."""
+
+RESEND_SECONDS = 0.12
+"""When an update that a drain waits for is sent again; twice the round trip between zones."""
+
+PUSH_CONTROLS = frozenset({CheckInOutcome.DRAINING, CheckInOutcome.ENDED})
+
+
+class CheckedIn(NamedTuple):
+    """A target checked in; the answer carries the token."""
+
+    token: int
+    call: CheckIn
+
+
+class Left(NamedTuple):
+    """A target says that it ends; the answer carries the token.
+
+    :param born: the lifetime, if the call named it.
+    """
+
+    token: int
+    target: TargetName
+    born: int | None
+
+
+class Subscribed(NamedTuple):
+    """Another host subscribes, or confirms what it has taken in."""
+
+    subscription: Subscription
+
+
+class PeerUpdated(NamedTuple):
+    """Another control host published to this one."""
+
+    update: Update
+
+
+class ConfigurationCommitted(NamedTuple):
+    """A configuration was committed and applied on this host."""
+
+    configuration: StoredConfiguration
+
+
+class ControlsKnown(NamedTuple):
+    """The control hosts that this one knows, itself among them."""
+
+    names: frozenset[HostName]
+
+
+class Tick(NamedTuple):
+    """Time passed; due several times a second."""
+
+
+CheckInEvent = (
+    CheckedIn | Left | Subscribed | PeerUpdated | ConfigurationCommitted | ControlsKnown | Tick
+)
+
+
+class SendUpdate(NamedTuple):
+    """Publish to a subscriber, or subscribe to a control host."""
+
+    host: HostName
+    body: Update | ConfigurationUpdate | Subscription
+
+
+class Confirm(NamedTuple):
+    """Answer a target.
+
+    :param confirmed: whether what it said is known where it has to be.
+    :param zone: of the target.
+    """
+
+    token: int
+    outcome: CheckInOutcome
+    confirmed: bool
+    zone: ZoneName
+
+
+class Expired(NamedTuple):
+    """A target missed its heartbeats."""
+
+    entry: TargetEntry
+
+
+class SubscriberLost(NamedTuple):
+    """A subscriber is no longer heard."""
+
+    host: HostName
+
+
+class SubscriberFound(NamedTuple):
+    """A subscriber is heard for the first time, or again."""
+
+    host: HostName
+
+
+CheckInEffect = SendUpdate | Confirm | Expired | SubscriberLost | SubscriberFound
+
+
+class _Subscriber(NamedTuple):
+    subscription: Subscription
+    heard: float
+
+
+class _Waiting(NamedTuple):
+    """A target that waits for the confirmation of its drain or end."""
+
+    token: int
+    outcome: CheckInOutcome
+    zone: ZoneName
+    number: int
+    due: float
+    resend: float
+
+
+class CheckInCore(Core[CheckInEvent, CheckInEffect]):
+    """Decisions on check-ins of one control host.
+
+    :param name: this host.
+    :param registry: what this host knows of targets.
+    """
+
+    def __init__(self, name: HostName, zone: ZoneName, registry: Registry) -> None:
+        self._name = name
+        self._zone = zone
+        self._registry = registry
+        self._subscribers: dict[HostName, _Subscriber] = {}
+        self._controls = frozenset({name})
+        self._configuration: StoredConfiguration | None = None
+        self._waiting: list[_Waiting] = []
+
+    @property
+    def registry(self) -> Registry:
+        """What this host knows of targets, to be read only."""
+        return self._registry
+
+    def handle(self, event: CheckInEvent, now: float) -> list[CheckInEffect]:
+        """Take one event."""
+        if isinstance(event, CheckedIn):
+            call = event.call
+            outcome = self._registry.check_in(call, now)
+            return self._published(event.token, outcome, call.zone, now)
+        if isinstance(event, Left):
+            outcome = self._registry.leave(event.target, event.born, now)
+            return self._published(event.token, outcome, "", now)
+        if isinstance(event, Subscribed):
+            return self._subscribed(event.subscription, now)
+        if isinstance(event, PeerUpdated):
+            heard = self._registry.hear(event.update.entries, now)
+            return self._push(now) if heard else []
+        if isinstance(event, ConfigurationCommitted):
+            return self._committed(event.configuration)
+        if isinstance(event, ControlsKnown):
+            self._controls = event.names
+            return []
+        return self._tick(now)
+
+    def _published(
+        self, token: int, outcome: CheckInOutcome, zone: ZoneName, now: float
+    ) -> list[CheckInEffect]:
+        if outcome is CheckInOutcome.RENEWED or outcome is CheckInOutcome.FOREIGN:
+            confirmed = outcome is CheckInOutcome.RENEWED
+            return [Confirm(token, outcome, confirmed, zone)]
+        if outcome is CheckInOutcome.LATE:
+            return [Confirm(token, outcome, True, zone)]
+        effects = self._push(now)
+        if outcome not in PUSH_CONTROLS:
+            return [Confirm(token, outcome, True, zone), *effects]
+        number = self._registry.position.number
+        waiting = _Waiting(
+            token, outcome, zone, number, now + CONFIRM_SECONDS, now + RESEND_SECONDS
+        )
+        self._waiting.append(waiting)
+        return effects + self._confirm(now)
+
+    def _subscribed(self, subscription: Subscription, now: float) -> list[CheckInEffect]:
+        host = subscription.host
+        before = self._subscribers.get(host)
+        self._subscribers[host] = _Subscriber(subscription, now)
+        effects: list[CheckInEffect] = [] if before else [SubscriberFound(host)]
+        if subscription.is_poll or not self._has(subscription, self._registry.position.number):
+            effects.append(self._update(subscription))
+        if not subscription.is_control and subscription.version < self._version:
+            effects.append(self._configuration_for(host))
+        return effects + self._confirm(now)
+
+    def _committed(self, configuration: StoredConfiguration) -> list[CheckInEffect]:
+        """Send a configuration to this host's zone at once; others ask where theirs is late."""
+        if configuration.version <= self._version:
+            return []
+        self._configuration = configuration
+        return [
+            self._configuration_for(host)
+            for host, row in self._subscribers.items()
+            if not row.subscription.is_control and row.subscription.zone == self._zone
+        ]
+
+    def _tick(self, now: float) -> list[CheckInEffect]:
+        expired = self._registry.expire(now)
+        effects: list[CheckInEffect] = [Expired(entry) for entry in expired]
+        if expired:
+            effects += self._push(now)
+        return effects + self._drop_silent(now) + self._resend(now) + self._confirm(now)
+
+    def _drop_silent(self, now: float) -> list[CheckInEffect]:
+        silent = [
+            host for host, row in self._subscribers.items() if now - row.heard > SUBSCRIBER_SECONDS
+        ]
+        for host in silent:
+            del self._subscribers[host]
+        return [SubscriberLost(host) for host in silent]
+
+    def _resend(self, now: float) -> list[CheckInEffect]:
+        effects: list[CheckInEffect] = []
+        if any(now >= row.resend for row in self._waiting):
+            effects = self._push(now)
+            again = now + RESEND_SECONDS
+            self._waiting = [
+                row._replace(resend=again) if now >= row.resend else row for row in self._waiting
+            ]
+        return effects
+
+    def _push(self, now: float) -> list[CheckInEffect]:
+        return [
+            self._update(row.subscription)
+            for row in self._subscribers.values()
+            if not self._has(row.subscription, self._registry.position.number)
+        ]
+
+    def _confirm(self, now: float) -> list[CheckInEffect]:
+        """Answer the targets whose news all subscribers have, or which waited long enough."""
+        effects: list[CheckInEffect] = []
+        kept: list[_Waiting] = []
+        for row in self._waiting:
+            lacking = self._lacking(row.number)
+            if not lacking or now >= row.due:
+                confirmed = not lacking or self._has_second_control(row.number)
+                effects.append(Confirm(row.token, row.outcome, confirmed, row.zone))
+            else:
+                kept.append(row)
+        self._waiting = kept
+        return effects
+
+    def _lacking(self, number: int) -> list[HostName]:
+        rows = self._subscribers.values()
+        return [r.subscription.host for r in rows if not self._has(r.subscription, number)]
+
+    def _has_second_control(self, number: int) -> bool:
+        """Whether the news would outlive this host."""
+        controls = [r.subscription for r in self._subscribers.values() if r.subscription.is_control]
+        return self._controls == {self._name} or any(self._has(s, number) for s in controls)
+
+    def _has(self, subscription: Subscription, number: int) -> bool:
+        epoch, known = subscription.position
+        return epoch == self._registry.position.epoch and known >= number
+
+    def _update(self, subscription: Subscription) -> SendUpdate:
+        since, entries = self._registry.since(subscription.position)
+        body = Update(
+            self._name,
+            self._registry.position,
+            since,
+            entries,
+            self._version,
+            tuple(sorted(self._controls)),
+        )
+        return SendUpdate(subscription.host, body)
+
+    def _configuration_for(self, host: HostName) -> SendUpdate:
+        assert self._configuration is not None
+        return SendUpdate(host, ConfigurationUpdate(*self._configuration))
+
+    @property
+    def _version(self) -> int:
+        return -1 if self._configuration is None else self._configuration.version
+
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_checkins/publisher.py
@@ -0,0 +1,59 @@
+"""Publishes entries to subscribers as numbered changes, whole only where a subscriber is new."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .types import Lifetime, LifeState, Position, TargetEntry
+
+GONE_KEPT_SECONDS = 120.0
+"""How long the end of a lifetime is published: twice the age at which flows may be dropped."""
+
+
+class _Numbered(NamedTuple):
+    number: int
+    entry: TargetEntry
+    changed: float
+
+
+class Publisher:
+    """Entries of one control host, each with the number of its last change.
+
+    :param epoch: names this start of the host.
+    """
+
+    def __init__(self, epoch: int) -> None:
+        self._epoch = epoch
+        self._number = 0
+        self._entries: dict[Lifetime, _Numbered] = {}
+
+    @property
+    def position(self) -> Position:
+        """The last change."""
+        return Position(self._epoch, self._number)
+
+    def get(self, lifetime: Lifetime) -> TargetEntry | None:
+        """Return the entry of a lifetime, or ``None``."""
+        found = self._entries.get(lifetime)
+        return None if found is None else found.entry
+
+    def entries(self) -> list[TargetEntry]:
+        """Return all entries."""
+        return [row.entry for row in self._entries.values()]
+
+    def put(self, entry: TargetEntry, now: float) -> None:
+        """Publish an entry in place of the one before of its lifetime."""
+        self._number += 1
+        self._entries[entry.lifetime] = _Numbered(self._number, entry, now)
+
+    def since(self, position: Position) -> tuple[int, tuple[TargetEntry, ...]]:
+        """Return what follows a position, and the number that it follows (0 for everything)."""
+        known = position.number if position.epoch == self._epoch else 0
+        changed = tuple(row.entry for row in self._entries.values() if row.number > known)
+        return known, changed
+
+    def forget_gone(self, now: float) -> None:
+        """Drop ends of lifetimes that are long known."""
+        for lifetime, row in list(self._entries.items()):
+            if row.entry.state is LifeState.GONE and now - row.changed > GONE_KEPT_SECONDS:
+                del self._entries[lifetime]
--- a/packages/core/src/lacewingrudder_core/_control/core.py
+++ b/packages/core/src/lacewingrudder_core/_control/core.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from .._notes.catalogue import Change
+from .._notes.catalogue import Catalogue, Change, SubmitReply, SubmitTag
 from .._replica.events import (
     Answered,
     Applied,
@@ -14,6 +14,8 @@
     Persisted,
     PersistFailed,
     Propose,
+    ReadConfirmed,
+    ReadRequested,
     ReplicaEffect,
     ReplicaEvent,
     ReplicaHeard,
@@ -22,21 +24,25 @@
     StopPlanned,
     Tick,
 )
-from .._replica.messages import ForwardMessage, ForwardRequest
+from .._replica.messages import ForwardMessage, ForwardRequest, ReadReply, ReadRequest
 from .._replica.replica import ReplicaCore
 from .._spread.spread import Advanced, Replaced, SendHost, SnapshotPulled, SpreadCore, Subscribed
 from .._spread.survey import SendSurvey, Surveys
 from ..core import Core
 from ..messages import (
+    ConfigurationReply,
     OperatorReply,
     OperatorRequest,
+    ReadConfiguration,
     Status,
     StatusRequest,
+    SubmitConfiguration,
     SurveyMessage,
     SurveyReply,
     SurveyRequest,
 )
 from ..types import HostName
+from .reads import ReadAnswer, Reads, ReadWay
 from .submissions import OperatorAnswer, Submissions
 
 
@@ -86,7 +92,7 @@
     """Answer an operator."""
 
     token: int
-    body: OperatorReply | Status
+    body: OperatorReply | ConfigurationReply | Status
 
 
 class Committed(NamedTuple):
@@ -114,6 +120,7 @@
         self._catalogue = replica.catalogue
         self._spread = SpreadCore(replica.catalogue)
         self._submissions = Submissions()
+        self._reads = Reads()
         self._surveys = Surveys(name, controls)
 
     @property
@@ -121,6 +128,11 @@
         """This host's replica of the log, to be read only."""
         return self._replica
 
+    @property
+    def catalogue(self) -> Catalogue:
+        """The catalogue after all changes that were committed and told."""
+        return self._catalogue
+
     def handle(self, event: ControlEvent, now: float) -> list[ControlEffect]:
         """Take one event."""
         if isinstance(event, Requested):
@@ -144,6 +156,11 @@
         if isinstance(request, StatusRequest):
             return self._start_survey(event.token, now)
         leader = self._replica.leader(now)
+        if isinstance(request, ReadConfiguration):
+            return self._read([self._reads.operator(event.token, self._name, leader, now)], now)
+        if self._is_overtaken(request):
+            reply = SubmitReply(SubmitTag.ACCEPTED, self._catalogue.revision, "")
+            return [Reply(event.token, OperatorReply(reply))]
         way = self._submissions.operator(
             event.token, request, self._name, leader, self._catalogue.revision, now
         )
@@ -153,11 +170,37 @@
 
     def _forward_heard(self, event: ForwardHeard, now: float) -> list[ControlEffect]:
         message = event.message
+        if isinstance(message, ReadRequest):
+            return self._read([self._reads.forwarded(event.sender, message, now)], now)
+        if isinstance(message, ReadReply):
+            return self._read(self._proved(message.number, message.log_index), now)
         if isinstance(message, ForwardRequest):
             return self._feed(self._submissions.forwarded(event.sender, message, now), now)
         answer = self._submissions.answered(message.number, message.reply)
         return [] if answer is None else [_reply(answer)]
 
+    def _is_overtaken(self, request: OperatorRequest) -> bool:
+        """Whether a committed configuration is as high, which answers the request anywhere."""
+        return (
+            isinstance(request, SubmitConfiguration)
+            and request.configuration.version <= self._catalogue.version
+        )
+
+    def _proved(self, number: int, log_index: int | None) -> list[ReadWay]:
+        return self._reads.proved(number, log_index, self._replica.state.commit)
+
+    def _read(self, ways: Sequence[ReadWay], now: float) -> list[ControlEffect]:
+        effects: list[ControlEffect] = []
+        for way in ways:
+            if isinstance(way, ReadRequested):
+                effects += self._feed(way, now)
+            elif isinstance(way, ReadAnswer):
+                configuration = self._replica.catalogue.configuration
+                effects.append(Reply(way.token, ConfigurationReply(way.is_newest, configuration)))
+            else:
+                effects.append(way)
+        return effects
+
     def _redirect(self, now: float) -> list[ControlEffect]:
         leader = self._replica.leader(now)
         effects: list[ControlEffect] = []
@@ -167,17 +210,20 @@
 
     def _expire(self, now: float) -> list[ControlEffect]:
         late = self._submissions.expired(self._catalogue.revision, now)
-        return [_reply(answer) for answer in late] + self._finished_surveys(now)
+        reads = self._read(self._reads.expired(now), now)
+        return [_reply(answer) for answer in late] + reads + self._finished_surveys(now)
 
     def _feed(self, event: ReplicaEvent, now: float) -> list[ControlEffect]:
         effects: list[ControlEffect] = []
         for effect in self._replica.handle(event, now):
             effects += self._replica_effect(effect, now)
-        return effects
+        return effects + self._read(self._reads.applied(self._replica.state.commit), now)
 
     def _replica_effect(self, effect: ReplicaEffect, now: float) -> list[ControlEffect]:
         if isinstance(effect, Applied):
             return self._applied(effect, now)
+        if isinstance(effect, ReadConfirmed):
+            return self._read(self._proved(effect.token, effect.log_index), now)
         if isinstance(effect, Installed):
             self._catalogue = effect.catalogue
             return list(self._spread.handle(Replaced(effect.catalogue), now))
--- a/packages/core/src/lacewingrudder_core/_control/submissions.py
+++ b/packages/core/src/lacewingrudder_core/_control/submissions.py
@@ -15,7 +15,7 @@
 from .._replica.log import note_weight
 from .._replica.messages import ForwardReply, ForwardRequest
 from .._replica.replica import NO_QUORUM
-from ..messages import SubmitNote, SubmitOrder
+from ..messages import SubmitConfiguration, SubmitNote, SubmitOrder
 from ..types import HostName
 
 ANSWER_SECONDS = 4.0
@@ -58,7 +58,7 @@
     def operator(
         self,
         token: int,
-        request: SubmitNote | SubmitOrder,
+        request: SubmitNote | SubmitOrder | SubmitConfiguration,
         me: HostName,
         leader: HostName,
         revision: int,
@@ -70,19 +70,21 @@
         """
         note = request.note if isinstance(request, SubmitNote) else None
         order = request.order if isinstance(request, SubmitOrder) else None
+        whole = request.configuration if isinstance(request, SubmitConfiguration) else None
         problem = self._problem(note, leader)
         if problem is not None:
             return OperatorAnswer(token, problem._replace(revision=revision))
         number = self._wait("", token, now)
         if leader == me:
-            return Propose(number, note, order)
-        forward = ForwardRequest(number, note, order)
+            return Propose(number, note, order, whole)
+        forward = ForwardRequest(number, note, order, whole)
         self._waiting[number] = self._waiting[number]._replace(request=forward, leader=leader)
         return SendReplica(leader, forward)
 
     def forwarded(self, sender: HostName, request: ForwardRequest, now: float) -> Propose:
         """Take a request that another control host forwarded."""
-        return Propose(self._wait(sender, request.number, now), request.note, request.order)
+        number = self._wait(sender, request.number, now)
+        return Propose(number, request.note, request.order, request.configuration)
 
     def redirected(self, me: HostName, leader: HostName) -> list[Propose | SendReplica]:
         """Return where requests go again that were forwarded to an earlier leader."""
@@ -93,7 +95,9 @@
                 continue
             self._waiting[number] = waiting._replace(leader=leader, was_resent=True)
             if leader == me:
-                ways.append(Propose(number, request.note, request.order))
+                ways.append(
+                    Propose(number, request.note, request.order, request.configuration)
+                )
             else:
                 ways.append(SendReplica(leader, request))
         return ways
--- a/packages/core/src/lacewingrudder_core/_notes/catalogue.py
+++ b/packages/core/src/lacewingrudder_core/_notes/catalogue.py
@@ -7,6 +7,7 @@
 
 from ..types import OrderAction, Service, TargetName, TargetOrder
 from .checks import NoteParts, catalogue_problem, parts_problem
+from .configurations import StoredConfiguration
 
 RECEIPTS_KEPT = 10_000
 
@@ -33,7 +34,7 @@
 
 
 class Change(NamedTuple):
-    """One applied change: a note or an order, never both.
+    """One applied change: a note, an order or a whole configuration, one of the three.
 
     :param revision: the revision that the change produced.
     """
@@ -41,6 +42,7 @@
     revision: int
     note: Note | None
     order: TargetOrder | None
+    configuration: StoredConfiguration | None = None
 
 
 class NoteReceipt(NamedTuple):
@@ -75,12 +77,21 @@
 
 
 class Catalogue(NamedTuple):
-    """All services and orders at one revision; immutable, so that a snapshot is a reference."""
+    """All services and orders at one revision; immutable, so that a snapshot is a reference.
+
+    :param configuration: the one with the highest version handed in so far, or ``None``.
+    """
 
     revision: int = 0
     services: tuple[Service, ...] = ()
     orders: tuple[TargetOrder, ...] = ()
     receipts: tuple[NoteReceipt, ...] = ()
+    configuration: StoredConfiguration | None = None
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration, or -1 if there is none."""
+        return -1 if self.configuration is None else self.configuration.version
 
     def service(self, name: str) -> Service | None:
         """Return a service by its name, or ``None``."""
@@ -121,12 +132,20 @@
             return Outcome(SubmitReply(SubmitTag.ACCEPTED, self.revision, ""), None, self)
         return self._accept(Change(self.revision + 1, None, order))
 
+    def submit_configuration(self, configuration: StoredConfiguration) -> Outcome:
+        """Return what comes of a configuration; one that is overtaken changes nothing."""
+        if configuration.version <= self.version:
+            return Outcome(SubmitReply(SubmitTag.ACCEPTED, self.revision, ""), None, self)
+        return self._accept(Change(self.revision + 1, None, None, configuration))
+
     def apply(self, change: Change) -> Catalogue:
         """Return the catalogue after a change that :meth:`check` let pass."""
         if change.note is not None:
             return self._with_note(change.revision, change.note)
         if change.order is not None:
             return self._with_order(change.revision, change.order)
+        if change.configuration is not None:
+            return self._replace(revision=change.revision, configuration=change.configuration)
         return self._replace(revision=change.revision)
 
     def _accept(self, change: Change) -> Outcome:
--- a/packages/core/src/lacewingrudder_core/_replica/events.py
+++ b/packages/core/src/lacewingrudder_core/_replica/events.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from .._notes.catalogue import Catalogue, Note, Outcome, SubmitReply
+from .._notes.configurations import StoredConfiguration
 from ..types import HostName, TargetOrder
 from .durable import Write
 from .messages import ForwardMessage, ReplicaMessage
@@ -19,11 +20,18 @@
 
 
 class Propose(NamedTuple):
-    """Put a note or an order into the log; the outcome carries the token."""
+    """Put a note, an order or a configuration into the log; the outcome carries the token."""
 
     token: int
     note: Note | None
     order: TargetOrder | None
+    configuration: StoredConfiguration | None = None
+
+
+class ReadRequested(NamedTuple):
+    """Prove that this replica leads now; the :class:`ReadConfirmed` carries the token."""
+
+    token: int
 
 
 class Persisted(NamedTuple):
@@ -46,7 +54,9 @@
     """This host is going to stop; a leader hands over."""
 
 
-ReplicaEvent = ReplicaHeard | Propose | Persisted | PersistFailed | Tick | StopPlanned
+ReplicaEvent = (
+    ReplicaHeard | Propose | ReadRequested | Persisted | PersistFailed | Tick | StopPlanned
+)
 
 
 class SendReplica(NamedTuple):
@@ -85,6 +95,17 @@
     reply: SubmitReply
 
 
+class ReadConfirmed(NamedTuple):
+    """Whether this replica led after the request came.
+
+    :param log_index: everything committed before the request is at or below it; ``None`` if the
+        lead was not proved.
+    """
+
+    token: int
+    log_index: int | None
+
+
 class RoleChanged(NamedTuple):
     """This replica has another role."""
 
@@ -92,4 +113,6 @@
     term: int
 
 
-ReplicaEffect = SendReplica | Persist | Applied | Installed | Answered | RoleChanged
+ReplicaEffect = (
+    SendReplica | Persist | Applied | Installed | Answered | ReadConfirmed | RoleChanged
+)
--- a/packages/core/src/lacewingrudder_core/_replica/formation.py
+++ b/packages/core/src/lacewingrudder_core/_replica/formation.py
@@ -1,19 +1,18 @@
 """How blank control hosts form a cluster, and how a host without a leader makes itself known.
 
-A cluster is founded once: the first host by name founds it when *every* control host of its
-settings answers, with this host's identity, that its disk is blank. A host that lost its disk hears
+A cluster is founded once: the first founder by name founds it when *every* founder answers, with
+this host's identity, that its disk is blank. A host that lost its disk hears
 of the cluster from the others, so it founds nothing; it asks to be admitted.
 """
 
 from __future__ import annotations
 
-from collections.abc import Collection
-
 from ..types import HostName
 from .events import SendReplica
 from .log import LogEntry, Voter
 from .messages import Found, Introduce, Introduced
 from .state import ReplicaState
+from .voter_policy import VoterPolicy
 
 INTRODUCE_SECONDS = 0.5
 FIRST_TERM = 1
@@ -22,12 +21,12 @@
 class Formation:
     """Founds a cluster, joins one, and answers those that want to.
 
-    :param names: all control hosts of the settings, this one among them.
+    :param policy: who founds a cluster, and whom a host without a leader asks.
     """
 
-    def __init__(self, state: ReplicaState, names: Collection[HostName]) -> None:
+    def __init__(self, state: ReplicaState, policy: VoterPolicy) -> None:
         self._state = state
-        self._names = frozenset(names)
+        self._policy = policy
         self._due = float("-inf")
         self._blank: dict[HostName, Voter] = {}
 
@@ -37,7 +36,7 @@
             return False
         self._due = now + INTRODUCE_SECONDS
         state = self._state
-        for name in sorted(self._names - {state.me.name}):
+        for name in sorted(self._policy.contacts - {state.me.name}):
             self._state.emit(SendReplica(name, Introduce(state.me, state.cluster)))
         return self._found_if_alone()
 
@@ -64,7 +63,7 @@
     def found(self, message: Found) -> bool:
         """Take the first configuration of a cluster; return whether this host joined it."""
         named = {voter.name for voter in message.voters}
-        if self._state.cluster or named != self._names or self._state.me not in message.voters:
+        if self._state.cluster or named != self._policy.founders or self._state.me not in message.voters:
             return False
         self._join(message.cluster, message.voters)
         return True
@@ -72,8 +71,9 @@
     def _found_if_alone(self) -> bool:
         state = self._state
         me = state.me
-        others = self._names - {me.name}
-        if state.cluster or me.name != min(self._names) or others - set(self._blank):
+        founders = self._policy.founders
+        others = founders - {me.name}
+        if state.cluster or me.name != min(founders, default="") or others - set(self._blank):
             return False
         voters = tuple(sorted([me, *(self._blank[name] for name in others)]))
         self._join(me.identity, voters)
--- a/packages/core/src/lacewingrudder_core/_replica/log.py
+++ b/packages/core/src/lacewingrudder_core/_replica/log.py
@@ -6,10 +6,12 @@
 from typing import NamedTuple
 
 from .._notes.catalogue import Catalogue, Note, NoteReceipt
+from .._notes.configurations import StoredConfiguration
 from ..types import HostName, Service, TargetOrder
 
 APPEND_WEIGHT = 1000
 PART_WEIGHT = 1000
+WEIGHT_BYTES = 100
 
 
 class Voter(NamedTuple):
@@ -23,17 +25,20 @@
 
 
 class LogEntry(NamedTuple):
-    """One entry: a note, an order, a new set of voters, or none of them at the start of a term."""
+    """One entry: a note, an order, a configuration, new voters, or nothing as a term starts."""
 
     log_index: int
     term: int
     note: Note | None = None
     order: TargetOrder | None = None
     voters: tuple[Voter, ...] = ()
+    configuration: StoredConfiguration | None = None
 
     @property
     def weight(self) -> int:
         """Size of the entry, counted in items of about 100 bytes."""
+        if self.configuration is not None:
+            return 1 + len(self.configuration.document) // WEIGHT_BYTES
         if self.note is None:
             return 1 + len(self.voters)
         return 1 + note_weight(self.note)
@@ -64,6 +69,7 @@
     services: tuple[Service, ...]
     orders: tuple[TargetOrder, ...]
     receipts: tuple[NoteReceipt, ...]
+    configuration: StoredConfiguration | None = None
 
 
 EMPTY_SNAPSHOT = LogSnapshot(0, 0, (), Catalogue())
@@ -80,18 +86,19 @@
     catalogue = snapshot.catalogue
     items = [(1 + len(service.kinds), service) for service in catalogue.services]
     groups = list(_grouped(items))
-    parts = [(tuple(group), (), ()) for group in groups] if groups else []
+    filled = [(tuple(group), (), ()) for group in groups] if groups else []
     orders, receipts = catalogue.orders, catalogue.receipts
     chunks: list[tuple[tuple[Service, ...], tuple[TargetOrder, ...], tuple[NoteReceipt, ...]]] = [
-        *parts,
+        *filled,
         *(((), orders[at : at + PART_WEIGHT], ()) for at in range(0, len(orders), PART_WEIGHT)),
         *(((), (), receipts[at : at + PART_WEIGHT]) for at in range(0, len(receipts), PART_WEIGHT)),
     ]
     chunks = chunks or [((), (), ())]
     head = (snapshot.last_index, snapshot.last_term, snapshot.voters, catalogue.revision)
-    return tuple(
+    parts = tuple(
         LogSnapshotPart(*head, number, len(chunks), *chunk) for number, chunk in enumerate(chunks)
     )
+    return (parts[0]._replace(configuration=catalogue.configuration), *parts[1:])
 
 
 def join_snapshot(parts: Iterable[LogSnapshotPart]) -> LogSnapshot:
@@ -103,6 +110,7 @@
         tuple(service for part in known for service in part.services),
         tuple(order for part in known for order in part.orders),
         tuple(receipt for part in known for receipt in part.receipts),
+        first.configuration,
     )
     return LogSnapshot(first.last_index, first.last_term, first.voters, catalogue)
 
--- a/packages/core/src/lacewingrudder_core/_replica/messages.py
+++ b/packages/core/src/lacewingrudder_core/_replica/messages.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from .._notes.catalogue import Note, SubmitReply
+from .._notes.configurations import StoredConfiguration
 from ..types import TargetOrder
 from .log import LogEntry, LogSnapshotPart, Voter
 
@@ -137,7 +138,7 @@
 
 
 class ForwardRequest(NamedTuple):
-    """A request that an operator handed to a host that is not the leader; a note or an order.
+    """A request that an operator handed to a host that is not the leader.
 
     :param number: the sender's number for it.
     """
@@ -145,6 +146,7 @@
     number: int
     note: Note | None
     order: TargetOrder | None
+    configuration: StoredConfiguration | None = None
 
 
 class ForwardReply(NamedTuple):
@@ -154,6 +156,25 @@
     reply: SubmitReply
 
 
+class ReadRequest(NamedTuple):
+    """Asks the leader up to where a read that has just come has to see the log.
+
+    :param number: the sender's number for it.
+    """
+
+    number: int
+
+
+class ReadReply(NamedTuple):
+    """The answer to :class:`ReadRequest`.
+
+    :param log_index: ``None`` if the receiver could not prove that it leads.
+    """
+
+    number: int
+    log_index: int | None
+
+
 MemberMessage = (
     PreVoteRequest
     | PreVoteReply
@@ -167,4 +188,4 @@
 )
 FormationMessage = Introduce | Introduced | Found
 ReplicaMessage = MemberMessage | FormationMessage
-ForwardMessage = ForwardRequest | ForwardReply
+ForwardMessage = ForwardRequest | ForwardReply | ReadRequest | ReadReply
--- a/packages/core/src/lacewingrudder_core/_replica/replica.py
+++ b/packages/core/src/lacewingrudder_core/_replica/replica.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from typing import Any
 
 from .._notes.catalogue import Catalogue, SubmitReply, SubmitTag
@@ -22,6 +22,8 @@
     Persisted,
     PersistFailed,
     Propose,
+    ReadConfirmed,
+    ReadRequested,
     ReplicaEffect,
     ReplicaEvent,
     ReplicaHeard,
@@ -34,6 +36,7 @@
 from .log import Voter
 from .roles import Role
 from .state import ReplicaState
+from .voter_policy import VoterPolicy
 from .voting import Voting
 
 PROPOSALS_LIMIT = 64
@@ -45,7 +48,7 @@
     """Decisions of one replica.
 
     :param name: this host.
-    :param names: all control hosts of the settings, this one among them.
+    :param policy: who founds the cluster and who may vote.
     :param chart: the roles of a replica.
     :param durable: what the disk holds.
     :param rng: seeded generator for the election timer.
@@ -54,16 +57,16 @@
     def __init__(
         self,
         name: HostName,
-        names: Collection[HostName],
+        policy: VoterPolicy,
         chart: Chart,
         durable: Durable,
         rng: random.Random,
     ) -> None:
         self._chart = chart
         self._state = ReplicaState(Voter(name, durable.identity), durable)
-        self._names = frozenset(names)
+        self._policy = policy
         self._following = Following(self._state)
-        self._formation = Formation(self._state, self._names)
+        self._formation = Formation(self._state, policy)
         self._timer = ElectionTimer(rng)
         self._timer_runs = False
         self._voting = Voting(self._state)
@@ -126,6 +129,8 @@
             self._persist_failed(event)
         elif isinstance(event, Propose):
             self._propose(event)
+        elif isinstance(event, ReadRequested):
+            self._read(event)
         elif self._role == Role.IMPAIRED:
             return
         elif isinstance(event, ReplicaHeard):
@@ -142,6 +147,8 @@
         if self._role == before:
             return
         if before == Role.LEADER:
+            assert self._leading is not None
+            self._leading.abandon_reads()
             self._leading = None
             self._state.abandon(LEADERSHIP_LOST)
         self._timer.restart(self._now)
@@ -178,6 +185,12 @@
         elif self._leading is not None:
             self._leading.propose(event, self._now)
 
+    def _read(self, event: ReadRequested) -> None:
+        if self._leading is None:
+            self._state.emit(ReadConfirmed(event.token, None))
+        else:
+            self._leading.read(event.token, self._now)
+
     def _refusal(self) -> str:
         if self._impaired_by:
             return f"the disk of {self._state.me.name} refuses writes: {self._impaired_by}"
@@ -271,7 +284,7 @@
     def _lead_if_won(self) -> None:
         if self._role == Role.CANDIDATE and self._voting.is_won:
             self._turn("win")
-            self._leading = Leading(self._state, self._names, self._now)
+            self._leading = Leading(self._state, self._policy, self._now)
 
     def _pre_vote_asked(self, message: m.PreVoteRequest) -> None:
         self._voting.answer_before(message, self._is_led())
--- a/packages/core/src/lacewingrudder_core/_replica/state.py
+++ b/packages/core/src/lacewingrudder_core/_replica/state.py
@@ -10,6 +10,7 @@
 import collections
 
 from .._notes.catalogue import Catalogue, Note, Outcome, SubmitReply, SubmitTag
+from .._notes.configurations import StoredConfiguration
 from ..types import TargetOrder
 from .durable import Durable, Write, entries_after
 from .events import Answered, Applied, Installed, Persist, ReplicaEffect, SendReplica
@@ -136,10 +137,12 @@
         note: Note | None = None,
         order: TargetOrder | None = None,
         voters: tuple[Voter, ...] = (),
+        configuration: StoredConfiguration | None = None,
         token: int | None = None,
     ) -> None:
         """Add an entry of the current term."""
-        entry = LogEntry(self._log.last_index + 1, self._term, note, order, voters)
+        index = self._log.last_index + 1
+        entry = LogEntry(index, self._term, note, order, voters, configuration)
         self._log.append(entry)
         self._changed(entry.log_index)
         if token is not None:
@@ -263,4 +266,6 @@
             return self._catalogue.submit_note(entry.note)
         if entry.order is not None:
             return self._catalogue.submit_order(entry.order)
+        if entry.configuration is not None:
+            return self._catalogue.submit_configuration(entry.configuration)
         return None
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -0,0 +1,145 @@
+"""Forwarding by flow tag: the packet itself says which target its flow is on.
+
+Both ends of a flow return the last tag that they received. A target gets its tag with the SYN, so
+every later packet of the caller names its target, and any host forwards it with one look-up: no
+host keeps a flow, and none is lost with a host.
+"""
+
+from __future__ import annotations
+
+from .._checkins.types import TargetEntry, Update
+from .._checkins.views import Views
+from ..types import Endpoint, ZoneName
+from .evidence import Evidence
+from .flow_book import ANSWERED, REPEATED, FlowBook
+from .roster import Candidate, Roster
+from .selection import SplitCounter, choose_target
+from .types import (
+    Configuration,
+    Decision,
+    Dropped,
+    DropReason,
+    Forwarded,
+    Reset,
+    ResetReason,
+    Route,
+    TagSegment,
+)
+
+SETTLE_SECONDS = 2.0
+"""How long after its start a host may lack targets that check in every 1.2 s."""
+
+
+class TagForwarder:
+    """Decides on callers' packets.
+
+    :param zone: of this host.
+    """
+
+    def __init__(self, zone: ZoneName) -> None:
+        self._zone = zone
+        self._views = Views()
+        self._roster = Roster()
+        self._book = FlowBook()
+        self._evidence = Evidence()
+        self._configuration: Configuration | None = None
+        self._splits: dict[Endpoint, SplitCounter] = {}
+        self._started: float | None = None
+
+    @property
+    def views(self) -> Views:
+        """What control hosts publish."""
+        return self._views
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, -1 for none."""
+        return -1 if self._configuration is None else self._configuration.version
+
+    @property
+    def book(self) -> FlowBook:
+        """Flows that passed this host of late."""
+        return self._book
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether this host can place new flows."""
+        if self._configuration is None or self._started is None:
+            return False
+        return not self._roster.is_empty or now - self._started > SETTLE_SECONDS
+
+    def configure(self, configuration: Configuration) -> bool:
+        """Put a configuration in force unless a newer one is; return whether it was."""
+        if configuration.version <= self.version:
+            return False
+        self._configuration = configuration
+        return True
+
+    def update(self, update: Update, now: float) -> list[TargetEntry]:
+        """Take in what a control host publishes; return targets that are new or changed."""
+        if self._started is None:
+            self._started = now
+        if not self._views.take(update, now):
+            return []
+        return self._roster.rebuild(self._views.merge(now), now)
+
+    def tick(self, now: float) -> list[TargetEntry]:
+        """Let time pass; return targets that changed."""
+        idle = 15.0 if self._configuration is None else self._configuration.idle_seconds
+        self._book.expire(idle, now)
+        return self._roster.rebuild(self._views.merge(now), now)
+
+    def decide(self, segment: TagSegment, now: float) -> Decision:
+        """Return what becomes of a caller's packet."""
+        configuration = self._configuration
+        if configuration is None:
+            return Dropped(DropReason.NOT_READY)
+        route = configuration.routes.get(Endpoint(segment.flow.service, segment.flow.service_port))
+        if route is None:
+            self._book.close_opening(segment.flow)
+            return Reset(ResetReason.NO_ROUTE)
+        if segment.opens:
+            return self._open(segment, route, now)
+        return self._follow(segment, now)
+
+    def _open(self, segment: TagSegment, route: Route, now: float) -> Decision:
+        opening = self._book.opening(segment.flow)
+        if opening is None or not segment.attempt:
+            self._book.close_opening(segment.flow)
+            service = self._splits.setdefault(route.endpoint, SplitCounter()).choose(route.splits)
+            tried: list[int] = []
+        else:
+            service, tried = opening.service, opening.tried
+            self._evidence.failed(tried[-1], now)
+        target = None if service is None else self._choose(service, tried, now)
+        if target is None or service is None:
+            if not self.is_ready(now):
+                return Dropped(DropReason.NOT_READY)
+            return Reset(ResetReason.NO_TARGET)
+        self._book.open(segment.flow, service, target.tag, now)
+        return Forwarded(target.entry.endpoint, target.entry.identity, target.tag)
+
+    def _choose(self, service: str, tried: list[int], now: float) -> Candidate | None:
+        return choose_target(
+            self._roster.candidates(service),
+            tried,
+            self._zone,
+            self._book.load,
+            lambda tag: self._evidence.is_avoided(tag, now),
+            now,
+        )
+
+    def _follow(self, segment: TagSegment, now: float) -> Decision:
+        tag = segment.tag
+        entry = self._roster.entry(tag)
+        if entry is None:
+            return Dropped(DropReason.UNKNOWN_TAG if tag else DropReason.UNTAGGED)
+        if self._roster.is_gone(tag):
+            return Reset(ResetReason.TARGET_GONE)
+        if self._book.close_opening(segment.flow) is not None:
+            self._evidence.answered(tag)
+        progress = self._book.take(segment, now)
+        if progress is ANSWERED:
+            self._evidence.answered(tag)
+        elif progress is REPEATED:
+            self._evidence.failed(tag, now)
+        return Forwarded(entry.endpoint, entry.identity, tag)
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_tagging/evidence.py
@@ -0,0 +1,53 @@
+"""What callers' packets show of a target's health.
+
+A target that answers nobody for several packets in a row is avoided for a while, and longer each
+time; one answer clears it.
+"""
+
+from __future__ import annotations
+
+FAILURES_TO_AVOID = 3
+"""Unanswered SYNs or repeated requests in a row; one or two are ordinary packet loss."""
+
+AVOID_FIRST_SECONDS = 1.5
+"""How long a target is avoided first: about what callers wait for an answer."""
+
+AVOID_LAST_SECONDS = 6.0
+"""The longest a target is avoided; by then its missed heartbeats are known."""
+
+
+class _Record:
+    __slots__ = ("avoid_seconds", "avoided_until", "failures")
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.avoided_until = float("-inf")
+        self.avoid_seconds = AVOID_FIRST_SECONDS
+
+
+class Evidence:
+    """Failures and answers of targets, by flow tag."""
+
+    def __init__(self) -> None:
+        self._records: dict[int, _Record] = {}
+
+    def failed(self, tag: int, now: float) -> bool:
+        """Count a packet that got no answer; return whether the target is avoided from now on."""
+        record = self._records.setdefault(tag, _Record())
+        record.failures += 1
+        if record.failures < FAILURES_TO_AVOID or now < record.avoided_until:
+            return False
+        record.avoided_until = now + record.avoid_seconds
+        record.avoid_seconds = min(2 * record.avoid_seconds, AVOID_LAST_SECONDS)
+        record.failures = FAILURES_TO_AVOID - 1
+        return True
+
+    def answered(self, tag: int) -> bool:
+        """Take in an answer; return whether the target was avoided until now."""
+        record = self._records.pop(tag, None)
+        return record is not None and record.avoided_until > float("-inf")
+
+    def is_avoided(self, tag: int, now: float) -> bool:
+        """Return whether the target gets no new flows for now."""
+        record = self._records.get(tag)
+        return record is not None and now < record.avoided_until
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_book.py
@@ -0,0 +1,147 @@
+"""What a host sees of open flows: how many a target has, and how many wait for an answer.
+
+Only callers' packets pass a host, so that an answer shows as a new acknowledgement. The book serves
+estimates of load alone: forwarding needs no flow to be known.
+"""
+
+from __future__ import annotations
+
+import collections
+
+from ..types import FlowKey
+from .types import TagSegment
+
+OPENING_SECONDS = 2.0
+"""How long an unanswered SYN is kept; a caller gives up after 1.4 s."""
+
+FLOWS_LIMIT = 50_000
+"""Flows kept at the most; the oldest is forgotten first."""
+
+
+class Opening:
+    """A SYN whose flow has not opened as far as this host sees.
+
+    :param service: chosen for it; its copies stay with that service.
+    """
+
+    __slots__ = ("service", "since", "tried")
+
+    def __init__(self, service: str, since: float) -> None:
+        self.service = service
+        self.since = since
+        self.tried: list[int] = []
+
+
+class _Flow:
+    __slots__ = ("acknowledged", "is_waiting", "seen", "sequence", "tag")
+
+    def __init__(self, tag: int, now: float) -> None:
+        self.tag = tag
+        self.seen = now
+        self.sequence = -1
+        self.acknowledged = -1
+        self.is_waiting = False
+
+
+class Progress(int):
+    """What a packet shows of its target."""
+
+
+NOTHING, ANSWERED, REPEATED = Progress(0), Progress(1), Progress(2)
+
+
+class FlowBook:
+    """Flows that passed this host of late."""
+
+    def __init__(self) -> None:
+        self._flows: collections.OrderedDict[FlowKey, _Flow] = collections.OrderedDict()
+        self._openings: dict[FlowKey, Opening] = {}
+        self._open: collections.Counter[int] = collections.Counter()
+        self._waiting: collections.Counter[int] = collections.Counter()
+        self._pending: collections.Counter[int] = collections.Counter()
+
+    @property
+    def flows(self) -> int:
+        """How many flows are known."""
+        return len(self._flows)
+
+    def load(self, tag: int) -> tuple[int, int]:
+        """Return a target's open flows, those being opened among them, and its busy ones."""
+        return self._open[tag] + self._pending[tag], self._waiting[tag]
+
+    def opening(self, flow: FlowKey) -> Opening | None:
+        """Return the SYN of a flow that has not opened, or ``None``."""
+        return self._openings.get(flow)
+
+    def open(self, flow: FlowKey, service: str, tag: int, now: float) -> None:
+        """Take in that a SYN goes to a target."""
+        self._forget(flow)
+        opening = self._openings.get(flow)
+        if opening is None:
+            opening = self._openings[flow] = Opening(service, now)
+        opening.tried.append(tag)
+        self._pending[tag] += 1
+
+    def close_opening(self, flow: FlowKey) -> Opening | None:
+        """Forget a SYN, since its flow opened or came to nothing; return it."""
+        opening = self._openings.pop(flow, None)
+        if opening is not None:
+            for tag in opening.tried:
+                self._pending[tag] -= 1
+        return opening
+
+    def take(self, segment: TagSegment, now: float) -> Progress:
+        """Take in a packet of an open flow; return what it shows of its target."""
+        flow = self._flows.get(segment.flow)
+        if flow is None or flow.tag != segment.tag:
+            self._forget(segment.flow)
+            flow = self._flows[segment.flow] = _Flow(segment.tag, now)
+            self._open[segment.tag] += 1
+            if len(self._flows) > FLOWS_LIMIT:
+                self._forget(next(iter(self._flows)))
+        flow.seen = now
+        self._flows.move_to_end(segment.flow)
+        progress = self._progress(flow, segment)
+        if segment.ends:
+            self._forget(segment.flow)
+        return progress
+
+    def expire(self, idle_seconds: float, now: float) -> list[int]:
+        """Forget idle flows and old SYNs; return the targets that left SYNs unanswered."""
+        while self._flows:
+            key, flow = next(iter(self._flows.items()))
+            if now - flow.seen <= idle_seconds:
+                break
+            self._forget(key)
+        late = [f for f, opening in self._openings.items() if now - opening.since > OPENING_SECONDS]
+        unanswered: list[int] = []
+        for key in late:
+            opening = self.close_opening(key)
+            unanswered += opening.tried if opening is not None else []
+        return unanswered
+
+    def _progress(self, flow: _Flow, segment: TagSegment) -> Progress:
+        is_new_ack = segment.acknowledged != flow.acknowledged
+        progress = NOTHING
+        if is_new_ack:
+            if flow.acknowledged >= 0:
+                progress = ANSWERED
+            flow.acknowledged = segment.acknowledged
+            self._set_waiting(flow, False)
+        if segment.payload:
+            if segment.sequence == flow.sequence and not is_new_ack:
+                progress = REPEATED
+            flow.sequence = segment.sequence
+            self._set_waiting(flow, True)
+        return progress
+
+    def _set_waiting(self, flow: _Flow, waiting: bool) -> None:
+        if flow.is_waiting != waiting:
+            flow.is_waiting = waiting
+            self._waiting[flow.tag] += 1 if waiting else -1
+
+    def _forget(self, key: FlowKey) -> None:
+        flow = self._flows.pop(key, None)
+        if flow is not None:
+            self._set_waiting(flow, False)
+            self._open[flow.tag] -= 1
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_tagging/roster.py
@@ -0,0 +1,97 @@
+"""Which targets there are, by tag and by service."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from .._checkins.types import Lifetime, LifeState, TargetEntry
+from .._checkins.views import KnownTarget
+from ..types import Endpoint, TargetName
+from .tags import flow_tag, shared_tags
+
+
+class Candidate(NamedTuple):
+    """A target that may get new flows.
+
+    :param warm_at: when it is no longer slow after its start.
+    """
+
+    tag: int
+    entry: TargetEntry
+    is_fresh: bool
+    warm_at: float
+
+
+class Roster:
+    """The targets that this host knows.
+
+    Ended lifetimes stay known by their tags, so that flows of theirs are told at once.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[int, TargetEntry] = {}
+        self._gone: set[int] = set()
+        self._candidates: dict[str, tuple[Candidate, ...]] = {}
+        self._warm_at: dict[Lifetime, float] = {}
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target is known that could get a flow."""
+        return not self._candidates
+
+    def entry(self, tag: int) -> TargetEntry | None:
+        """Return the lifetime that a tag names, or ``None`` if it is not known or shared."""
+        return self._entries.get(tag)
+
+    def is_gone(self, tag: int) -> bool:
+        """Return whether the lifetime that a tag names is known to have ended."""
+        return tag in self._gone
+
+    def candidates(self, service: str) -> tuple[Candidate, ...]:
+        """Return the targets that may get new flows of a service."""
+        return self._candidates.get(service, ())
+
+    def rebuild(self, known: Mapping[Lifetime, KnownTarget], now: float) -> list[TargetEntry]:
+        """Take in what is known; return the lifetimes that are new or changed their state."""
+        ended = _ended(known)
+        shared = shared_tags(known)
+        candidates: dict[str, list[Candidate]] = {}
+        changed: list[TargetEntry] = []
+        for lifetime, target in known.items():
+            tag = flow_tag(lifetime)
+            if tag in shared:
+                self._entries.pop(tag, None)
+                continue
+            entry = target.entry
+            if lifetime in ended:
+                entry = entry._replace(state=LifeState.GONE)
+            before = self._entries.get(tag)
+            if before is None or before.state != entry.state:
+                changed.append(entry)
+            self._entries[tag] = entry
+            if entry.state is LifeState.GONE:
+                self._gone.add(tag)
+            elif entry.state is LifeState.READY:
+                warm_at = self._warm_at.setdefault(lifetime, now + entry.cold_ms / 1000)
+                candidate = Candidate(tag, entry, target.is_fresh, warm_at)
+                candidates.setdefault(entry.service, []).append(candidate)
+        self._candidates = {name: tuple(rows) for name, rows in candidates.items()}
+        return changed
+
+
+def _ended(known: Mapping[Lifetime, KnownTarget]) -> set[Lifetime]:
+    """Return the lifetimes that ended, or whose name or address a later lifetime has."""
+    by_name: dict[TargetName, int] = {}
+    by_endpoint: dict[Endpoint, int] = {}
+    for lifetime, target in known.items():
+        endpoint = target.entry.endpoint
+        by_name[lifetime.target] = max(lifetime.born, by_name.get(lifetime.target, 0))
+        by_endpoint[endpoint] = max(lifetime.born, by_endpoint.get(endpoint, 0))
+    return {
+        lifetime
+        for lifetime, target in known.items()
+        if target.entry.state is LifeState.GONE
+        or lifetime.born < by_name[lifetime.target]
+        or lifetime.born < by_endpoint[target.entry.endpoint]
+    }
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/checkins.py
@@ -0,0 +1,29 @@
+"""Targets that check in with control hosts, and how other hosts learn of them."""
+
+from ._checkins.core import CheckedIn as CheckedIn
+from ._checkins.core import CheckInCore as CheckInCore
+from ._checkins.core import CheckInEffect as CheckInEffect
+from ._checkins.core import CheckInEvent as CheckInEvent
+from ._checkins.core import ConfigurationCommitted as ConfigurationCommitted
+from ._checkins.core import Confirm as Confirm
+from ._checkins.core import ControlsKnown as ControlsKnown
+from ._checkins.core import Expired as Expired
+from ._checkins.core import Left as Left
+from ._checkins.core import PeerUpdated as PeerUpdated
+from ._checkins.core import SendUpdate as SendUpdate
+from ._checkins.core import Subscribed as Subscribed
+from ._checkins.core import SubscriberFound as SubscriberFound
+from ._checkins.core import SubscriberLost as SubscriberLost
+from ._checkins.core import Tick as Tick
+from ._checkins.registry import CheckInOutcome as CheckInOutcome
+from ._checkins.registry import Registry as Registry
+from ._checkins.types import CheckIn as CheckIn
+from ._checkins.types import ConfigurationUpdate as ConfigurationUpdate
+from ._checkins.types import Lifetime as Lifetime
+from ._checkins.types import LifeState as LifeState
+from ._checkins.types import Position as Position
+from ._checkins.types import Subscription as Subscription
+from ._checkins.types import TargetEntry as TargetEntry
+from ._checkins.types import Update as Update
+from ._checkins.views import KnownTarget as KnownTarget
+from ._checkins.views import Views as Views
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ._notes.catalogue import Change, Note, SubmitReply
+from ._notes.configurations import StoredConfiguration
 from .types import (
     HostName,
     Member,
@@ -205,6 +206,26 @@
     order: TargetOrder
 
 
+class SubmitConfiguration(NamedTuple):
+    """An operator hands in a whole configuration."""
+
+    configuration: StoredConfiguration
+
+
+class ReadConfiguration(NamedTuple):
+    """An operator asks for the newest configuration."""
+
+
+class ConfigurationReply(NamedTuple):
+    """The answer to :class:`ReadConfiguration`.
+
+    :param is_newest: whether it was proved that none newer was accepted before the request.
+    """
+
+    is_newest: bool
+    configuration: StoredConfiguration | None
+
+
 class StatusRequest(NamedTuple):
     """An operator asks for the state of the system."""
 
@@ -283,4 +304,6 @@
 SurveyMessage = SurveyRequest | SurveyReply
 SpreadMessage = Standing | Changes | SnapshotPart
 FollowMessage = Subscribe | SnapshotPull
-OperatorRequest = SubmitNote | SubmitOrder | StatusRequest
+OperatorRequest = (
+    SubmitNote | SubmitOrder | SubmitConfiguration | ReadConfiguration | StatusRequest
+)
--- a/packages/core/src/lacewingrudder_core/notes.py
+++ b/packages/core/src/lacewingrudder_core/notes.py
@@ -7,3 +7,4 @@
 from ._notes.catalogue import SubmitReply as SubmitReply
 from ._notes.catalogue import SubmitTag as SubmitTag
 from ._notes.checks import parts_problem as parts_problem
+from ._notes.configurations import StoredConfiguration as StoredConfiguration
--- a/packages/core/src/lacewingrudder_core/replica.py
+++ b/packages/core/src/lacewingrudder_core/replica.py
@@ -9,6 +9,8 @@
 from ._replica.events import Persisted as Persisted
 from ._replica.events import PersistFailed as PersistFailed
 from ._replica.events import Propose as Propose
+from ._replica.events import ReadConfirmed as ReadConfirmed
+from ._replica.events import ReadRequested as ReadRequested
 from ._replica.events import ReplicaEffect as ReplicaEffect
 from ._replica.events import ReplicaEvent as ReplicaEvent
 from ._replica.events import ReplicaHeard as ReplicaHeard
@@ -27,9 +29,14 @@
 from ._replica.messages import Introduced as Introduced
 from ._replica.messages import PreVoteReply as PreVoteReply
 from ._replica.messages import PreVoteRequest as PreVoteRequest
+from ._replica.messages import ReadReply as ReadReply
+from ._replica.messages import ReadRequest as ReadRequest
 from ._replica.messages import SnapshotReply as SnapshotReply
 from ._replica.messages import SnapshotRequest as SnapshotRequest
 from ._replica.messages import VoteReply as VoteReply
 from ._replica.messages import VoteRequest as VoteRequest
 from ._replica.replica import ReplicaCore as ReplicaCore
 from ._replica.roles import Role as Role
+from ._replica.voter_policy import DiscoveredVoters as DiscoveredVoters
+from ._replica.voter_policy import NamedVoters as NamedVoters
+from ._replica.voter_policy import VoterPolicy as VoterPolicy
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/tagging.py
@@ -0,0 +1,14 @@
+"""Forwarding by a tag that both ends of a flow return."""
+
+from ._tagging.core import TagForwarder as TagForwarder
+from ._tagging.tags import flow_tag as flow_tag
+from ._tagging.types import Configuration as Configuration
+from ._tagging.types import Decision as Decision
+from ._tagging.types import Dropped as Dropped
+from ._tagging.types import DropReason as DropReason
+from ._tagging.types import Forwarded as Forwarded
+from ._tagging.types import Reset as Reset
+from ._tagging.types import ResetReason as ResetReason
+from ._tagging.types import Route as Route
+from ._tagging.types import Split as Split
+from ._tagging.types import TagSegment as TagSegment
--- a/packages/core/tests/replica_cluster.py
+++ b/packages/core/tests/replica_cluster.py
@@ -55,7 +55,7 @@
         self.writes = []
         self.is_up = True
         rng = random.Random(self._random.random())
-        self.core = ReplicaCore(self.name, self._names, CHART, self.durable, rng)
+        self.core = ReplicaCore(self.name, e.NamedVoters(self._names), CHART, self.durable, rng)
 
     def crash(self, survivors: int) -> None:
         """Stop at once; only the first of the writes under way reach the disk."""
--- a/packages/core/tests/test_control.py
+++ b/packages/core/tests/test_control.py
@@ -14,7 +14,7 @@
     SubmitOrder,
 )
 from lacewingrudder_core.notes import Note, SubmitReply, SubmitTag
-from lacewingrudder_core.replica import Durable, ReplicaCore
+from lacewingrudder_core.replica import Durable, NamedVoters, ReplicaCore
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from replica_cluster import CHART, make_note
 
@@ -34,7 +34,7 @@
         self._token = 0
 
     def _core(self, name: str) -> ControlCore:
-        replica = ReplicaCore(name, NAMES, CHART, Durable(f"{name}-1"), random.Random(name))
+        replica = ReplicaCore(name, NamedVoters(NAMES), CHART, Durable(f"{name}-1"), random.Random(name))
         return ControlCore(name, replica)
 
     def feed(self, name: str, event: Any) -> None:
@@ -181,7 +181,7 @@
 
 class ConfirmedTest(unittest.TestCase):
     def test_nothing_leaves_before_its_write_is_durable(self) -> None:
-        replica = ReplicaCore("c1", ["c1"], CHART, Durable("c1-1"), random.Random(1))
+        replica = ReplicaCore("c1", NamedVoters(["c1"]), CHART, Durable("c1-1"), random.Random(1))
         core = ControlCore("c1", replica)
         writes = [eff for eff in core.handle(m.Tick(), 0.0) if isinstance(eff, m.Persist)]
         core.handle(m.Persisted(writes[-1].write.number), 0.0)
--- a/packages/core/tests/test_replica_faults.py
+++ b/packages/core/tests/test_replica_faults.py
@@ -8,7 +8,7 @@
 from lacewingrudder_core._replica.formation import Formation
 from lacewingrudder_core._replica.leading import Leading
 from lacewingrudder_core._replica.log import LogEntry, LogSnapshot, Voter
-from lacewingrudder_core._replica.reconfiguration import next_voters
+from lacewingrudder_core._replica.voter_policy import NamedVoters
 from lacewingrudder_core._replica.replica import NO_QUORUM
 from lacewingrudder_core._replica.state import ReplicaState
 from lacewingrudder_core.notes import Catalogue, SubmitReply, SubmitTag
@@ -310,7 +310,7 @@
         self.new = Voter("c", "c again")
         entries = (LogEntry(1, 1, voters=self.voters),)
         self.state = ReplicaState(self.voters[0], Durable("a", "cluster", 4, entries=entries))
-        self.leading = Leading(self.state, {"a", "b", "c"}, 0.0)
+        self.leading = Leading(self.state, NamedVoters({"a", "b", "c"}), 0.0)
         self.now = 2 * LEASE_SECONDS
         self.leading.admit(self.new, self.now)
 
@@ -368,7 +368,7 @@
         new = Voter("d", "d-1")
         steps = []
         while new not in voters:
-            found = next_voters(voters, names, new, lambda voter: False)
+            found = NamedVoters(names).with_learner(voters, new, lambda voter: False)
             assert found is not None
             voters = found
             steps.append([voter.name for voter in voters])
@@ -379,7 +379,7 @@
         first = LogEntry(1, 1, voters=voters)
         for entries, found in (((first,), 1), ((first, LogEntry(2, 2, voters=voters)), 0)):
             state = ReplicaState(voters[0], Durable("a", "cluster", 4, entries=entries))
-            Formation(state, {"a", "b", "c"}).introduce("c", m.Introduce(voters[2], ""))
+            Formation(state, NamedVoters({"a", "b", "c"})).introduce("c", m.Introduce(voters[2], ""))
             sent = [e.message for e in state.finish() if isinstance(e, SendReplica)]
             self.assertEqual(sum(isinstance(message, m.Found) for message in sent), found)
 
@@ -401,7 +401,8 @@
         voters = tuple(Voter(name, f"{name}-1") for name in ("a", "b", "c", "d", "e"))
         new = Voter("c", "c-2")
         while new not in voters:
-            found = next_voters(voters, {v.name for v in voters} | {"c"}, new, lambda _: True)
+            policy = NamedVoters({v.name for v in voters} | {"c"})
+            found = policy.with_learner(voters, new, lambda _: True)
             assert found is not None
             for before, after in itertools.product(_majorities(voters), _majorities(found)):
                 self.assertTrue(before & after)
@@ -410,7 +411,8 @@
     def test_voter_that_answers_is_not_replaced_by_a_namesake(self) -> None:
         voters = tuple(Voter(name, f"{name}-1") for name in ("a", "b", "c"))
         names = {"a", "b", "c"}
-        self.assertIsNone(next_voters(voters, names, Voter("c", "c-2"), lambda voter: False))
+        policy = NamedVoters(names)
+        self.assertIsNone(policy.with_learner(voters, Voter("c", "c-2"), lambda voter: False))
 
 
 def _majorities(voters: tuple[Voter, ...]) -> list[set[Voter]]:
--- /dev/null
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/channel.py
@@ -0,0 +1,72 @@
+"""Messages with other hosts over one UDP socket; a host's name is its endpoint."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from lacewingrudder_core.types import Endpoint, HostName
+from lacewingrudder_wire.datagram_codec import MessageCodec
+from lacewingrudder_wire.exceptions import CodecError
+
+from .._packets.datagrams import Address, DatagramSocket
+from ..event_sink import EventSink
+
+
+class Channel:
+    """Owns the socket for messages.
+
+    :param tags: number of each message type.
+    :param deliver: called with the sender's name and the message.
+    """
+
+    def __init__(
+        self,
+        tags: Mapping[int, type[Any]],
+        events: EventSink,
+        deliver: Callable[[HostName, Any], None],
+    ) -> None:
+        self._codec = MessageCodec(tags)
+        self._events = events
+        self._deliver = deliver
+        self._socket = DatagramSocket(self._received)
+        self._addresses: dict[HostName, Address] = {}
+        self.sent_bytes = 0
+        self.rejected = 0
+
+    def open(self, endpoint: Endpoint) -> None:
+        """Bind the socket.
+
+        :raises OSError: if the endpoint can't be used.
+        """
+        self._socket.open(address_of(str(endpoint)))
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    def send(self, host: HostName, body: Any) -> None:
+        """Send a message; one that is lost is the receiver's to ask for again."""
+        address = self._addresses.get(host)
+        if address is None:
+            address = self._addresses[host] = address_of(host)
+        for datagram in self._codec.encode(body):
+            self.sent_bytes += len(datagram)
+            self._socket.send(datagram, address)
+
+    def _received(self, data: bytes, sender: Address) -> None:
+        host = f"{sender[0]}:{sender[1]}"
+        try:
+            body = self._codec.decode(data, sender)
+        except CodecError as error:
+            self.rejected += 1
+            self._events.record("message_rejected", target=host, detail=str(error))
+            return
+        if body is not None:
+            self._deliver(host, body)
+
+
+def address_of(host: HostName) -> Address:
+    """Return a host name as the pair that sockets take."""
+    name, _, port = host.rpartition(":")
+    return name, int(port)
--- /dev/null
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -0,0 +1,271 @@
+"""A control host that targets check in with and operators hand configurations to."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import secrets
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from lacewingrudder_core import checkins, control
+from lacewingrudder_core import messages as m
+from lacewingrudder_core import replica as r
+from lacewingrudder_core.chart import Chart
+from lacewingrudder_core.checkins import (
+    CheckIn,
+    CheckInCore,
+    Confirm,
+    Registry,
+    Subscription,
+    Update,
+    Views,
+)
+from lacewingrudder_core.notes import Catalogue, StoredConfiguration, SubmitReply
+from lacewingrudder_core.replica import DiscoveredVoters, ReplicaCore, ReplicaHeard
+from lacewingrudder_core.types import HostName, TargetName
+
+from .._storage.disk import FolderDisk
+from .._storage.log_store import ReplicaStore
+from ..control_task import ControlTask
+from ..event_sink import EventSink
+from .channel import Channel
+from .http import HttpHandler, HttpServer
+from .messages import ENTRY_MESSAGES
+from .process import FleetProcess
+from .settings import FleetSettings, RegistrarSettings, SettingsFile
+
+IDENTITY_BYTES = 8
+TICK_SECONDS = 0.1
+POLL_SECONDS = 0.5
+"""How often a control host follows the drains of the others."""
+
+CONTROL_KEPT_SECONDS = 20.0
+"""How long a silent control host that does not vote is still told to others."""
+
+MILLISECONDS_PER_SECOND = 1000
+
+CONTROL_MESSAGES: dict[int, type[Any]] = {
+    **ENTRY_MESSAGES,
+    40: r.PreVoteRequest,
+    41: r.PreVoteReply,
+    42: r.VoteRequest,
+    43: r.VoteReply,
+    44: r.AppendRequest,
+    45: r.AppendReply,
+    46: r.SnapshotRequest,
+    47: r.SnapshotReply,
+    48: r.Introduce,
+    49: r.Introduced,
+    50: r.Found,
+    51: r.ForwardRequest,
+    52: r.ForwardReply,
+    53: r.Handover,
+    54: r.ReadRequest,
+    55: r.ReadReply,
+}
+_FORWARD_MESSAGES = (r.ForwardRequest, r.ForwardReply, r.ReadRequest, r.ReadReply)
+_CHECKIN_MESSAGES = (Subscription, Update, checkins.ConfigurationUpdate)
+
+
+class RegistrarProcess(FleetProcess):
+    """Owns the cores and sockets of a control host.
+
+    :param chart: the roles of a replica.
+    """
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        registrar: RegistrarSettings,
+        source: SettingsFile,
+        events: EventSink,
+        chart: Chart,
+    ) -> None:
+        super().__init__(settings, source, events)
+        self._registrar = registrar
+        self._name = str(settings.messages)
+        self._policy = DiscoveredVoters(settings.seeds, settings.founds)
+        self._channel = Channel(CONTROL_MESSAGES, events, self._deliver)
+        self._control = self._make_control(chart)
+        epoch = int(time.time() * MILLISECONDS_PER_SECOND)
+        registry = Registry(epoch, settings.beat_seconds)
+        self._checkins = CheckInCore(self._name, settings.zone, registry)
+        self._views = Views()
+        self._heard: dict[HostName, float] = {}
+        self._tokens = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[Any]] = {}
+        self._server: HttpServer | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def serve(self, handler: HttpHandler) -> None:
+        """Have calls of targets and operators answered by a handler."""
+        self._server = HttpServer(handler, self._events)
+
+    def reject(self, event: str, target: TargetName, reason: str) -> None:
+        """Report a call that was refused because of what it says."""
+        self._events.record(event, target=target, detail=reason)
+
+    async def check_in(self, call: CheckIn) -> Confirm:
+        """Take a target's check-in and return what became of it."""
+        return await self._ask(lambda token: self._feed(checkins.CheckedIn(token, call)))
+
+    async def leave(self, target: TargetName, born: int | None) -> Confirm:
+        """Take a target's word that it ends, and return what became of it."""
+        return await self._ask(lambda token: self._feed(checkins.Left(token, target, born)))
+
+    async def submit(self, configuration: StoredConfiguration) -> SubmitReply:
+        """Hand in a configuration and return whether it was accepted."""
+        request = m.SubmitConfiguration(configuration)
+        reply = await self._ask(lambda t: self._control.handle(control.Requested(t, request)))
+        outcome: SubmitReply = reply.reply
+        return outcome
+
+    async def read(self) -> m.ConfigurationReply:
+        """Return the newest configuration, if it is proved to be that."""
+        request = m.ReadConfiguration()
+        return await self._ask(lambda t: self._control.handle(control.Requested(t, request)))
+
+    async def _start(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._channel.open(self._settings.messages)
+        if self._server is not None:
+            await self._server.start(self._registrar.calls)
+        self._changed(self._control.core.catalogue)
+        self._tasks = [
+            asyncio.create_task(self._control.run()),
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self._poll()),
+        ]
+        for task in self._tasks:
+            task.add_done_callback(self._ended)
+
+    async def _leave(self) -> None:
+        await self._control.leave()
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        if self._server is not None:
+            await self._server.stop()
+        self._channel.close()
+        self._control.close()
+
+    def _settings_changed(self) -> None:
+        self._policy.learn(self._settings.seeds)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._events.record("task_failed", detail=repr(task.exception()))
+            self._loop.stop()
+
+    def _make_control(self, chart: Chart) -> ControlTask:
+        store = ReplicaStore(FolderDisk(self._registrar.data_folder))
+        durable = store.recover(secrets.token_hex(IDENTITY_BYTES))
+        rng = random.Random(secrets.randbits(64))
+        core = ReplicaCore(self._name, self._policy, chart, durable, rng)
+        return ControlTask(
+            control.ControlCore(self._name, core),
+            store,
+            self._events,
+            self._channel.send,
+            self._answer,
+            self._changed,
+        )
+
+    async def _ask(self, hand_in: Any) -> Any:
+        token = next(self._tokens)
+        future: asyncio.Future[Any] = self._loop.create_future()
+        self._waiting[token] = future
+        hand_in(token)
+        try:
+            return await future
+        finally:
+            del self._waiting[token]
+
+    def _answer(self, token: int, body: Any) -> None:
+        future = self._waiting.get(token)
+        if future is not None and not future.done():
+            future.set_result(body)
+
+    def _changed(self, catalogue: Catalogue) -> None:
+        if catalogue.configuration is None:
+            return
+        version = catalogue.configuration.version
+        self._events.record("committed", revision=version, detail=f"revision {catalogue.revision}")
+        self._feed(checkins.ConfigurationCommitted(catalogue.configuration))
+
+    def _deliver(self, sender: HostName, body: Any) -> None:
+        if not isinstance(body, _CHECKIN_MESSAGES):
+            self._learn(sender)
+            event = (
+                control.ForwardHeard(sender, body)
+                if isinstance(body, _FORWARD_MESSAGES)
+                else ReplicaHeard(sender, body)
+            )
+            self._control.handle(event)
+        elif isinstance(body, Subscription):
+            if body.is_control:
+                self._learn(sender)
+            self._feed(checkins.Subscribed(body._replace(host=sender)))
+        elif isinstance(body, Update):
+            self._updated(sender, body)
+
+    def _updated(self, sender: HostName, update: Update) -> None:
+        self._learn(sender)
+        self._policy.learn(update.controls)
+        if self._views.take(update, self._loop.time()):
+            self._feed(checkins.PeerUpdated(update))
+            self._subscribe(sender, is_poll=False)
+
+    def _learn(self, host: HostName) -> None:
+        self._heard[host] = self._loop.time()
+        self._policy.learn((host,))
+
+    def _feed(self, event: checkins.CheckInEvent) -> None:
+        for effect in self._checkins.handle(event, self._loop.time()):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: checkins.CheckInEffect) -> None:
+        match effect:
+            case checkins.SendUpdate(host, body):
+                self._channel.send(host, body)
+            case Confirm(token, outcome, confirmed, _):
+                if outcome is not checkins.CheckInOutcome.RENEWED:
+                    self._events.record("checked_in", detail=f"{outcome} confirmed {confirmed}")
+                self._answer(token, effect)
+            case checkins.Expired(entry):
+                target = f"{entry.lifetime.target}@{entry.lifetime.born}"
+                self._events.record("target_silent", target=target)
+            case checkins.SubscriberLost(host):
+                self._events.record("subscriber_lost", target=host)
+            case checkins.SubscriberFound(host):
+                self._events.record("subscriber_found", target=host)
+
+    async def _tick(self) -> None:
+        while True:
+            self._feed(checkins.Tick())
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _poll(self) -> None:
+        while True:
+            self._feed(checkins.ControlsKnown(frozenset(self._controls())))
+            for host in sorted(self._policy.contacts - {self._name}):
+                self._subscribe(host, is_poll=True)
+            await asyncio.sleep(POLL_SECONDS)
+
+    def _controls(self) -> Iterable[HostName]:
+        now = self._loop.time()
+        yield self._name
+        for voter in self._control.core.replica.state.log.voters:
+            yield voter.name
+        for host, heard in self._heard.items():
+            if now - heard < CONTROL_KEPT_SECONDS:
+                yield host
+
+    def _subscribe(self, host: HostName, is_poll: bool) -> None:
+        position = self._views.position(host)
+        subscription = Subscription(self._name, self._settings.zone, True, position, -1, is_poll)
+        self._channel.send(host, subscription)
--- /dev/null
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -0,0 +1,220 @@
+"""An entry host that forwards by flow tag."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+from lacewingrudder_core.checkins import ConfigurationUpdate, Subscription, TargetEntry, Update
+from lacewingrudder_core.tagging import Dropped, Forwarded, TagForwarder, TagSegment
+from lacewingrudder_core.types import Endpoint, FlowKey, HostName
+
+from .._packets.datagrams import Address, DatagramSocket
+from ..event_sink import EventSink
+from .adapters import ConfigurationReader, PacketAdapter
+from .channel import Channel, address_of
+from .http import HttpHandler, HttpRequest, HttpResponse, HttpServer
+from .messages import ENTRY_MESSAGES
+from .process import FleetProcess
+from .settings import FleetSettings, SettingsFile, TagEntrySettings
+
+POLL_SECONDS = 0.5
+"""How often an entry host asks each control host for news; its heartbeat towards them."""
+
+FIRST_POLL_SECONDS = 0.1
+"""How often it asks before it knows a configuration."""
+
+LOST_SECONDS = 2.5
+"""Five polls without an answer: the control host is taken for lost."""
+
+LEAVE_SECONDS = 2.0
+"""How long a leaving host forwards on: two missed probes of the fabric and their interval."""
+
+
+class ReadinessHandler(HttpHandler):
+    """Says whether this host takes new flows."""
+
+    def __init__(self, entry: TagEntryProcess) -> None:
+        self._entry = entry
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Answer 200 while this host is ready, else 503."""
+        return HttpResponse(200 if self._entry.is_ready else 503)
+
+
+class TagEntryProcess(FleetProcess):
+    """Owns the sockets of an entry host and its forwarder.
+
+    :param packets: reads and writes callers' packets.
+    :param reader: reads configurations.
+    """
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        entry: TagEntrySettings,
+        source: SettingsFile,
+        events: EventSink,
+        packets: PacketAdapter,
+        reader: ConfigurationReader,
+    ) -> None:
+        super().__init__(settings, source, events)
+        self._entry = entry
+        self._adapter = packets
+        self._reader = reader
+        self._forwarder = TagForwarder(settings.zone)
+        self._socket = DatagramSocket(self._received)
+        self._channel = Channel(ENTRY_MESSAGES, events, self._deliver)
+        self._readiness = HttpServer(ReadinessHandler(self), events)
+        self._controls: set[HostName] = set(settings.seeds)
+        self._lost: set[HostName] = set()
+        self._addresses: dict[Endpoint, Address] = {}
+        self._is_leaving = False
+        self._was_ready = False
+        self._poller: asyncio.Task[None] | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this host takes new flows."""
+        now = asyncio.get_running_loop().time()
+        return not self._is_leaving and self._forwarder.is_ready(now)
+
+    async def _start(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._channel.open(self._settings.messages)
+        self._socket.open(address_of(str(self._entry.packets)))
+        self._poller = asyncio.create_task(self._poll())
+        await self._readiness.start(self._entry.readiness)
+
+    async def _leave(self) -> None:
+        self._is_leaving = True
+        await asyncio.sleep(LEAVE_SECONDS)
+
+    async def _close(self) -> None:
+        if self._poller is not None:
+            self._poller.cancel()
+        await self._readiness.stop()
+        self._socket.close()
+        self._channel.close()
+
+    def _settings_changed(self) -> None:
+        self._controls |= set(self._settings.seeds)
+
+    async def _poll(self) -> None:
+        while True:
+            now = self._loop.time()
+            for control in sorted(self._controls):
+                self._subscribe(control, is_poll=True)
+            self._note_targets(self._forwarder.tick(now))
+            self._note_controls(now)
+            self._note_readiness()
+            settled = self._forwarder.version >= 0
+            await asyncio.sleep(POLL_SECONDS if settled else FIRST_POLL_SECONDS)
+
+    def _subscribe(self, control: HostName, is_poll: bool) -> None:
+        position = self._forwarder.views.position(control)
+        name = str(self._settings.messages)
+        zone, version = self._settings.zone, self._forwarder.version
+        self._channel.send(control, Subscription(name, zone, False, position, version, is_poll))
+
+    def _deliver(self, sender: HostName, body: Any) -> None:
+        if isinstance(body, Update):
+            self._updated(sender, body)
+        elif isinstance(body, ConfigurationUpdate):
+            self._configure(body)
+
+    def _updated(self, sender: HostName, update: Update) -> None:
+        self._controls |= set(update.controls)
+        self._note_targets(self._forwarder.update(update, self._loop.time()))
+        if update.entries:
+            self._subscribe(sender, is_poll=False)
+        self._note_readiness()
+
+    def _configure(self, update: ConfigurationUpdate) -> None:
+        if update.version <= self._forwarder.version:
+            return
+        try:
+            configuration = self._reader.read(update.document)
+        except ValueError as error:
+            self._events.record(
+                "configuration_unreadable", revision=update.version, detail=str(error)
+            )
+            return
+        before = self._forwarder.version
+        if self._forwarder.configure(configuration):
+            routes = len(configuration.routes)
+            detail = f"{routes} routes, after version {before}"
+            self._events.record("in_force", revision=update.version, detail=detail)
+        self._note_readiness()
+
+    def _received(self, data: bytes, sender: Address) -> None:
+        segment = self._adapter.read(data)
+        if segment is None:
+            self._events.record("packet_rejected", detail=f"{len(data)} bytes from {sender[0]}")
+            return
+        decision = self._forwarder.decide(segment, self._loop.time())
+        if isinstance(decision, Forwarded):
+            datagram = self._adapter.to_target(data, decision.identity, decision.tag)
+            self._socket.send(datagram, self._address(decision.endpoint))
+            if segment.opens:
+                self._note_placed(segment, decision)
+        elif isinstance(decision, Dropped):
+            self._note_flow("dropped", decision.reason, segment)
+        else:
+            packet = self._adapter.reset(segment)
+            self._socket.send(packet.data, packet.destination)
+            self._note_flow("reset", decision.reason, segment)
+
+    def _address(self, endpoint: Endpoint) -> Address:
+        found = self._addresses.get(endpoint)
+        if found is None:
+            found = self._addresses[endpoint] = address_of(str(endpoint))
+        return found
+
+    def _note_placed(self, segment: TagSegment, decision: Forwarded) -> None:
+        self._events.record(
+            "placed" if not segment.attempt else "placed_again",
+            revision=self._forwarder.version,
+            flow=_flow_text(segment.flow),
+            target=f"{decision.endpoint} tag {decision.tag:08x}",
+        )
+
+    def _note_flow(self, event: str, reason: str, segment: TagSegment) -> None:
+        self._events.record(
+            event,
+            revision=self._forwarder.version,
+            flow=_flow_text(segment.flow),
+            target=f"tag {segment.tag:08x}",
+            detail=reason,
+        )
+
+    def _note_targets(self, entries: Iterable[TargetEntry]) -> None:
+        for entry in entries:
+            state = entry.state.name.lower()
+            detail = f"{state} as of check-in {entry.sequence}, service {entry.service}"
+            name, born = entry.lifetime
+            self._events.record("target_changed", target=f"{name}@{born}", detail=detail)
+
+    def _note_controls(self, now: float) -> None:
+        for control in self._controls:
+            silence = self._forwarder.views.silence(control, now)
+            if silence > LOST_SECONDS and control not in self._lost:
+                self._lost.add(control)
+                detail = f"silent for {silence:.1f} s"
+                self._events.record("control_lost", target=control, detail=detail)
+            elif silence <= LOST_SECONDS and control in self._lost:
+                self._lost.discard(control)
+                self._events.record("control_regained", target=control)
+
+    def _note_readiness(self) -> None:
+        ready = self.is_ready
+        if ready != self._was_ready:
+            self._was_ready = ready
+            version = self._forwarder.version
+            self._events.record("ready" if ready else "not_ready", revision=version)
+
+
+def _flow_text(flow: FlowKey) -> str:
+    caller = Endpoint(flow.caller, flow.caller_port)
+    return f"{caller}>{Endpoint(flow.service, flow.service_port)}"
--- /dev/null
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/messages.py
@@ -0,0 +1,13 @@
+"""Numbers of the messages between hosts of a fleet."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lacewingrudder_core import checkins
+
+ENTRY_MESSAGES: dict[int, type[Any]] = {
+    1: checkins.Subscription,
+    2: checkins.Update,
+    3: checkins.ConfigurationUpdate,
+}
--- /dev/null
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/process.py
@@ -0,0 +1,73 @@
+"""What the processes of a fleet have in common: signals, settings that change, an orderly stop."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import signal
+
+from lacewingrudder_wire.exceptions import DocumentError
+
+from ..event_sink import EventSink
+from .settings import FleetSettings, SettingsFile
+
+RELOAD_SECONDS = 1.0
+"""How often the settings are looked at; they may change without a signal."""
+
+
+class FleetProcess(abc.ABC):
+    """One process; runs until it is told to stop."""
+
+    def __init__(self, settings: FleetSettings, source: SettingsFile, events: EventSink) -> None:
+        self._settings = settings
+        self._source = source
+        self._events = events
+
+    async def run(self) -> None:
+        """Run until SIGTERM or SIGINT, then leave as planned."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._start()
+        self._events.record("started", detail=f"zone {self._settings.zone}")
+        reloading = asyncio.create_task(self._watch_settings())
+        await stop.wait()
+        self._events.record("stopping")
+        await self._leave()
+        reloading.cancel()
+        await self._close()
+        self._events.record("stopped")
+
+    @abc.abstractmethod
+    async def _start(self) -> None:
+        """Open the sockets and start the tasks."""
+
+    @abc.abstractmethod
+    async def _leave(self) -> None:
+        """Take no new work, and end what is under way."""
+
+    @abc.abstractmethod
+    async def _close(self) -> None:
+        """Close the sockets and end the tasks."""
+
+    @abc.abstractmethod
+    def _settings_changed(self) -> None:
+        """Take in new settings."""
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(RELOAD_SECONDS)
+            self._reload()
+
+    def _reload(self) -> None:
+        try:
+            settings = self._source.reread()
+        except (OSError, DocumentError) as error:
+            self._events.record("settings_rejected", detail=str(error))
+            return
+        if settings is not None:
+            self._settings = settings
+            self._settings_changed()
+            self._events.record("settings_reloaded", detail=f"seeds {','.join(settings.seeds)}")
--- a/packages/daemon/src/lacewingrudder_daemon/_storage/catalogue_store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/catalogue_store.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from lacewingrudder_core.notes import Catalogue
-from lacewingrudder_wire.codec import decode_value, encode_value
+from lacewingrudder_wire.values import decode_value, encode_value
 from lacewingrudder_wire.exceptions import CodecError
 
 FILE_NAME = "in-force.catalogue"
--- a/packages/daemon/src/lacewingrudder_daemon/_storage/log_store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/log_store.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from lacewingrudder_core.replica import Durable, Write
-from lacewingrudder_wire.codec import decode_value, encode_value
+from lacewingrudder_wire.values import decode_value, encode_value
 from lacewingrudder_wire.exceptions import LacewingrudderError
 
 from .disk import Disk
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -23,7 +23,7 @@
     SharedLimitAdmission,
 )
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
-from lacewingrudder_core.replica import ReplicaCore, ReplicaHeard
+from lacewingrudder_core.replica import NamedVoters, ReplicaCore, ReplicaHeard
 from lacewingrudder_core.types import HostName, Member
 from lacewingrudder_wire.exceptions import FaultError, LacewingrudderError
 from lacewingrudder_wire.resources import load_chart
@@ -169,7 +169,7 @@
             raise LacewingrudderError(f"cannot use data folder {folder}: {error}") from error
         replica = ReplicaCore(
             name,
-            self._settings.controls,
+            NamedVoters(self._settings.controls),
             load_chart("replica"),
             durable,
             random.Random(secrets.randbits(64)),
--- a/packages/daemon/src/lacewingrudder_daemon/control_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/control_task.py
@@ -10,12 +10,13 @@
 
 from lacewingrudder_core import control as decisions
 from lacewingrudder_core import replica
+from lacewingrudder_core.notes import Catalogue
 from lacewingrudder_core.replica import Role, Write
 from lacewingrudder_core.spread import SendHost, SendSurvey
 from lacewingrudder_core.types import HostName
 
 from ._storage.log_store import ReplicaStore
-from .recorder import Recorder
+from .event_sink import EventSink
 
 TICK_SECONDS = 0.05
 RETRY_SECONDS = 0.5
@@ -31,21 +32,25 @@
 
     :param send: sends a message to a host.
     :param answer: answers an operator's request.
+    :param changed: called with the committed catalogue whenever it is another one.
     """
 
     def __init__(
         self,
         control: decisions.ControlCore,
         store: ReplicaStore,
-        recorder: Recorder,
+        recorder: EventSink,
         send: Callable[[HostName, Any], None],
         answer: Callable[[int, Any], None],
+        changed: Callable[[Catalogue], None] | None = None,
     ) -> None:
         self._core = control
         self._store = store
         self._recorder = recorder
         self._send = send
         self._answer = answer
+        self._changed = changed
+        self._catalogue = control.catalogue
         self._writes: list[Write] = []
         self._written = asyncio.Event()
         self._thread = concurrent.futures.ThreadPoolExecutor(1, "disk")
@@ -59,6 +64,9 @@
         """Hand an event to the core and carry out its effects."""
         for effect in self._core.handle(event, asyncio.get_running_loop().time()):
             self._carry_out(effect)
+        if self._changed is not None and self._core.catalogue is not self._catalogue:
+            self._catalogue = self._core.catalogue
+            self._changed(self._catalogue)
 
     async def run(self) -> None:
         """Let time pass in the core and bring its writes to the disk, until cancelled."""
--- a/packages/daemon/src/lacewingrudder_daemon/recorder.py
+++ b/packages/daemon/src/lacewingrudder_daemon/recorder.py
@@ -13,6 +13,8 @@
 from lacewingrudder_core.spread import Budget
 from lacewingrudder_wire.timeline import ROTATED_SUFFIX, TimelineEvent
 
+from .event_sink import EventSink
+
 MILLISECONDS_PER_SECOND = 1000
 FILE_LIMIT_BYTES = 16 * 1024 * 1024
 EVENTS_PER_SECOND = 50.0
@@ -21,7 +23,7 @@
 _log = logging.getLogger(__name__)
 
 
-class Recorder:
+class Recorder(EventSink):
     """Owns the hybrid clock of the process and the time-line file.
 
     Events of one name come at a bounded rate; those left out are counted in an event
--- a/packages/daemon/tests/test_control_task.py
+++ b/packages/daemon/tests/test_control_task.py
@@ -9,7 +9,7 @@
 from lacewingrudder_core.control import ControlCore, Requested
 from lacewingrudder_core.messages import OperatorReply, SubmitOrder
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
-from lacewingrudder_core.replica import ReplicaCore
+from lacewingrudder_core.replica import NamedVoters, ReplicaCore
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from lacewingrudder_daemon.control_task import ControlTask
 from lacewingrudder_daemon.recorder import Recorder
@@ -29,7 +29,7 @@
         self.answers: asyncio.Queue[tuple[int, Any]] = asyncio.Queue()
         store = ReplicaStore(self.disk)
         durable = store.recover("identity")
-        replica = ReplicaCore("c1", ["c1"], load_chart("replica"), durable, random.Random(1))
+        replica = ReplicaCore("c1", NamedVoters(["c1"]), load_chart("replica"), durable, random.Random(1))
         recorder = Recorder("c1", Path(folder.name) / "timeline")
         self.addCleanup(recorder.close)
         self.task = ControlTask(
--- a/packages/wire/tests/test_replica_codec.py
+++ b/packages/wire/tests/test_replica_codec.py
@@ -19,10 +19,9 @@
     MESSAGE_LIMIT_BYTES,
     Envelope,
     decode,
-    decode_value,
     encode,
-    encode_value,
 )
+from lacewingrudder_wire.values import decode_value, encode_value
 
 TIME = HybridTime(1, 2)
 VOTER = Voter("c1", "identity")
