--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/installed
 PACKAGES := core wire daemon cli
-SOURCES := packages standins measure tools tests
+SOURCES := packages platform standins measure tools tests
 
 .PHONY: test demo measure lint format install
 
@@ -28,6 +28,7 @@
 	$(PYTHON) -m black --check --quiet $(SOURCES)
 	$(PYTHON) -m ruff check --quiet $(SOURCES)
 	$(PYTHON) -m mypy --no-error-summary $(foreach package,$(PACKAGES),packages/$(package)/src) \
+		platform/lacewingrudder_platform \
 		standins measure tools
 
 format: install
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -27,7 +27,7 @@
     TargetRecord,
     TargetState,
 )
-from lacewingrudder_wire.codec import encode_value
+from lacewingrudder_wire.values import encode_value
 
 HOSTS = (7, 100, 490)
 TARGETS = (500, 2000, 5500)
--- a/measure/log.py
+++ b/measure/log.py
@@ -19,10 +19,10 @@
 from lacewingrudder_core.replica import (
     ForwardReply,
     ForwardRequest,
+    NamedVoters,
     Persist,
     Persisted,
     Propose,
-    NamedVoters,
     ReplicaCore,
     ReplicaHeard,
     Tick,
@@ -236,7 +236,9 @@
 def _recover(folder: Path, count: int) -> ReplicaCore:
     store = ReplicaStore(FolderDisk(folder))
     durable = store.recover("another")
-    core = ReplicaCore("c1", NamedVoters(["c1"]), load_chart("replica"), durable, random.Random(count))
+    core = ReplicaCore(
+        "c1", NamedVoters(["c1"]), load_chart("replica"), durable, random.Random(count)
+    )
     store.close()
     return core
 
--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -290,4 +290,3 @@
     @property
     def _version(self) -> int:
         return -1 if self._configuration is None else self._configuration.version
-
--- a/packages/core/src/lacewingrudder_core/_checkins/publisher.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/publisher.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from .types import Lifetime, LifeState, Position, TargetEntry
+from .types import LifeState, Lifetime, Position, TargetEntry
 
 GONE_KEPT_SECONDS = 120.0
 """How long the end of a lifetime is published: twice the age at which flows may be dropped."""
--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -7,7 +7,7 @@
 
 from ..types import Endpoint, TargetName
 from .publisher import Publisher
-from .types import CheckIn, Lifetime, LifeState, Position, TargetEntry
+from .types import CheckIn, LifeState, Lifetime, Position, TargetEntry
 
 MISSED_BEATS = 3
 """Heartbeats in a row that a target may miss before it is taken for unreachable."""
--- a/packages/core/src/lacewingrudder_core/_checkins/views.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/views.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from ..types import HostName
-from .types import Lifetime, LifeState, Position, TargetEntry, Update
+from .types import LifeState, Lifetime, Position, TargetEntry, Update
 
 VIEW_SECONDS = 4.0
 """How long the word of a silent control host counts: targets find another within three beats."""
--- a/packages/core/src/lacewingrudder_core/_control/submissions.py
+++ b/packages/core/src/lacewingrudder_core/_control/submissions.py
@@ -95,9 +95,7 @@
                 continue
             self._waiting[number] = waiting._replace(leader=leader, was_resent=True)
             if leader == me:
-                ways.append(
-                    Propose(number, request.note, request.order, request.configuration)
-                )
+                ways.append(Propose(number, request.note, request.order, request.configuration))
             else:
                 ways.append(SendReplica(leader, request))
         return ways
--- a/packages/core/src/lacewingrudder_core/_replica/events.py
+++ b/packages/core/src/lacewingrudder_core/_replica/events.py
@@ -113,6 +113,4 @@
     term: int
 
 
-ReplicaEffect = (
-    SendReplica | Persist | Applied | Installed | Answered | ReadConfirmed | RoleChanged
-)
+ReplicaEffect = SendReplica | Persist | Applied | Installed | Answered | ReadConfirmed | RoleChanged
--- a/packages/core/src/lacewingrudder_core/_replica/formation.py
+++ b/packages/core/src/lacewingrudder_core/_replica/formation.py
@@ -63,7 +63,11 @@
     def found(self, message: Found) -> bool:
         """Take the first configuration of a cluster; return whether this host joined it."""
         named = {voter.name for voter in message.voters}
-        if self._state.cluster or named != self._policy.founders or self._state.me not in message.voters:
+        if (
+            self._state.cluster
+            or named != self._policy.founders
+            or self._state.me not in message.voters
+        ):
             return False
         self._join(message.cluster, message.voters)
         return True
--- a/packages/core/src/lacewingrudder_core/_replica/voter_policy.py
+++ b/packages/core/src/lacewingrudder_core/_replica/voter_policy.py
@@ -151,7 +151,7 @@
         learner: Voter,
         is_silent: Callable[[Voter], bool],
     ) -> tuple[Voter, ...] | None:
-        """Let the lost namesake of a learner leave, else a silent voter; then the learner enters."""
+        """Let the learner's lost namesake leave, else a silent voter; then the learner enters."""
         namesake = next((voter for voter in voters if voter.name == learner.name), None)
         if namesake is not None:
             return _removed(voters, namesake) if is_silent(namesake) else None
--- a/packages/core/src/lacewingrudder_core/_tagging/roster.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/roster.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from .._checkins.types import Lifetime, LifeState, TargetEntry
+from .._checkins.types import LifeState, Lifetime, TargetEntry
 from .._checkins.views import KnownTarget
 from ..types import Endpoint, TargetName
 from .tags import flow_tag, shared_tags
--- a/packages/core/src/lacewingrudder_core/checkins.py
+++ b/packages/core/src/lacewingrudder_core/checkins.py
@@ -19,8 +19,8 @@
 from ._checkins.registry import Registry as Registry
 from ._checkins.types import CheckIn as CheckIn
 from ._checkins.types import ConfigurationUpdate as ConfigurationUpdate
-from ._checkins.types import Lifetime as Lifetime
 from ._checkins.types import LifeState as LifeState
+from ._checkins.types import Lifetime as Lifetime
 from ._checkins.types import Position as Position
 from ._checkins.types import Subscription as Subscription
 from ._checkins.types import TargetEntry as TargetEntry
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -304,6 +304,4 @@
 SurveyMessage = SurveyRequest | SurveyReply
 SpreadMessage = Standing | Changes | SnapshotPart
 FollowMessage = Subscribe | SnapshotPull
-OperatorRequest = (
-    SubmitNote | SubmitOrder | SubmitConfiguration | ReadConfiguration | StatusRequest
-)
+OperatorRequest = SubmitNote | SubmitOrder | SubmitConfiguration | ReadConfiguration | StatusRequest
--- /dev/null
+++ b/packages/core/tests/test_checkins.py
@@ -0,0 +1,211 @@
+import unittest
+
+from checkin_fakes import check_in, entry, update
+from lacewingrudder_core.checkins import (
+    CheckedIn,
+    CheckInCore,
+    CheckInOutcome,
+    ConfigurationCommitted,
+    ConfigurationUpdate,
+    Confirm,
+    ControlsKnown,
+    Left,
+    Lifetime,
+    LifeState,
+    PeerUpdated,
+    Position,
+    Registry,
+    SendUpdate,
+    Subscribed,
+    Subscription,
+    Tick,
+    Update,
+    Views,
+)
+from lacewingrudder_core.notes import StoredConfiguration
+
+BEAT = 1.2
+ENTRY = "10.1.0.10:7720"
+PEER = "10.2.0.42:7720"
+DRAINING = LifeState.DRAINING
+
+
+class RegistryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry = Registry(7, BEAT)
+
+    def state(self, number: int, born: int = 1000) -> LifeState | None:
+        for row in self.registry.entries():
+            if row.lifetime == Lifetime(f"i-{number:x}", born):
+                return row.state
+        return None
+
+    def test_repeated_heartbeat_publishes_nothing(self) -> None:
+        self.registry.check_in(check_in(1, 1), 0.0)
+        before = self.registry.position
+        self.assertEqual(self.registry.check_in(check_in(1, 2), 1.2), CheckInOutcome.RENEWED)
+        self.assertEqual(self.registry.position, before)
+
+    def test_late_check_in_of_a_lifetime_changes_nothing(self) -> None:
+        self.registry.check_in(check_in(1, 5, state=DRAINING), 0.0)
+        self.assertEqual(self.registry.check_in(check_in(1, 4), 0.1), CheckInOutcome.LATE)
+        self.assertEqual(self.state(1), DRAINING)
+
+    def test_target_that_drains_does_not_become_ready_again(self) -> None:
+        self.registry.check_in(check_in(1, 5, state=DRAINING), 0.0)
+        self.registry.check_in(check_in(1, 6), 0.1)
+        self.assertEqual(self.state(1), DRAINING)
+
+    def test_new_lifetime_of_an_identifier_ends_the_earlier_one(self) -> None:
+        self.registry.check_in(check_in(1, 9), 0.0)
+        self.registry.check_in(check_in(1, 1, born=2000), 0.1)
+        self.assertEqual(self.state(1), LifeState.GONE)
+        self.assertEqual(self.state(1, 2000), LifeState.READY)
+        self.assertEqual(self.registry.check_in(check_in(1, 10), 0.2), CheckInOutcome.LATE)
+
+    def test_late_check_in_of_an_address_that_was_taken_over_changes_nothing(self) -> None:
+        self.registry.check_in(check_in(2, 1, born=2000, address=1), 0.0)
+        self.assertEqual(self.registry.check_in(check_in(1, 5), 0.1), CheckInOutcome.LATE)
+        self.assertIsNone(self.state(1))
+
+    def test_lifetime_that_names_another_service_is_refused(self) -> None:
+        self.registry.check_in(check_in(1, 1), 0.0)
+        foreign = check_in(1, 2, service="sheetroom")
+        self.assertEqual(self.registry.check_in(foreign, 0.1), CheckInOutcome.FOREIGN)
+
+    def test_late_end_of_an_earlier_lifetime_does_not_end_the_later(self) -> None:
+        self.registry.check_in(check_in(1, 1), 0.0)
+        self.registry.check_in(check_in(1, 1, born=2000), 0.1)
+        self.assertEqual(self.registry.leave("i-1", 1000, 0.2), CheckInOutcome.LATE)
+        self.assertEqual(self.registry.leave("i-1", None, 0.2), CheckInOutcome.LATE)
+        self.assertEqual(self.state(1, 2000), LifeState.READY)
+
+    def test_target_that_misses_heartbeats_is_stale_and_returns(self) -> None:
+        self.registry.check_in(check_in(1, 1), 0.0)
+        self.assertEqual(self.registry.expire(3 * BEAT), [])
+        self.assertEqual(len(self.registry.expire(3 * BEAT + 0.1)), 1)
+        self.assertFalse(self.registry.entries()[0].is_fresh)
+        self.assertEqual(self.registry.check_in(check_in(1, 2), 5.0), CheckInOutcome.REGISTERED)
+        self.assertTrue(self.registry.entries()[0].is_fresh)
+
+    def test_end_that_another_host_heard_outlives_that_host(self) -> None:
+        self.assertTrue(self.registry.hear([entry(1, LifeState.GONE)], 0.0))
+        self.assertEqual(self.registry.check_in(check_in(1, 9), 0.1), CheckInOutcome.LATE)
+        self.assertFalse(self.registry.hear([entry(1, LifeState.GONE)], 0.2))
+
+
+class CheckInCoreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.core = CheckInCore("me:1", "adum", Registry(7, BEAT))
+        self.core.handle(ControlsKnown(frozenset({"me:1", PEER})), 0.0)
+        self.subscribe(ENTRY, False, Position(0, 0))
+        self.subscribe(PEER, True, Position(0, 0))
+
+    def subscribe(self, host: str, is_control: bool, position: Position, now: float = 0.0) -> list:
+        subscription = Subscription(host, "adum", is_control, position, -1, False)
+        return self.core.handle(Subscribed(subscription), now)
+
+    def confirms(self, effects: list) -> list[Confirm]:
+        return [effect for effect in effects if isinstance(effect, Confirm)]
+
+    def test_drain_is_confirmed_once_all_subscribers_have_it(self) -> None:
+        self.core.handle(CheckedIn(1, check_in(1)), 0.0)
+        effects = self.core.handle(CheckedIn(2, check_in(1, 2, state=DRAINING)), 0.1)
+        sent = {effect.host for effect in effects if isinstance(effect, SendUpdate)}
+        self.assertEqual(sent, {ENTRY, PEER})
+        self.assertEqual(self.confirms(effects), [])
+        position = self.core.registry.position
+        self.assertEqual(self.confirms(self.subscribe(ENTRY, False, position, 0.2)), [])
+        found = self.confirms(self.subscribe(PEER, True, position, 0.2))
+        self.assertEqual([(row.token, row.confirmed) for row in found], [(2, True)])
+
+    def test_drain_that_only_this_host_knows_is_not_confirmed(self) -> None:
+        self.core.handle(CheckedIn(1, check_in(1, 2, state=DRAINING)), 0.0)
+        self.subscribe(ENTRY, False, self.core.registry.position, 0.1)
+        found = self.confirms(self.core.handle(Tick(), 0.7))
+        self.assertEqual([(row.token, row.confirmed) for row in found], [(1, False)])
+
+    def test_drain_is_confirmed_in_time_though_an_entry_host_is_lost(self) -> None:
+        self.core.handle(CheckedIn(1, check_in(1, 2, state=DRAINING)), 0.0)
+        self.subscribe(PEER, True, self.core.registry.position, 0.1)
+        found = self.confirms(self.core.handle(Tick(), 0.7))
+        self.assertEqual([(row.token, row.confirmed) for row in found], [(1, True)])
+
+    def test_drain_is_sent_again_while_it_is_not_confirmed(self) -> None:
+        self.core.handle(CheckedIn(1, check_in(1, 2, state=DRAINING)), 0.0)
+        sent = [e for e in self.core.handle(Tick(), 0.2) if isinstance(e, SendUpdate)]
+        self.assertEqual({effect.host for effect in sent}, {ENTRY, PEER})
+
+    def test_end_that_a_peer_heard_is_published_on(self) -> None:
+        effects = self.core.handle(PeerUpdated(update(entry(1, LifeState.GONE))), 0.1)
+        self.assertIn(ENTRY, [e.host for e in effects if isinstance(e, SendUpdate)])
+
+    def test_heartbeat_is_confirmed_at_once(self) -> None:
+        first = self.confirms(self.core.handle(CheckedIn(1, check_in(1)), 0.0))
+        again = self.confirms(self.core.handle(CheckedIn(2, check_in(1, 2)), 1.2))
+        self.assertTrue(first[0].confirmed and again[0].confirmed)
+
+    def test_end_is_confirmed_like_a_drain(self) -> None:
+        self.core.handle(CheckedIn(1, check_in(1, 2, state=DRAINING)), 0.0)
+        self.assertEqual(self.confirms(self.core.handle(Left(2, "i-1", None), 0.1)), [])
+
+    def test_subscriber_with_an_older_configuration_gets_the_newest(self) -> None:
+        self.core.handle(ConfigurationCommitted(StoredConfiguration(4, b"four")), 0.0)
+        sent = [effect.body for effect in self.subscribe(ENTRY, False, Position(0, 0))]
+        self.assertIn(ConfigurationUpdate(4, b"four"), sent)
+
+
+class ViewsTest(unittest.TestCase):
+    def test_any_control_host_vouches_for_a_target(self) -> None:
+        views = Views()
+        views.take(update(entry(1, fresh=False), control="a:1"), 0.0)
+        views.take(update(entry(1), control="b:1"), 0.0)
+        self.assertTrue(views.merge(0.0)[Lifetime("i-1", 1000)].is_fresh)
+
+    def test_end_outranks_every_heartbeat(self) -> None:
+        views = Views()
+        views.take(update(entry(1, LifeState.GONE), control="a:1"), 0.0)
+        views.take(update(entry(1, sequence=99), control="b:1"), 0.0)
+        known = views.merge(0.0)[Lifetime("i-1", 1000)]
+        self.assertEqual(known.entry.state, LifeState.GONE)
+
+    def test_word_of_a_silent_control_host_expires_while_others_are_heard(self) -> None:
+        views = Views()
+        views.take(update(entry(1), control="a:1"), 0.0)
+        views.take(update(entry(2), control="b:1"), 0.0)
+        views.take(update(control="b:1"), 5.0)
+        merged = views.merge(5.0)
+        self.assertFalse(merged[Lifetime("i-1", 1000)].is_fresh)
+        self.assertTrue(merged[Lifetime("i-2", 1000)].is_fresh)
+
+    def test_what_was_known_last_counts_while_no_control_host_is_heard(self) -> None:
+        views = Views()
+        views.take(update(entry(1)), 0.0)
+        self.assertTrue(views.merge(60.0)[Lifetime("i-1", 1000)].is_fresh)
+
+    def test_restarted_control_host_does_not_empty_the_view_at_once(self) -> None:
+        views = Views()
+        views.take(update(entry(1)), 0.0)
+        views.take(update(epoch=2, number=0), 1.0)
+        self.assertTrue(views.merge(1.0)[Lifetime("i-1", 1000)].is_fresh)
+        views.take(update(epoch=2, number=0), 5.5)
+        self.assertFalse(views.merge(5.5)[Lifetime("i-1", 1000)].is_fresh)
+
+    def test_late_update_of_an_earlier_start_changes_nothing(self) -> None:
+        views = Views()
+        views.take(update(entry(1), epoch=1), 0.0)
+        views.take(update(entry(2), epoch=2), 1.0)
+        self.assertFalse(views.take(update(entry(3), epoch=1, number=9), 1.1))
+        self.assertEqual(views.position("10.0.0.1:7720"), Position(2, 1))
+
+    def test_update_after_a_lost_one_is_not_taken(self) -> None:
+        views = Views()
+        views.take(update(entry(1)), 0.0)
+        self.assertFalse(views.take(update(entry(3), since=2, number=3), 1.0))
+        self.assertEqual(views.position("10.0.0.1:7720"), Position(1, 1))
+
+    def test_repeated_update_brings_nothing(self) -> None:
+        views = Views()
+        first: Update = update(entry(1))
+        self.assertTrue(views.take(first, 0.0))
+        self.assertFalse(views.take(first, 0.1))
--- a/packages/core/tests/test_control.py
+++ b/packages/core/tests/test_control.py
@@ -34,7 +34,9 @@
         self._token = 0
 
     def _core(self, name: str) -> ControlCore:
-        replica = ReplicaCore(name, NamedVoters(NAMES), CHART, Durable(f"{name}-1"), random.Random(name))
+        replica = ReplicaCore(
+            name, NamedVoters(NAMES), CHART, Durable(f"{name}-1"), random.Random(name)
+        )
         return ControlCore(name, replica)
 
     def feed(self, name: str, event: Any) -> None:
--- a/packages/core/tests/test_replica_faults.py
+++ b/packages/core/tests/test_replica_faults.py
@@ -8,9 +8,9 @@
 from lacewingrudder_core._replica.formation import Formation
 from lacewingrudder_core._replica.leading import Leading
 from lacewingrudder_core._replica.log import LogEntry, LogSnapshot, Voter
-from lacewingrudder_core._replica.voter_policy import NamedVoters
 from lacewingrudder_core._replica.replica import NO_QUORUM
 from lacewingrudder_core._replica.state import ReplicaState
+from lacewingrudder_core._replica.voter_policy import NamedVoters
 from lacewingrudder_core.notes import Catalogue, SubmitReply, SubmitTag
 from lacewingrudder_core.replica import Durable, Installed, Persist, Role, SendReplica, StopPlanned
 from lacewingrudder_core.types import OrderAction, TargetOrder
@@ -379,7 +379,9 @@
         first = LogEntry(1, 1, voters=voters)
         for entries, found in (((first,), 1), ((first, LogEntry(2, 2, voters=voters)), 0)):
             state = ReplicaState(voters[0], Durable("a", "cluster", 4, entries=entries))
-            Formation(state, NamedVoters({"a", "b", "c"})).introduce("c", m.Introduce(voters[2], ""))
+            Formation(state, NamedVoters({"a", "b", "c"})).introduce(
+                "c", m.Introduce(voters[2], "")
+            )
             sent = [e.message for e in state.finish() if isinstance(e, SendReplica)]
             self.assertEqual(sum(isinstance(message, m.Found) for message in sent), found)
 
--- /dev/null
+++ b/packages/core/tests/test_tagging.py
@@ -0,0 +1,200 @@
+import collections
+import unittest
+
+from checkin_fakes import EDITS, SHEETS, configuration, data, entry, syn, update
+from lacewingrudder_core._tagging.tags import flow_tag, shared_tags
+from lacewingrudder_core.checkins import Lifetime, LifeState
+from lacewingrudder_core.tagging import (
+    Dropped,
+    DropReason,
+    Forwarded,
+    Reset,
+    ResetReason,
+    Route,
+    Split,
+    TagForwarder,
+    TagSegment,
+)
+
+
+def forwarder(*entries, zone="adum"):
+    made = TagForwarder(zone)
+    made.configure(configuration())
+    made.update(update(*entries), 0.0)
+    return made
+
+
+class ForwarderTest(unittest.TestCase):
+    def place(self, made: TagForwarder, segment: TagSegment, now: float = 0.0) -> Forwarded:
+        decision = made.decide(segment, now)
+        assert isinstance(decision, Forwarded), decision
+        return decision
+
+    def test_packets_of_a_flow_follow_its_tag_on_any_host(self) -> None:
+        entries = [entry(number) for number in (1, 2, 3)]
+        first, second = forwarder(*entries), forwarder(*entries)
+        placed = self.place(first, syn(40001))
+        for made in (first, second):
+            found = self.place(made, data(40001, placed.tag))
+            self.assertEqual(found, placed)
+
+    def test_packet_goes_on_to_a_target_that_drains(self) -> None:
+        made = forwarder(entry(1), entry(2))
+        tag = flow_tag(Lifetime("i-1", 1000))
+        draining = entry(1, LifeState.DRAINING, sequence=2)
+        made.update(update(draining, number=2, since=1), 1.0)
+        self.assertIsInstance(made.decide(data(40001, tag), 1.0), Forwarded)
+
+    def test_draining_target_gets_no_new_flow(self) -> None:
+        made = forwarder(entry(1), entry(2))
+        made.update(update(entry(1, LifeState.DRAINING, sequence=2), number=2, since=1), 1.0)
+        identities = {self.place(made, syn(port), 1.0).identity for port in range(40000, 40050)}
+        self.assertEqual(identities, {2})
+
+    def test_last_target_that_drains_is_refused_at_once(self) -> None:
+        made = forwarder(entry(1, LifeState.DRAINING))
+        self.assertEqual(made.decide(syn(40001), 9.0), Reset(ResetReason.NO_TARGET))
+
+    def test_flow_of_an_ended_target_is_reset_at_once(self) -> None:
+        made = forwarder(entry(1), entry(2))
+        tag = self.place(made, syn(40001)).tag
+        number = 1 if tag == flow_tag(Lifetime("i-1", 1000)) else 2
+        made.update(update(entry(number, LifeState.GONE, sequence=3), number=2, since=1), 1.0)
+        self.assertEqual(made.decide(data(40001, tag), 1.0), Reset(ResetReason.TARGET_GONE))
+
+    def test_flow_of_an_earlier_lifetime_of_an_identifier_is_reset(self) -> None:
+        made = forwarder(entry(1))
+        tag = self.place(made, syn(40001)).tag
+        made.update(update(entry(1, born=2000), number=2, since=1), 1.0)
+        self.assertEqual(made.decide(data(40001, tag), 1.0), Reset(ResetReason.TARGET_GONE))
+        self.assertNotEqual(self.place(made, syn(40002), 1.0).tag, tag)
+
+    def test_address_that_another_service_took_over_gets_no_flow_of_the_first(self) -> None:
+        made = forwarder(entry(1, address=9))
+        tag = self.place(made, syn(40001)).tag
+        later = entry(2, born=2000, service="sheetroom", address=9)
+        made.update(update(later, number=2, since=1), 1.0)
+        self.assertEqual(made.decide(data(40001, tag), 1.0), Reset(ResetReason.TARGET_GONE))
+        self.assertEqual(made.decide(syn(40002), 9.0), Reset(ResetReason.NO_TARGET))
+        self.assertEqual(self.place(made, syn(40003, service=SHEETS), 1.0).identity, 2)
+
+    def test_target_out_of_reach_keeps_its_flows(self) -> None:
+        made = forwarder(entry(1), entry(2))
+        tag = self.place(made, syn(40001)).tag
+        made.update(update(entry(1, fresh=False), entry(2, fresh=False), number=2, since=1), 4.0)
+        self.assertIsInstance(made.decide(data(40001, tag), 4.0), Forwarded)
+
+    def test_unknown_tag_is_dropped_and_not_reset(self) -> None:
+        made = forwarder(entry(1))
+        self.assertEqual(made.decide(data(40001, 77), 0.0), Dropped(DropReason.UNKNOWN_TAG))
+
+    def test_flow_without_a_route_is_reset(self) -> None:
+        made = forwarder(entry(1))
+        tag = flow_tag(Lifetime("i-1", 1000))
+        made.configure(configuration(2, Route(SHEETS, (Split("sheetroom", 1),), True, 7)))
+        self.assertEqual(made.decide(data(40001, tag), 0.0), Reset(ResetReason.NO_ROUTE))
+        self.assertEqual(made.decide(syn(40002), 0.0), Reset(ResetReason.NO_ROUTE))
+
+    def test_flow_stays_when_its_route_goes_to_another_service(self) -> None:
+        made = forwarder(entry(1), entry(2, service="sheetroom"))
+        placed = self.place(made, syn(40001))
+        made.configure(configuration(2, Route(EDITS, (Split("sheetroom", 1),), False, 8)))
+        self.assertEqual(self.place(made, data(40001, placed.tag)), placed)
+        self.assertEqual(self.place(made, syn(40002)).identity, 2)
+
+    def test_older_configuration_never_returns(self) -> None:
+        made = forwarder(entry(1))
+        self.assertTrue(made.configure(configuration(5)))
+        self.assertFalse(made.configure(configuration(4)))
+        self.assertEqual(made.version, 5)
+
+    def test_copies_of_a_syn_try_other_targets(self) -> None:
+        made = forwarder(*(entry(number) for number in (1, 2, 3)))
+        tags = [self.place(made, syn(40001, attempt), 0.2 * attempt).tag for attempt in range(3)]
+        self.assertEqual(len(set(tags)), 3)
+
+    def test_copy_of_a_syn_stays_with_its_service(self) -> None:
+        split = Route(EDITS, (Split("proofdesk", 1), Split("sheetroom", 1)), False, 8)
+        made = forwarder(entry(1), entry(2), entry(3, service="sheetroom"))
+        made.configure(configuration(2, split))
+        for port in range(40000, 40010):
+            first = self.place(made, syn(port)).identity
+            again = self.place(made, syn(port, 1), 0.2).identity
+            self.assertEqual(first == 3, again == 3)
+
+    def test_no_flow_is_refused_before_the_host_knows_enough(self) -> None:
+        made = TagForwarder("adum")
+        self.assertEqual(made.decide(syn(40001), 0.0), Dropped(DropReason.NOT_READY))
+        made.configure(configuration())
+        made.update(update(), 0.0)
+        self.assertFalse(made.is_ready(0.5))
+        self.assertEqual(made.decide(syn(40001), 0.5), Dropped(DropReason.NOT_READY))
+        self.assertTrue(made.is_ready(3.0))
+        self.assertEqual(made.decide(syn(40001), 3.0), Reset(ResetReason.NO_TARGET))
+
+
+class LoadTest(unittest.TestCase):
+    """Long flows from steady callers, with targets in several zones."""
+
+    def spread(self, made: TagForwarder, flows: int) -> collections.Counter[int]:
+        counts: collections.Counter[int] = collections.Counter()
+        for port in range(40000, 40000 + flows):
+            placed = made.decide(syn(port), 0.0)
+            assert isinstance(placed, Forwarded)
+            counts[placed.identity] += 1
+            made.decide(data(port, placed.tag), 0.0)
+            made.decide(data(port, placed.tag, 102, 50), 0.0)
+        return counts
+
+    def test_long_flows_spread_evenly(self) -> None:
+        counts = self.spread(forwarder(*(entry(number) for number in range(1, 8))), 70)
+        self.assertLessEqual(max(counts.values()) - min(counts.values()), 1)
+
+    def test_own_zone_comes_first_until_it_is_busier(self) -> None:
+        near = [entry(number) for number in (1, 2)]
+        far = [entry(number, zone="suame") for number in (3, 4)]
+        counts = self.spread(forwarder(*near, *far), 4)
+        self.assertEqual(counts[3] + counts[4], 0)
+        counts = self.spread(forwarder(*near, *far), 200)
+        self.assertGreater(counts[3] + counts[4], 50)
+
+    def test_split_is_exact_over_any_window(self) -> None:
+        made = forwarder(entry(1), entry(2, service="sheetroom"))
+        splits = (Split("proofdesk", 90), Split("sheetroom", 10))
+        made.configure(configuration(2, Route(EDITS, splits, False, 8)))
+        counts = self.spread(made, 200)
+        self.assertEqual((counts[1], counts[2]), (180, 20))
+
+    def test_target_that_answers_no_syn_is_avoided(self) -> None:
+        made = forwarder(*(entry(number) for number in (1, 2, 3)))
+        lost = {flow_tag(Lifetime("i-1", 1000))}
+        misses = 0
+        for port in range(40000, 40200):
+            now = (port - 40000) / 100
+            for attempt in range(3):
+                placed = made.decide(syn(port, attempt), now + 0.2 * attempt)
+                assert isinstance(placed, Forwarded)
+                if placed.tag not in lost:
+                    made.decide(data(port, placed.tag), now + 0.2 * attempt)
+                    break
+                misses += attempt == 0
+        self.assertLess(misses, 12)
+
+
+class TagTest(unittest.TestCase):
+    def test_tag_follows_from_the_lifetime_alone(self) -> None:
+        self.assertEqual(flow_tag(Lifetime("i-1", 5)), flow_tag(Lifetime("i-1", 5)))
+        self.assertNotEqual(flow_tag(Lifetime("i-1", 5)), flow_tag(Lifetime("i-1", 6)))
+        self.assertNotEqual(flow_tag(Lifetime("i-1", 5)), 0)
+
+    def test_tags_of_two_lifetimes_that_collide_are_not_used(self) -> None:
+        seen: dict[int, Lifetime] = {}
+        number = 0
+        while True:
+            lifetime = Lifetime(f"i-{number:x}", 0)
+            tag = flow_tag(lifetime)
+            if tag in seen:
+                break
+            seen[tag] = lifetime
+            number += 1
+        self.assertEqual(shared_tags([lifetime, seen[tag], Lifetime("i-other", 1)]), {tag})
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -7,8 +7,8 @@
 import random
 import secrets
 import time
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 from lacewingrudder_core import checkins, control
 from lacewingrudder_core import messages as m
@@ -66,6 +66,8 @@
     54: r.ReadRequest,
     55: r.ReadReply,
 }
+AnswerT = TypeVar("AnswerT")
+
 _FORWARD_MESSAGES = (r.ForwardRequest, r.ForwardReply, r.ReadRequest, r.ReadReply)
 _CHECKIN_MESSAGES = (Subscription, Update, checkins.ConfigurationUpdate)
 
@@ -110,23 +112,29 @@
 
     async def check_in(self, call: CheckIn) -> Confirm:
         """Take a target's check-in and return what became of it."""
-        return await self._ask(lambda token: self._feed(checkins.CheckedIn(token, call)))
+        return await self._ask(Confirm, lambda token: self._feed(checkins.CheckedIn(token, call)))
 
     async def leave(self, target: TargetName, born: int | None) -> Confirm:
         """Take a target's word that it ends, and return what became of it."""
-        return await self._ask(lambda token: self._feed(checkins.Left(token, target, born)))
+        return await self._ask(
+            Confirm, lambda token: self._feed(checkins.Left(token, target, born))
+        )
 
     async def submit(self, configuration: StoredConfiguration) -> SubmitReply:
         """Hand in a configuration and return whether it was accepted."""
         request = m.SubmitConfiguration(configuration)
-        reply = await self._ask(lambda t: self._control.handle(control.Requested(t, request)))
-        outcome: SubmitReply = reply.reply
-        return outcome
+        reply = await self._ask(
+            m.OperatorReply, lambda token: self._control.handle(control.Requested(token, request))
+        )
+        return reply.reply
 
     async def read(self) -> m.ConfigurationReply:
         """Return the newest configuration, if it is proved to be that."""
         request = m.ReadConfiguration()
-        return await self._ask(lambda t: self._control.handle(control.Requested(t, request)))
+        return await self._ask(
+            m.ConfigurationReply,
+            lambda token: self._control.handle(control.Requested(token, request)),
+        )
 
     async def _start(self) -> None:
         self._loop = asyncio.get_running_loop()
@@ -175,13 +183,16 @@
             self._changed,
         )
 
-    async def _ask(self, hand_in: Any) -> Any:
+    async def _ask(self, kind: type[AnswerT], hand_in: Callable[[int], None]) -> AnswerT:
+        """Hand a request to a core under a token, and return the answer that carries it."""
         token = next(self._tokens)
         future: asyncio.Future[Any] = self._loop.create_future()
         self._waiting[token] = future
         hand_in(token)
         try:
-            return await future
+            answer = await future
+            assert isinstance(answer, kind)
+            return answer
         finally:
             del self._waiting[token]
 
--- a/packages/daemon/src/lacewingrudder_daemon/_storage/catalogue_store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/catalogue_store.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 
 from lacewingrudder_core.notes import Catalogue
-from lacewingrudder_wire.values import decode_value, encode_value
 from lacewingrudder_wire.exceptions import CodecError
+from lacewingrudder_wire.values import decode_value, encode_value
 
 FILE_NAME = "in-force.catalogue"
 _CRC = struct.Struct("!I")
--- a/packages/daemon/src/lacewingrudder_daemon/_storage/log_store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/log_store.py
@@ -13,8 +13,8 @@
 from typing import NamedTuple
 
 from lacewingrudder_core.replica import Durable, Write
-from lacewingrudder_wire.values import decode_value, encode_value
 from lacewingrudder_wire.exceptions import LacewingrudderError
+from lacewingrudder_wire.values import decode_value, encode_value
 
 from .disk import Disk
 
--- a/packages/daemon/src/lacewingrudder_daemon/fleet.py
+++ b/packages/daemon/src/lacewingrudder_daemon/fleet.py
@@ -4,10 +4,10 @@
 whose start would then cost processor time before the first packet is forwarded.
 """
 
-from ._fleet.event_log import EventLog as EventLog
 from ._fleet.adapters import ConfigurationReader as ConfigurationReader
 from ._fleet.adapters import OutgoingPacket as OutgoingPacket
 from ._fleet.adapters import PacketAdapter as PacketAdapter
+from ._fleet.event_log import EventLog as EventLog
 from ._fleet.http import HttpHandler as HttpHandler
 from ._fleet.http import HttpRequest as HttpRequest
 from ._fleet.http import HttpResponse as HttpResponse
--- a/packages/daemon/tests/test_control_task.py
+++ b/packages/daemon/tests/test_control_task.py
@@ -29,7 +29,9 @@
         self.answers: asyncio.Queue[tuple[int, Any]] = asyncio.Queue()
         store = ReplicaStore(self.disk)
         durable = store.recover("identity")
-        replica = ReplicaCore("c1", NamedVoters(["c1"]), load_chart("replica"), durable, random.Random(1))
+        replica = ReplicaCore(
+            "c1", NamedVoters(["c1"]), load_chart("replica"), durable, random.Random(1)
+        )
         recorder = Recorder("c1", Path(folder.name) / "timeline")
         self.addCleanup(recorder.close)
         self.task = ControlTask(
--- a/packages/wire/src/lacewingrudder_wire/values.py
+++ b/packages/wire/src/lacewingrudder_wire/values.py
@@ -42,6 +42,7 @@
 
 
 def plain(value: Any) -> Any:
+    """Return a tuple as lists and scalars that CBOR knows."""
     if isinstance(value, tuple):
         return [plain(part) for part in value]
     if isinstance(value, enum.Enum):
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -29,8 +29,12 @@
 
 
 def test_folders() -> list[Path]:
-    """Return the test folders of all packages, then the one for the whole system."""
-    return [*sorted(ROOT.glob("packages/*/tests")), ROOT / "tests"]
+    """Return the test folders of all packages and the platform, then the whole system's."""
+    return [
+        *sorted(ROOT.glob("packages/*/tests")),
+        ROOT / "platform" / "tests",
+        ROOT / "tests",
+    ]
 
 
 def known_red() -> set[str]:
