Load only what an entry host needs before its first packet

Cause: the packages' own __init__ modules imported the whole product, so that an entry host took 0.47 s of processor time to import, two seconds on 0.236 of a core. Ruled out: the codec (3 ms).

--- a/packages/core/src/lacewingrudder_core/__init__.py
+++ b/packages/core/src/lacewingrudder_core/__init__.py
@@ -1,5 +1,5 @@
-"""Decisions of the lacewingrudder load balancer, free of I/O."""
+"""Decisions of the lacewingrudder load balancer, free of I/O.
 
-from .chart import Chart as Chart
-from .core import Core as Core
-from .entry import EntryCore as EntryCore
+Nothing is imported here: a process that needs one part of the package must not pay for the start
+of the others.
+"""
--- a/packages/core/tests/checkin_fakes.py
+++ b/packages/core/tests/checkin_fakes.py
@@ -4,8 +4,8 @@
 
 from lacewingrudder_core.checkins import (
     CheckIn,
-    Lifetime,
     LifeState,
+    Lifetime,
     Position,
     TargetEntry,
     Update,
--- a/packages/core/tests/test_tagging.py
+++ b/packages/core/tests/test_tagging.py
@@ -3,7 +3,7 @@
 
 from checkin_fakes import EDITS, SHEETS, configuration, data, entry, syn, update
 from lacewingrudder_core._tagging.tags import flow_tag, shared_tags
-from lacewingrudder_core.checkins import Lifetime, LifeState
+from lacewingrudder_core.checkins import LifeState, Lifetime
 from lacewingrudder_core.tagging import (
     Dropped,
     DropReason,
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Iterable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from lacewingrudder_core.checkins import ConfigurationUpdate, Subscription, TargetEntry, Update
 from lacewingrudder_core.tagging import Dropped, Forwarded, TagForwarder, TagSegment
@@ -14,11 +15,13 @@
 from ..event_sink import EventSink
 from .adapters import ConfigurationReader, PacketAdapter
 from .channel import Channel, address_of
-from .http import HttpHandler, HttpRequest, HttpResponse, HttpServer
 from .messages import ENTRY_MESSAGES
 from .process import FleetProcess
 from .settings import FleetSettings, SettingsFile, TagEntrySettings
 
+if TYPE_CHECKING:
+    from .http import HttpServer
+
 POLL_SECONDS = 0.5
 """How often an entry host asks each control host for news; its heartbeat towards them."""
 
@@ -28,21 +31,13 @@
 LOST_SECONDS = 2.5
 """Five polls without an answer: the control host is taken for lost."""
 
+SETTLE_SECONDS = 0.5
+"""How long probes go unanswered at a start, for packets to be forwarded first."""
+
 LEAVE_SECONDS = 2.0
 """How long a leaving host forwards on: two missed probes of the fabric and their interval."""
 
 
-class ReadinessHandler(HttpHandler):
-    """Says whether this host takes new flows."""
-
-    def __init__(self, entry: TagEntryProcess) -> None:
-        self._entry = entry
-
-    async def answer(self, request: HttpRequest) -> HttpResponse:
-        """Answer 200 while this host is ready, else 503."""
-        return HttpResponse(200 if self._entry.is_ready else 503)
-
-
 class TagEntryProcess(FleetProcess):
     """Owns the sockets of an entry host and its forwarder.
 
@@ -66,7 +61,8 @@
         self._forwarder = TagForwarder(settings.zone)
         self._socket = DatagramSocket(self._received)
         self._channel = Channel(ENTRY_MESSAGES, events, self._deliver)
-        self._readiness = HttpServer(ReadinessHandler(self), events)
+        self._settled = asyncio.Event()
+        self._readiness: HttpServer | None = None
         self._controls: set[HostName] = set(settings.seeds)
         self._lost: set[HostName] = set()
         self._addresses: dict[Endpoint, Address] = {}
@@ -85,6 +81,17 @@
         self._channel.open(self._settings.messages)
         self._socket.open(address_of(str(self._entry.packets)))
         self._poller = asyncio.create_task(self._poll())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTLE_SECONDS):
+                await self._settled.wait()
+        await self._serve_readiness()
+
+    async def _serve_readiness(self) -> None:
+        """Answer probes; what that takes is imported once packets are forwarded."""
+        from .http import HttpServer
+        from .readiness import ReadinessHandler
+
+        self._readiness = HttpServer(ReadinessHandler(lambda: self.is_ready), self._events)
         await self._readiness.start(self._entry.readiness)
 
     async def _leave(self) -> None:
@@ -94,7 +101,8 @@
     async def _close(self) -> None:
         if self._poller is not None:
             self._poller.cancel()
-        await self._readiness.stop()
+        if self._readiness is not None:
+            await self._readiness.stop()
         self._socket.close()
         self._channel.close()
 
@@ -211,6 +219,7 @@
         ready = self.is_ready
         if ready != self._was_ready:
             self._was_ready = ready
+            self._settled.set()
             version = self._forwarder.version
             self._events.record("ready" if ready else "not_ready", revision=version)
 
--- a/packages/daemon/src/lacewingrudder_daemon/fleet.py
+++ b/packages/daemon/src/lacewingrudder_daemon/fleet.py
@@ -8,9 +8,6 @@
 from ._fleet.adapters import OutgoingPacket as OutgoingPacket
 from ._fleet.adapters import PacketAdapter as PacketAdapter
 from ._fleet.event_log import EventLog as EventLog
-from ._fleet.http import HttpHandler as HttpHandler
-from ._fleet.http import HttpRequest as HttpRequest
-from ._fleet.http import HttpResponse as HttpResponse
 from ._fleet.settings import FleetSettings as FleetSettings
 from ._fleet.settings import RegistrarSettings as RegistrarSettings
 from ._fleet.settings import SettingsFile as SettingsFile
--- a/packages/wire/src/lacewingrudder_wire/__init__.py
+++ b/packages/wire/src/lacewingrudder_wire/__init__.py
@@ -1,6 +1,5 @@
-"""Codec, schemas and formats shared by the lacewingrudder processes."""
+"""Codec, schemas and formats shared by the lacewingrudder processes.
 
-from .documents import read_document as read_document
-from .documents import read_note as read_note
-from .exceptions import ExitCode as ExitCode
-from .exceptions import LacewingrudderError as LacewingrudderError
+Nothing is imported here: checking documents against schemas costs more processor time to import
+than a whole entry host, which reads none.
+"""
