Keep the registry on control hosts' disks, and leave later while no control host answers

Cause: after a loss of power of all hosts, targets were unknown until they checked in again (1.2 s), and an entry host that restarted while all control hosts were down could place nothing.

--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -55,6 +55,18 @@
         """Return all entries that this host publishes."""
         return self._publisher.entries()
 
+    def restore(self, entries: Iterable[TargetEntry], now: float) -> None:
+        """Take what this host published before it stopped; targets that ended since expire."""
+        for entry in entries:
+            self._publisher.put(entry, now)
+            self._remember(entry)
+            if entry.state is LifeState.GONE:
+                continue
+            self._sequences[entry.lifetime] = entry.sequence
+            self._holders[entry.endpoint] = entry.lifetime
+            if entry.is_fresh:
+                self._heard[entry.lifetime] = now
+
     def check_in(self, call: CheckIn, now: float) -> CheckInOutcome:
         """Take a target's check-in."""
         lifetime = call.lifetime
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
 import itertools
 import random
 import secrets
@@ -26,9 +27,11 @@
 from lacewingrudder_core.notes import Catalogue, StoredConfiguration, SubmitReply
 from lacewingrudder_core.replica import DiscoveredVoters, ReplicaCore, ReplicaHeard
 from lacewingrudder_core.types import HostName, TargetName
+from lacewingrudder_wire.exceptions import CodecError
 
 from .._storage.disk import FolderDisk
 from .._storage.log_store import ReplicaStore
+from .._storage.registry_store import RegistryStore
 from ..control_task import ControlTask
 from ..event_sink import EventSink
 from .channel import Channel
@@ -42,6 +45,9 @@
 POLL_SECONDS = 0.5
 """How often a control host follows the drains of the others."""
 
+KEEP_SECONDS = 0.3
+"""How soon after a change the targets are written to the disk."""
+
 CONTROL_KEPT_SECONDS = 20.0
 """How long a silent control host that does not vote is still told to others."""
 
@@ -91,10 +97,11 @@
         self._name = str(settings.messages)
         self._policy = DiscoveredVoters(settings.seeds, settings.founds)
         self._channel = Channel(CONTROL_MESSAGES, events, self._deliver)
-        self._control = self._make_control(chart)
-        epoch = int(time.time() * MILLISECONDS_PER_SECOND)
-        registry = Registry(epoch, settings.beat_seconds)
-        self._checkins = CheckInCore(self._name, settings.zone, registry)
+        disk = FolderDisk(registrar.data_folder)
+        self._control = self._make_control(disk, chart)
+        self._store = RegistryStore(disk)
+        self._checkins = CheckInCore(self._name, settings.zone, self._restored())
+        self._thread = concurrent.futures.ThreadPoolExecutor(1, "registry")
         self._views = Views()
         self._heard: dict[HostName, float] = {}
         self._tokens = itertools.count(1)
@@ -146,6 +153,7 @@
             asyncio.create_task(self._control.run()),
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._poll()),
+            asyncio.create_task(self._keep_registry()),
         ]
         for task in self._tasks:
             task.add_done_callback(self._ended)
@@ -159,6 +167,7 @@
         if self._server is not None:
             await self._server.stop()
         self._channel.close()
+        self._thread.shutdown(wait=False)
         self._control.close()
 
     def _settings_changed(self) -> None:
@@ -169,8 +178,17 @@
             self._events.record("task_failed", detail=repr(task.exception()))
             self._loop.stop()
 
-    def _make_control(self, chart: Chart) -> ControlTask:
-        store = ReplicaStore(FolderDisk(self._registrar.data_folder))
+    def _restored(self) -> Registry:
+        epoch = int(time.time() * MILLISECONDS_PER_SECOND)
+        registry = Registry(epoch, self._settings.beat_seconds)
+        try:
+            registry.restore(self._store.read(), time.monotonic())
+        except (OSError, CodecError) as error:
+            self._events.record("registry_unreadable", detail=str(error))
+        return registry
+
+    def _make_control(self, disk: FolderDisk, chart: Chart) -> ControlTask:
+        store = ReplicaStore(disk)
         durable = store.recover(secrets.token_hex(IDENTITY_BYTES))
         rng = random.Random(secrets.randbits(64))
         core = ReplicaCore(self._name, self._policy, chart, durable, rng)
@@ -260,6 +278,21 @@
             self._feed(checkins.Tick())
             await asyncio.sleep(TICK_SECONDS)
 
+    async def _keep_registry(self) -> None:
+        """Write what is published after it changed; the disk may take its time."""
+        written = self._checkins.registry.position
+        while True:
+            await asyncio.sleep(KEEP_SECONDS)
+            position = self._checkins.registry.position
+            if position == written:
+                continue
+            entries = tuple(self._checkins.registry.entries())
+            try:
+                await self._loop.run_in_executor(self._thread, self._store.write, entries)
+                written = position
+            except OSError as error:
+                self._events.record("registry_not_kept", detail=str(error))
+
     async def _poll(self) -> None:
         while True:
             self._feed(checkins.ControlsKnown(frozenset(self._controls())))
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -37,6 +37,12 @@
 LEAVE_SECONDS = 2.0
 """How long a leaving host forwards on: two missed probes of the fabric and their interval."""
 
+BLIND_SECONDS = 1.2
+"""Two polls without any answer: a host that starts now would learn nothing."""
+
+STOP_MARGIN_SECONDS = 0.7
+"""How long before the end of its grace a leaving host stops at the latest."""
+
 
 class TagEntryProcess(FleetProcess):
     """Owns the sockets of an entry host and its forwarder.
@@ -95,8 +101,19 @@
         await self._readiness.start(self._entry.readiness)
 
     async def _leave(self) -> None:
+        """Forward on until the fabric sends elsewhere.
+
+        While no control host answers, the process that follows this one could place nothing, so
+        this one stays as long as it may.
+        """
         self._is_leaving = True
+        last = self._loop.time() + self._settings.grace_seconds - STOP_MARGIN_SECONDS
         await asyncio.sleep(LEAVE_SECONDS)
+        while self._is_blind() and self._loop.time() < last:
+            await asyncio.sleep(FIRST_POLL_SECONDS)
+
+    def _is_blind(self) -> bool:
+        return self._loop.time() - self._forwarder.views.heard > BLIND_SECONDS
 
     async def _close(self) -> None:
         if self._poller is not None:
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/settings.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/settings.py
@@ -9,6 +9,8 @@
 from lacewingrudder_core.types import Endpoint, HostName, ZoneName
 from lacewingrudder_wire.exceptions import DocumentError
 
+MILLISECONDS_PER_SECOND = 1000
+
 
 class TagEntrySettings(NamedTuple):
     """What only an entry host needs.
@@ -39,6 +41,7 @@
     :param seeds: control hosts to begin with; all hosts take messages at the same port.
     :param founds: whether the system starts for the first time.
     :param beat_seconds: how often a target checks in.
+    :param grace_seconds: how long after SIGTERM the process may still run.
     :param entry: ``None`` unless the process is an entry host.
     :param registrar: ``None`` unless the process is a control host.
     :param metrics: HTTP address for metrics, or ``None``.
@@ -50,6 +53,7 @@
     seeds: tuple[HostName, ...]
     founds: bool
     beat_seconds: float
+    grace_seconds: float
     entry: TagEntrySettings | None
     registrar: RegistrarSettings | None
     metrics: Endpoint | None
@@ -107,7 +111,8 @@
         messages=messages,
         seeds=reader.seeds("seeds", messages.port),
         founds=reader.flag("founds"),
-        beat_seconds=reader.milliseconds("beat_ms"),
+        beat_seconds=reader.positive("beat_ms") / MILLISECONDS_PER_SECOND,
+        grace_seconds=reader.positive("grace_s"),
         entry=_entry(reader),
         registrar=_registrar(reader),
         metrics=reader.endpoint("metrics") if "metrics" in document else None,
@@ -148,11 +153,11 @@
             raise DocumentError(self._file, field, "has to be true or false")
         return value
 
-    def milliseconds(self, field: str) -> float:
+    def positive(self, field: str) -> float:
         value = self._document.get(field)
         if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
             raise DocumentError(self._file, field, "has to be a number above 0")
-        return value / 1000
+        return value
 
     def endpoint(self, field: str) -> Endpoint:
         return self._parse(field, self.text(field))
