Let entry hosts of a zone leave one after the other

Cause: the fabric uses all hosts of a zone, also those that are down, once fewer than half are ready; hosts that were told to stop 1.2 s apart put their zone below that. Ruled out: a shorter stay, since a start alone takes longer than the gap. A host now goes on until its peers are enough or its grace is nearly up, and while no control host answers.

--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -8,11 +8,9 @@
 from ..core import Core
 from ..types import HostName, TargetName, ZoneName
 from .registry import CheckInOutcome, Registry
+from .subscribers import Subscribers
 from .types import CheckIn, ConfigurationUpdate, Subscription, TargetEntry, Update
 
-SUBSCRIBER_SECONDS = 2.5
-"""A subscriber that is silent for this long, five of its heartbeats, need not confirm a drain."""
-
 CONFIRM_SECONDS = 0.6
 """How long a drain waits for its confirmations; a target waits a second for its answer."""
 
@@ -114,11 +112,6 @@
 CheckInEffect = SendUpdate | Confirm | Expired | SubscriberLost | SubscriberFound
 
 
-class _Subscriber(NamedTuple):
-    subscription: Subscription
-    heard: float
-
-
 class _Waiting(NamedTuple):
     """A target that waits for the confirmation of its drain or end."""
 
@@ -141,7 +134,8 @@
         self._name = name
         self._zone = zone
         self._registry = registry
-        self._subscribers: dict[HostName, _Subscriber] = {}
+        self._subscribers = Subscribers()
+        self._now = 0.0
         self._controls = frozenset({name})
         self._configuration: StoredConfiguration | None = None
         self._waiting: list[_Waiting] = []
@@ -153,6 +147,7 @@
 
     def handle(self, event: CheckInEvent, now: float) -> list[CheckInEffect]:
         """Take one event."""
+        self._now = now
         if isinstance(event, CheckedIn):
             call = event.call
             outcome = self._registry.check_in(call, now)
@@ -192,9 +187,8 @@
 
     def _subscribed(self, subscription: Subscription, now: float) -> list[CheckInEffect]:
         host = subscription.host
-        before = self._subscribers.get(host)
-        self._subscribers[host] = _Subscriber(subscription, now)
-        effects: list[CheckInEffect] = [] if before else [SubscriberFound(host)]
+        is_new = self._subscribers.renew(subscription, now)
+        effects: list[CheckInEffect] = [SubscriberFound(host)] if is_new else []
         if subscription.is_poll or not self._has(subscription, self._registry.position.number):
             effects.append(self._update(subscription))
         if not subscription.is_control and subscription.version < self._version:
@@ -207,9 +201,9 @@
             return []
         self._configuration = configuration
         return [
-            self._configuration_for(host)
-            for host, row in self._subscribers.items()
-            if not row.subscription.is_control and row.subscription.zone == self._zone
+            self._configuration_for(subscription.host)
+            for subscription in self._subscribers.all()
+            if not subscription.is_control and subscription.zone == self._zone
         ]
 
     def _tick(self, now: float) -> list[CheckInEffect]:
@@ -217,15 +211,8 @@
         effects: list[CheckInEffect] = [Expired(entry) for entry in expired]
         if expired:
             effects += self._push(now)
-        return effects + self._drop_silent(now) + self._resend(now) + self._confirm(now)
-
-    def _drop_silent(self, now: float) -> list[CheckInEffect]:
-        silent = [
-            host for host, row in self._subscribers.items() if now - row.heard > SUBSCRIBER_SECONDS
-        ]
-        for host in silent:
-            del self._subscribers[host]
-        return [SubscriberLost(host) for host in silent]
+        effects += [SubscriberLost(host) for host in self._subscribers.drop_silent(now)]
+        return effects + self._resend(now) + self._confirm(now)
 
     def _resend(self, now: float) -> list[CheckInEffect]:
         effects: list[CheckInEffect] = []
@@ -239,9 +226,9 @@
 
     def _push(self, now: float) -> list[CheckInEffect]:
         return [
-            self._update(row.subscription)
-            for row in self._subscribers.values()
-            if not self._has(row.subscription, self._registry.position.number)
+            self._update(subscription)
+            for subscription in self._subscribers.all()
+            if not self._has(subscription, self._registry.position.number)
         ]
 
     def _confirm(self, now: float) -> list[CheckInEffect]:
@@ -259,13 +246,12 @@
         return effects
 
     def _lacking(self, number: int) -> list[HostName]:
-        rows = self._subscribers.values()
-        return [r.subscription.host for r in rows if not self._has(r.subscription, number)]
+        return [row.host for row in self._subscribers.all() if not self._has(row, number)]
 
     def _has_second_control(self, number: int) -> bool:
         """Whether the news would outlive this host."""
-        controls = [r.subscription for r in self._subscribers.values() if r.subscription.is_control]
-        return self._controls == {self._name} or any(self._has(s, number) for s in controls)
+        controls = [row for row in self._subscribers.all() if row.is_control]
+        return self._controls == {self._name} or any(self._has(row, number) for row in controls)
 
     def _has(self, subscription: Subscription, number: int) -> bool:
         epoch, known = subscription.position
@@ -280,6 +266,7 @@
             entries,
             self._version,
             tuple(sorted(self._controls)),
+            self._subscribers.peers(subscription.host, subscription.zone, self._now),
         )
         return SendUpdate(subscription.host, body)
 
--- a/packages/core/src/lacewingrudder_core/_checkins/types.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/types.py
@@ -81,6 +81,7 @@
     :param version: of the configuration that the subscriber has in force, -1 for none.
     :param is_control: whether the subscriber is a control host itself.
     :param is_poll: whether an answer is due also where there is nothing new.
+    :param is_ready: whether the subscriber takes new flows.
     """
 
     host: HostName
@@ -89,6 +90,18 @@
     position: Position
     version: int
     is_poll: bool
+    is_ready: bool = False
+
+
+class Peers(NamedTuple):
+    """The other entry hosts of a subscriber's zone.
+
+    :param known: how many were heard of late, those that are starting again among them.
+    :param ready: how many of them take new flows.
+    """
+
+    known: int
+    ready: int
 
 
 class Update(NamedTuple):
@@ -105,6 +118,7 @@
     entries: tuple[TargetEntry, ...]
     version: int
     controls: tuple[HostName, ...]
+    peers: Peers = Peers(0, 0)
 
 
 class ConfigurationUpdate(NamedTuple):
--- a/packages/core/src/lacewingrudder_core/checkins.py
+++ b/packages/core/src/lacewingrudder_core/checkins.py
@@ -15,12 +15,14 @@
 from ._checkins.core import SubscriberFound as SubscriberFound
 from ._checkins.core import SubscriberLost as SubscriberLost
 from ._checkins.core import Tick as Tick
+from ._checkins.leaving import LeavePlan as LeavePlan
 from ._checkins.registry import CheckInOutcome as CheckInOutcome
 from ._checkins.registry import Registry as Registry
 from ._checkins.types import CheckIn as CheckIn
 from ._checkins.types import ConfigurationUpdate as ConfigurationUpdate
 from ._checkins.types import LifeState as LifeState
 from ._checkins.types import Lifetime as Lifetime
+from ._checkins.types import Peers as Peers
 from ._checkins.types import Position as Position
 from ._checkins.types import Subscription as Subscription
 from ._checkins.types import TargetEntry as TargetEntry
--- a/packages/core/tests/test_checkins.py
+++ b/packages/core/tests/test_checkins.py
@@ -1,6 +1,7 @@
 import unittest
 
 from checkin_fakes import check_in, entry, update
+from lacewingrudder_core._checkins.subscribers import Subscribers
 from lacewingrudder_core.checkins import (
     CheckedIn,
     CheckInCore,
@@ -9,9 +10,11 @@
     ConfigurationUpdate,
     Confirm,
     ControlsKnown,
+    LeavePlan,
     Left,
     LifeState,
     Lifetime,
+    Peers,
     PeerUpdated,
     Position,
     Registry,
@@ -209,3 +212,42 @@
         first: Update = update(entry(1))
         self.assertTrue(views.take(first, 0.0))
         self.assertFalse(views.take(first, 0.1))
+
+
+class LeavePlanTest(unittest.TestCase):
+    """Entry hosts of one zone that are told to stop one soon after the other."""
+
+    def test_host_stays_while_too_few_others_of_its_zone_are_ready(self) -> None:
+        plan = LeavePlan(4.0)
+        self.assertFalse(plan.may_leave(Peers(2, 1), False, 1.0))
+        self.assertTrue(plan.may_leave(Peers(2, 2), False, 1.0))
+        self.assertTrue(plan.may_leave(Peers(1, 1), False, 1.0))
+
+    def test_host_stays_while_no_control_host_answers(self) -> None:
+        self.assertFalse(LeavePlan(4.0).may_leave(Peers(2, 2), True, 1.0))
+
+    def test_host_leaves_in_time_whatever_the_others_do(self) -> None:
+        self.assertTrue(LeavePlan(4.0).may_leave(Peers(2, 0), True, 4.0))
+
+    def test_only_host_of_a_zone_waits_for_nobody(self) -> None:
+        self.assertTrue(LeavePlan(4.0).may_leave(Peers(0, 0), False, 0.0))
+
+
+class SubscribersTest(unittest.TestCase):
+    def subscription(self, host: str, ready: bool, zone: str = "adum") -> Subscription:
+        return Subscription(host, zone, False, Position(0, 0), -1, True, ready)
+
+    def test_host_that_starts_again_counts_as_known_and_not_as_ready(self) -> None:
+        hosts = Subscribers()
+        for host in ("a:1", "b:1", "c:1"):
+            hosts.renew(self.subscription(host, True), 0.0)
+        hosts.renew(self.subscription("a:1", True), 3.0)
+        hosts.renew(self.subscription("b:1", True), 3.0)
+        self.assertEqual(hosts.drop_silent(3.0), ["c:1"])
+        self.assertEqual(hosts.peers("a:1", "adum", 3.0), Peers(2, 1))
+
+    def test_hosts_of_other_zones_do_not_count(self) -> None:
+        hosts = Subscribers()
+        hosts.renew(self.subscription("a:1", True), 0.0)
+        hosts.renew(self.subscription("b:1", True, "suame"), 0.0)
+        self.assertEqual(hosts.peers("a:1", "adum", 0.0), Peers(0, 0))
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -7,7 +7,14 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
-from lacewingrudder_core.checkins import ConfigurationUpdate, Subscription, TargetEntry, Update
+from lacewingrudder_core.checkins import (
+    ConfigurationUpdate,
+    LeavePlan,
+    Peers,
+    Subscription,
+    TargetEntry,
+    Update,
+)
 from lacewingrudder_core.tagging import Dropped, Forwarded, TagForwarder, TagSegment
 from lacewingrudder_core.types import Endpoint, FlowKey, HostName
 
@@ -34,8 +41,8 @@
 SETTLE_SECONDS = 0.5
 """How long probes go unanswered at a start, for packets to be forwarded first."""
 
-LEAVE_SECONDS = 2.0
-"""How long a leaving host forwards on: two missed probes of the fabric and their interval."""
+LEAVE_SECONDS = 1.5
+"""How long a leaving host forwards on: three probes of the fabric, half a second apart."""
 
 BLIND_SECONDS = 1.2
 """Two polls without any answer: a host that starts now would learn nothing."""
@@ -72,6 +79,7 @@
         self._controls: set[HostName] = set(settings.seeds)
         self._lost: set[HostName] = set()
         self._addresses: dict[Endpoint, Address] = {}
+        self._peers = Peers(0, 0)
         self._is_leaving = False
         self._was_ready = False
         self._poller: asyncio.Task[None] | None = None
@@ -101,16 +109,15 @@
         await self._readiness.start(self._entry.readiness)
 
     async def _leave(self) -> None:
-        """Forward on until the fabric sends elsewhere.
-
-        While no control host answers, the process that follows this one could place nothing, so
-        this one stays as long as it may.
-        """
+        """Wait until the zone can do without this host, then forward on until it has to."""
+        end = self._loop.time() + self._settings.grace_seconds - STOP_MARGIN_SECONDS
+        plan = LeavePlan(end - LEAVE_SECONDS)
+        while not plan.may_leave(self._peers, self._is_blind(), self._loop.time()):
+            await asyncio.sleep(FIRST_POLL_SECONDS)
         self._is_leaving = True
-        last = self._loop.time() + self._settings.grace_seconds - STOP_MARGIN_SECONDS
+        self._note_readiness()
+        self._poll_controls()
         await asyncio.sleep(LEAVE_SECONDS)
-        while self._is_blind() and self._loop.time() < last:
-            await asyncio.sleep(FIRST_POLL_SECONDS)
 
     def _is_blind(self) -> bool:
         return self._loop.time() - self._forwarder.views.heard > BLIND_SECONDS
@@ -129,19 +136,25 @@
     async def _poll(self) -> None:
         while True:
             now = self._loop.time()
-            for control in sorted(self._controls):
-                self._subscribe(control, is_poll=True)
+            self._poll_controls()
             self._note_targets(self._forwarder.tick(now))
             self._note_controls(now)
             self._note_readiness()
             settled = self._forwarder.version >= 0
             await asyncio.sleep(POLL_SECONDS if settled else FIRST_POLL_SECONDS)
 
+    def _poll_controls(self) -> None:
+        for control in sorted(self._controls):
+            self._subscribe(control, is_poll=True)
+
     def _subscribe(self, control: HostName, is_poll: bool) -> None:
         position = self._forwarder.views.position(control)
         name = str(self._settings.messages)
         zone, version = self._settings.zone, self._forwarder.version
-        self._channel.send(control, Subscription(name, zone, False, position, version, is_poll))
+        self._channel.send(
+            control,
+            Subscription(name, zone, False, position, version, is_poll, self.is_ready),
+        )
 
     def _deliver(self, sender: HostName, body: Any) -> None:
         if isinstance(body, Update):
@@ -151,6 +164,7 @@
 
     def _updated(self, sender: HostName, update: Update) -> None:
         self._controls |= set(update.controls)
+        self._peers = update.peers
         self._note_targets(self._forwarder.update(update, self._loop.time()))
         if update.entries:
             self._subscribe(sender, is_poll=False)
