Test the platform's translations, discovered voters and proved reads; wait for repeated drains

Cause: a repeated drain was confirmed at once though its first call had found no second host that knew of it; found while the calls were tested.

--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -9,7 +9,7 @@
 from ..types import HostName, TargetName, ZoneName
 from .registry import CheckInOutcome, Registry
 from .subscribers import Subscribers
-from .types import CheckIn, ConfigurationUpdate, Subscription, TargetEntry, Update
+from .types import CheckIn, ConfigurationUpdate, LifeState, Subscription, TargetEntry, Update
 
 CONFIRM_SECONDS = 0.6
 """How long a drain waits for its confirmations; a target waits a second for its answer."""
@@ -17,8 +17,6 @@
 RESEND_SECONDS = 0.12
 """When an update that a drain waits for is sent again; twice the round trip between zones."""
 
-PUSH_CONTROLS = frozenset({CheckInOutcome.DRAINING, CheckInOutcome.ENDED})
-
 
 class CheckedIn(NamedTuple):
     """A target checked in; the answer carries the token."""
@@ -151,10 +149,11 @@
         if isinstance(event, CheckedIn):
             call = event.call
             outcome = self._registry.check_in(call, now)
-            return self._published(event.token, outcome, call.zone, now)
+            is_promise = call.state is not LifeState.READY
+            return self._published(event.token, outcome, is_promise, call.zone, now)
         if isinstance(event, Left):
             outcome = self._registry.leave(event.target, event.born, now)
-            return self._published(event.token, outcome, "", now)
+            return self._published(event.token, outcome, True, "", now)
         if isinstance(event, Subscribed):
             return self._subscribed(event.subscription, now)
         if isinstance(event, PeerUpdated):
@@ -168,15 +167,17 @@
         return self._tick(now)
 
     def _published(
-        self, token: int, outcome: CheckInOutcome, zone: ZoneName, now: float
+        self, token: int, outcome: CheckInOutcome, is_promise: bool, zone: ZoneName, now: float
     ) -> list[CheckInEffect]:
-        if outcome is CheckInOutcome.RENEWED or outcome is CheckInOutcome.FOREIGN:
-            confirmed = outcome is CheckInOutcome.RENEWED
-            return [Confirm(token, outcome, confirmed, zone)]
-        if outcome is CheckInOutcome.LATE:
-            return [Confirm(token, outcome, True, zone)]
+        """Publish what a call changed, and answer it.
+
+        A drain or an end is a promise that no new flow follows. A call that repeats one waits like
+        the first: its sender got no answer, so that nobody else may know yet.
+        """
+        if outcome is CheckInOutcome.FOREIGN:
+            return [Confirm(token, outcome, False, zone)]
         effects = self._push(now)
-        if outcome not in PUSH_CONTROLS:
+        if not is_promise:
             return [Confirm(token, outcome, True, zone), *effects]
         number = self._registry.position.number
         waiting = _Waiting(
--- a/packages/core/tests/replica_cluster.py
+++ b/packages/core/tests/replica_cluster.py
@@ -8,7 +8,13 @@
 
 from lacewingrudder_core import replica as e
 from lacewingrudder_core._replica.log import LogEntry, Voter
-from lacewingrudder_core.notes import Catalogue, Note, SubmitReply, SubmitTag
+from lacewingrudder_core.notes import (
+    Catalogue,
+    Note,
+    StoredConfiguration,
+    SubmitReply,
+    SubmitTag,
+)
 from lacewingrudder_core.replica import Durable, ReplicaCore, Role, Write
 from lacewingrudder_core.types import Kind, OrderAction, Service, TargetOrder
 from replica_chart import replica_chart
@@ -27,9 +33,11 @@
 class Host:
     """A replica, its disk, and the writes that the disk has not taken yet."""
 
-    def __init__(self, name: str, names: list[str], seed: int) -> None:
+    def __init__(self, name: str, names: list[str], seed: int, seeds: tuple[str, ...] = ()) -> None:
         self.name = name
         self._names = names
+        self._seeds = seeds
+        self.policy: e.VoterPolicy = e.NamedVoters(names)
         self._random = random.Random(f"{name}-{seed}")
         self.lives = 0
         self.revision = 0
@@ -55,7 +63,16 @@
         self.writes = []
         self.is_up = True
         rng = random.Random(self._random.random())
-        self.core = ReplicaCore(self.name, e.NamedVoters(self._names), CHART, self.durable, rng)
+        if self._seeds:
+            self.policy = e.DiscoveredVoters(self._seeds, founds=self.lives == 1)
+        else:
+            self.policy = e.NamedVoters(self._names)
+        self.core = ReplicaCore(self.name, self.policy, CHART, self.durable, rng)
+
+    def learn(self, names: list[str]) -> None:
+        """Take in other hosts, as a host of a fleet does by its updates."""
+        if isinstance(self.policy, e.DiscoveredVoters):
+            self.policy.learn(names)
 
     def crash(self, survivors: int) -> None:
         """Stop at once; only the first of the writes under way reach the disk."""
@@ -71,10 +88,11 @@
     :raises AssertionError: from any method, as soon as a property does not hold.
     """
 
-    def __init__(self, size: int, seed: int = 0) -> None:
+    def __init__(self, size: int, seed: int = 0, seeds: int = 0) -> None:
         self.random = random.Random(seed)
         self.names = [f"c{number}" for number in range(1, size + 1)]
-        self.hosts = {name: Host(name, self.names, seed) for name in self.names}
+        found = tuple(self.names[:seeds])
+        self.hosts = {name: Host(name, self.names, seed, found) for name in self.names}
         self.now = 0.0
         self.messages: collections.deque[tuple[str, str, Any]] = collections.deque()
         self.cuts: set[tuple[str, str]] = set()
@@ -85,6 +103,10 @@
         self.replies: dict[int, SubmitReply] = {}
         self.accepted: dict[int, int] = {}
         self._notes: dict[int, Note] = {}
+        self._reads: dict[int, int] = {}
+        self.version = 0
+        self.accepted_version = -1
+        self._versions: dict[int, int] = {}
         self._token = 0
 
     def up(self) -> list[Host]:
@@ -106,6 +128,7 @@
     def tick(self, seconds: float = TICK_SECONDS) -> None:
         self.now += seconds
         for host in self.up():
+            host.learn(self.names)
             self.feed(host, e.Tick())
 
     def persist(self, host: Host, count: int | None = None) -> None:
@@ -138,6 +161,21 @@
         self.feed(host, e.Propose(self._token, note, order))
         return self._token
 
+    def configure(self, host: Host, version: int) -> int:
+        """Hand in a whole configuration."""
+        self._token += 1
+        self._versions[self._token] = version
+        configuration = StoredConfiguration(version, b"document")
+        self.feed(host, e.Propose(self._token, None, None, configuration))
+        return self._token
+
+    def read(self, host: Host) -> int:
+        """Ask for a proof that a host leads; what was accepted until now has to be seen then."""
+        self._token += 1
+        self._reads[self._token] = self.accepted_version
+        self.feed(host, e.ReadRequested(self._token))
+        return self._token
+
     def run(self, seconds: float) -> None:
         """Let time pass with disks and messages in order and without delay."""
         end = self.now + seconds
@@ -214,6 +252,11 @@
                     self._answer(token, outcome.reply)
             case e.Installed(catalogue):
                 self._show(host, catalogue.revision)
+            case e.ReadConfirmed(token, index):
+                floor = self._reads.pop(token)
+                if index is not None:
+                    assert host.core.state.commit >= index
+                    assert host.core.catalogue.version >= floor, "a read missed a configuration"
             case e.Answered(token, reply):
                 assert reply.tag is not SubmitTag.ACCEPTED
                 self._answer(token, reply)
@@ -225,6 +268,8 @@
     def _answer(self, token: int, reply: SubmitReply) -> None:
         assert token not in self.replies, "a request was answered twice"
         self.replies[token] = reply
+        if reply.tag is SubmitTag.ACCEPTED and token in self._versions:
+            self.accepted_version = max(self.accepted_version, self._versions[token])
         note = self._notes.get(token)
         if reply.tag is SubmitTag.ACCEPTED and note is not None:
             before = self.accepted.setdefault(note.number, reply.revision)
@@ -270,6 +315,7 @@
         assert self._converged(), "the healed cluster does not converge"
         for host in self.hosts.values():
             receipts = {r.number: r.revision for r in host.core.catalogue.receipts}
+            assert host.core.catalogue.version >= self.accepted_version, "a version was lost"
             for number, revision in self.accepted.items():
                 assert receipts.get(number) == revision, f"note {number} was lost"
 
@@ -283,8 +329,8 @@
 class Schedule:
     """One random schedule of faults over a cluster."""
 
-    def __init__(self, size: int, seed: int) -> None:
-        self.cluster = Cluster(size, seed)
+    def __init__(self, size: int, seed: int, seeds: int = 0) -> None:
+        self.cluster = Cluster(size, seed, seeds)
         self._random = self.cluster.random
         self._note = 0
         self._actions = [
@@ -293,6 +339,8 @@
             (14, self._tick),
             (14, self._submit),
         ]
+        if seeds:
+            self._actions += [(8, self._configure), (8, self._read)]
         self._faults = [
             (1, self._hand_over),
             (2, self._drop),
@@ -365,6 +413,22 @@
         digest = "" if self._random.random() < 0.9 else "other"
         self.cluster.propose(host, make_note(self._note, base, digest))
 
+    def _configure(self) -> None:
+        host = self._leading()
+        if host is not None:
+            self.cluster.version += self._random.randint(-1, 3)
+            self.cluster.configure(host, self.cluster.version)
+
+    def _read(self) -> None:
+        host = self._leading()
+        if host is not None:
+            self.cluster.read(host)
+
+    def _leading(self) -> Host | None:
+        """Return a host that believes that it leads, also one whose lease is over."""
+        leading = [host for host in self.cluster.up() if host.core.role == Role.LEADER]
+        return self._random.choice(leading) if leading else None
+
     def _crash(self) -> None:
         host = self._any()
         if host.is_up:
--- a/packages/core/tests/test_checkins.py
+++ b/packages/core/tests/test_checkins.py
@@ -128,6 +128,14 @@
         found = self.confirms(self.core.handle(Tick(), 0.7))
         self.assertEqual([(row.token, row.confirmed) for row in found], [(1, False)])
 
+    def test_repeated_drain_is_not_confirmed_before_another_host_knows(self) -> None:
+        self.core.handle(CheckedIn(1, check_in(1, 2, state=DRAINING)), 0.0)
+        self.core.handle(Tick(), 0.7)
+        again = self.core.handle(CheckedIn(2, check_in(1, 2, state=DRAINING)), 0.8)
+        self.assertEqual(self.confirms(again), [])
+        found = self.confirms(self.core.handle(Tick(), 1.5))
+        self.assertEqual([(row.token, row.confirmed) for row in found], [(2, False)])
+
     def test_drain_is_confirmed_in_time_though_an_entry_host_is_lost(self) -> None:
         self.core.handle(CheckedIn(1, check_in(1, 2, state=DRAINING)), 0.0)
         self.subscribe(PEER, True, self.core.registry.position, 0.1)
--- a/packages/core/tests/test_replica_schedules.py
+++ b/packages/core/tests/test_replica_schedules.py
@@ -7,6 +7,9 @@
 STEPS = 240
 SEEDS_OF_THREE = range(2700)
 SEEDS_OF_FIVE = range(10_000, 10_300)
+SEEDS_OF_DISCOVERED_THREE = range(20_000, 20_600)
+SEEDS_OF_DISCOVERED_FOUR = range(30_000, 30_600)
+FOUNDERS = 3
 
 
 class ScheduleTest(unittest.TestCase):
@@ -18,9 +21,9 @@
             patch.start()
             self.addCleanup(patch.stop)
 
-    def explore(self, size: int, seed: int) -> None:
+    def explore(self, size: int, seed: int, seeds: int = 0) -> None:
         try:
-            Schedule(size, seed).run(STEPS)
+            Schedule(size, seed, seeds).run(STEPS)
         except AssertionError as error:
             self.fail(f"size {size}, seed {seed}: {error}")
 
@@ -31,3 +34,11 @@
     def test_five_voters(self) -> None:
         for seed in SEEDS_OF_FIVE:
             self.explore(5, seed)
+
+    def test_three_hosts_that_found_each_other_through_seeds(self) -> None:
+        for seed in SEEDS_OF_DISCOVERED_THREE:
+            self.explore(3, seed, FOUNDERS)
+
+    def test_four_hosts_of_which_three_are_seeds(self) -> None:
+        for seed in SEEDS_OF_DISCOVERED_FOUR:
+            self.explore(4, seed, FOUNDERS)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -47,7 +47,7 @@
 
 def run_folder_here(folder: Path) -> None:
     """Run one folder in this process and print its report as the last line."""
-    sys.path.insert(0, str(ROOT))
+    sys.path[:0] = [str(ROOT), str(ROOT / "platform")]
     suite = unittest.defaultTestLoader.discover(str(folder), top_level_dir=str(folder))
     result = unittest.TextTestRunner(stream=sys.stdout, verbosity=1).run(suite)
     broken = [test for test, _ in result.failures + result.errors]
