Avoid zones that do not answer, and stay in the own zone longer

Ruled out: the view of targets, which names them fresh for 3.6 s by right. Copies now leave a silent zone, three silences in a row keep new flows off it, and a target elsewhere has to be 1.5 slots less loaded, 0.5 before.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -14,6 +14,7 @@
 from .flow_book import ANSWERED, REPEATED, FlowBook
 from .roster import Candidate, Roster
 from .selection import SplitCounter, choose_target
+from .tags import flow_tag
 from .types import (
     Configuration,
     Decision,
@@ -41,7 +42,8 @@
         self._views = Views()
         self._roster = Roster()
         self._book = FlowBook()
-        self._evidence = Evidence()
+        self._evidence: Evidence[int] = Evidence()
+        self._zones: Evidence[ZoneName] = Evidence()
         self._configuration: Configuration | None = None
         self._splits: dict[Endpoint, SplitCounter] = {}
         self._started: float | None = None
@@ -109,7 +111,7 @@
             tried: list[int] = []
         else:
             service, tried = opening.service, opening.tried
-            self._evidence.failed(tried[-1], now)
+            self._silent(tried[-1], now)
         target = None if service is None else self._choose(service, tried, now)
         if target is None or service is None:
             if not self.is_ready(now):
@@ -124,10 +126,25 @@
             tried,
             self._zone,
             self._book.load,
-            lambda tag: self._evidence.is_avoided(tag, now),
+            lambda entry: self._is_avoided(entry, now),
             now,
         )
 
+    def _is_avoided(self, entry: TargetEntry, now: float) -> bool:
+        tag = flow_tag(entry.lifetime)
+        return self._evidence.is_avoided(tag, now) or self._zones.is_avoided(entry.zone, now)
+
+    def _silent(self, tag: int, now: float) -> None:
+        """Take in that a target did not answer; other zones may be out of reach as a whole."""
+        self._evidence.failed(tag, now)
+        entry = self._roster.entry(tag)
+        if entry is not None and entry.zone != self._zone:
+            self._zones.failed(entry.zone, now)
+
+    def _answered(self, tag: int, zone: ZoneName) -> None:
+        self._evidence.answered(tag)
+        self._zones.answered(zone)
+
     def _follow(self, segment: TagSegment, now: float) -> Decision:
         tag = segment.tag
         entry = self._roster.entry(tag)
@@ -136,10 +153,10 @@
         if self._roster.is_gone(tag):
             return Reset(ResetReason.TARGET_GONE)
         if self._book.close_opening(segment.flow) is not None:
-            self._evidence.answered(tag)
+            self._answered(tag, entry.zone)
         progress = self._book.take(segment, now)
         if progress is ANSWERED:
-            self._evidence.answered(tag)
+            self._answered(tag, entry.zone)
         elif progress is REPEATED:
-            self._evidence.failed(tag, now)
+            self._silent(tag, now)
         return Forwarded(entry.endpoint, entry.identity, tag)
--- a/packages/core/src/lacewingrudder_core/_tagging/evidence.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/evidence.py
@@ -1,11 +1,14 @@
-"""What callers' packets show of a target's health.
+"""What callers' packets show of the health of targets, and of the way to a zone.
 
-A target that answers nobody for several packets in a row is avoided for a while, and longer each
-time; one answer clears it.
+What answers nobody for several packets in a row is avoided for a while, and longer each time; one
+answer clears it.
 """
 
 from __future__ import annotations
 
+from collections.abc import Hashable
+from typing import Generic, TypeVar
+
 FAILURES_TO_AVOID = 3
 """Unanswered SYNs or repeated requests in a row; one or two are ordinary packet loss."""
 
@@ -25,15 +28,18 @@
         self.avoid_seconds = AVOID_FIRST_SECONDS
 
 
-class Evidence:
-    """Failures and answers of targets, by flow tag."""
+KeyT = TypeVar("KeyT", bound=Hashable)
+
+
+class Evidence(Generic[KeyT]):
+    """Failures and answers, of targets by their tags or of zones by their names."""
 
     def __init__(self) -> None:
-        self._records: dict[int, _Record] = {}
+        self._records: dict[KeyT, _Record] = {}
 
-    def failed(self, tag: int, now: float) -> bool:
-        """Count a packet that got no answer; return whether the target is avoided from now on."""
-        record = self._records.setdefault(tag, _Record())
+    def failed(self, key: KeyT, now: float) -> bool:
+        """Count a packet that got no answer; return whether the key is avoided from now on."""
+        record = self._records.setdefault(key, _Record())
         record.failures += 1
         if record.failures < FAILURES_TO_AVOID or now < record.avoided_until:
             return False
@@ -42,12 +48,12 @@
         record.failures = FAILURES_TO_AVOID - 1
         return True
 
-    def answered(self, tag: int) -> bool:
-        """Take in an answer; return whether the target was avoided until now."""
-        record = self._records.pop(tag, None)
+    def answered(self, key: KeyT) -> bool:
+        """Take in an answer; return whether the key was avoided until now."""
+        record = self._records.pop(key, None)
         return record is not None and record.avoided_until > float("-inf")
 
-    def is_avoided(self, tag: int, now: float) -> bool:
-        """Return whether the target gets no new flows for now."""
-        record = self._records.get(tag)
+    def is_avoided(self, key: KeyT, now: float) -> bool:
+        """Return whether new flows go elsewhere for now."""
+        record = self._records.get(key)
         return record is not None and now < record.avoided_until
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Collection, Sequence
 
+from .._checkins.types import TargetEntry
 from ..types import ZoneName
 from .roster import Candidate
 from .types import Split
@@ -14,7 +15,7 @@
 FLOW_WEIGHT = 0.15
 """Load of an open flow, in slots: most are idle at any moment."""
 
-FOREIGN_ZONE_LOAD = 0.5
+FOREIGN_ZONE_LOAD = 1.5
 """Load that a target of another zone has to be below the own zone's, as a share of its slots."""
 
 COLD_FACTOR = 1.6
@@ -45,14 +46,16 @@
     tried: Collection[int],
     zone: ZoneName,
     load: Callable[[int], tuple[int, int]],
-    is_avoided: Callable[[int], bool],
+    is_avoided: Callable[[TargetEntry], bool],
     now: float,
 ) -> Candidate | None:
     """Return the least loaded target, those of the own zone first, or ``None``.
 
     Targets that earlier copies of the SYN went to, that are avoided, or that miss heartbeats come
-    last: one of them is still better than none.
+    last: one of them is still better than none. A copy also leaves another zone that did not
+    answer, since the way there may be cut.
     """
+    silent_zones = {row.entry.zone for row in candidates if row.tag in tried} - {zone}
 
     def cost(candidate: Candidate) -> tuple[int, float]:
         flows, busy = load(candidate.tag)
@@ -62,7 +65,8 @@
             used *= COLD_FACTOR
         if candidate.entry.zone != zone:
             used += FOREIGN_ZONE_LOAD
-        doubts = 2 * (not candidate.is_fresh) + is_avoided(candidate.tag)
+        doubts = 2 * (not candidate.is_fresh) + is_avoided(candidate.entry)
+        doubts += candidate.entry.zone in silent_zones
         return doubts + 4 * tried_count(candidate.tag), used
 
     def tried_count(tag: int) -> int:
--- a/packages/core/tests/test_tagging.py
+++ b/packages/core/tests/test_tagging.py
@@ -198,3 +198,26 @@
             seen[tag] = lifetime
             number += 1
         self.assertEqual(shared_tags([lifetime, seen[tag], Lifetime("i-other", 1)]), {tag})
+
+
+class ZoneCutTest(unittest.TestCase):
+    """A zone that is cut off, with more targets in the zones that it does not reach."""
+
+    def test_new_flows_soon_go_to_targets_in_reach(self) -> None:
+        near = [entry(1)]
+        far = [entry(number, zone="suame") for number in range(2, 8)]
+        made = forwarder(*near, *far)
+        reached = flow_tag(Lifetime("i-1", 1000))
+        delayed = unanswered = 0
+        for port in range(40000, 40200):
+            now = (port - 40000) / 50
+            for attempt in range(3):
+                placed = made.decide(syn(port, attempt), now + 0.2 * attempt)
+                assert isinstance(placed, Forwarded)
+                if placed.tag == reached:
+                    made.decide(data(port, placed.tag), now + 0.2 * attempt)
+                    break
+                delayed += attempt == 0
+                unanswered += attempt == 1
+        self.assertEqual(unanswered, 0)
+        self.assertLess(delayed, 20)
