Bound what hosts remember of targets and control hosts; events in the time line's form

Cause: lifetimes, silent control hosts and their views were kept for good, which a test with thousands of replaced targets shows. Tried and reverted: requests in progress times the entry hosts of the zone as the measure of load (open flows 0.05). Few requests at a time make the product jump, so that flows left their zone.

--- a/packages/core/src/lacewingrudder_core/_checkins/publisher.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/publisher.py
@@ -52,8 +52,13 @@
         changed = tuple(row.entry for row in self._entries.values() if row.number > known)
         return known, changed
 
-    def forget_gone(self, now: float) -> None:
-        """Drop ends of lifetimes that are long known."""
-        for lifetime, row in list(self._entries.items()):
-            if row.entry.state is LifeState.GONE and now - row.changed > GONE_KEPT_SECONDS:
-                del self._entries[lifetime]
+    def forget_gone(self, now: float) -> list[TargetEntry]:
+        """Drop ends of lifetimes that are long known; return these."""
+        old = [
+            row.entry
+            for row in self._entries.values()
+            if row.entry.state is LifeState.GONE and now - row.changed > GONE_KEPT_SECONDS
+        ]
+        for entry in old:
+            del self._entries[entry.lifetime]
+        return old
--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -131,7 +131,8 @@
             if known is not None and known.is_fresh and known.state is not LifeState.GONE:
                 stale.append(known._replace(is_fresh=False))
                 self._publisher.put(stale[-1], now)
-        self._publisher.forget_gone(now)
+        for entry in self._publisher.forget_gone(now):
+            self._forget(entry)
         return stale
 
     def _is_over(self, call: CheckIn, known: TargetEntry | None) -> bool:
@@ -163,6 +164,14 @@
         self._heard.pop(known.lifetime, None)
         self._publisher.put(known._replace(state=LifeState.GONE, is_fresh=False), now)
 
+    def _forget(self, entry: TargetEntry) -> None:
+        lifetime = entry.lifetime
+        self._sequences.pop(lifetime, None)
+        if self._newest.get(lifetime.target) == lifetime.born:
+            del self._newest[lifetime.target]
+        if self._holders.get(entry.endpoint) == lifetime:
+            del self._holders[entry.endpoint]
+
     def _remember(self, entry: TargetEntry) -> None:
         target, born = entry.lifetime
         self._newest[target] = max(born, self._newest.get(target, born))
--- a/packages/core/src/lacewingrudder_core/_checkins/views.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/views.py
@@ -11,6 +11,9 @@
 VIEW_SECONDS = 4.0
 """How long the word of a silent control host counts: targets find another within three beats."""
 
+FORGET_SECONDS = 120.0
+"""How long the view of a silent control host is kept: as long as ends of lifetimes are."""
+
 
 class KnownTarget(NamedTuple):
     """A lifetime of a target as this host sees it.
@@ -79,6 +82,14 @@
         view.position = update.position
         return True
 
+    def forget_silent(self, now: float) -> None:
+        """Drop the views of control hosts that are gone, unless no other is heard."""
+        if now - self.heard > VIEW_SECONDS:
+            return
+        self._views = {
+            host: view for host, view in self._views.items() if now - view.heard <= FORGET_SECONDS
+        }
+
     def merge(self, now: float) -> dict[Lifetime, KnownTarget]:
         """Return all lifetimes that any control host knows.
 
--- a/packages/core/src/lacewingrudder_core/_replica/voter_policy.py
+++ b/packages/core/src/lacewingrudder_core/_replica/voter_policy.py
@@ -133,6 +133,10 @@
         """Take in control hosts that exist."""
         self._contacts |= frozenset(names)
 
+    def forget(self, names: Iterable[HostName]) -> None:
+        """Ask hosts no longer that are gone for good."""
+        self._contacts -= frozenset(names)
+
     def admits(self, name: HostName) -> bool:
         """Return true: whoever reaches a control host as its peer has a disk for the log."""
         return True
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -95,6 +95,8 @@
         """Let time pass; return targets that changed."""
         idle = 15.0 if self._configuration is None else self._configuration.idle_seconds
         self._book.expire(idle, now)
+        self._views.forget_silent(now)
+        self._evidence.forget(lambda tag: self._roster.entry(tag) is not None)
         return self._roster.rebuild(self._views.merge(now), now)
 
     def decide(self, segment: TagSegment, now: float) -> Decision:
--- a/packages/core/src/lacewingrudder_core/_tagging/evidence.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/evidence.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from typing import Generic, TypeVar
 
 FAILURES_TO_AVOID = 3
@@ -53,6 +53,10 @@
         record = self._records.pop(key, None)
         return record is not None and record.avoided_until > float("-inf")
 
+    def forget(self, is_known: Callable[[KeyT], bool]) -> None:
+        """Drop the records of keys that no longer exist."""
+        self._records = {key: row for key, row in self._records.items() if is_known(key)}
+
     def is_avoided(self, key: KeyT, now: float) -> bool:
         """Return whether new flows go elsewhere for now."""
         record = self._records.get(key)
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_book.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_book.py
@@ -126,6 +126,9 @@
         for key in late:
             opening = self.close_opening(key)
             unanswered += opening.tried if opening is not None else []
+        for counts in (self._open, self._waiting, self._pending):
+            for tag in [tag for tag, count in counts.items() if not count]:
+                del counts[tag]
         return unanswered
 
     def _progress(self, flow: _Flow, segment: TagSegment, now: float) -> Progress:
--- a/packages/core/src/lacewingrudder_core/_tagging/roster.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/roster.py
@@ -58,10 +58,11 @@
         shared = shared_tags(known)
         candidates: dict[str, list[Candidate]] = {}
         changed: list[TargetEntry] = []
+        entries: dict[int, TargetEntry] = {}
+        gone: set[int] = set()
         for lifetime, target in known.items():
             tag = flow_tag(lifetime)
             if tag in shared:
-                self._entries.pop(tag, None)
                 continue
             entry = target.entry
             if lifetime in ended:
@@ -69,13 +70,15 @@
             before = self._entries.get(tag)
             if before is None or before.state != entry.state:
                 changed.append(entry)
-            self._entries[tag] = entry
+            entries[tag] = entry
             if entry.state is LifeState.GONE:
-                self._gone.add(tag)
+                gone.add(tag)
             elif entry.state is LifeState.READY:
                 warm_at = self._warm_at.setdefault(lifetime, now + entry.cold_ms / 1000)
                 candidate = Candidate(tag, entry, target.is_fresh, warm_at)
                 candidates.setdefault(entry.service, []).append(candidate)
+        self._entries, self._gone = entries, gone
+        self._warm_at = {life: at for life, at in self._warm_at.items() if life in known}
         self._candidates = {name: tuple(rows) for name, rows in candidates.items()}
         return changed
 
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -54,6 +54,8 @@
     Targets that earlier copies of the SYN went to, that are avoided, or that miss heartbeats come
     last: one of them is still better than none. A copy also leaves another zone that did not
     answer, since the way there may be cut.
+
+    :param load: a target's open flows and its busy ones, as this host sees them.
     """
     silent_zones = {row.entry.zone for row in candidates if row.tag in tried} - {zone}
 
--- a/packages/core/tests/test_checkins.py
+++ b/packages/core/tests/test_checkins.py
@@ -259,3 +259,25 @@
         hosts.renew(self.subscription("a:1", True), 0.0)
         hosts.renew(self.subscription("b:1", True, "suame"), 0.0)
         self.assertEqual(hosts.peers("a:1", "adum", 0.0), Peers(0, 0))
+
+
+class MemoryTest(unittest.TestCase):
+    """Targets that are replaced again and again."""
+
+    def test_registry_forgets_lifetimes_that_ended_long_ago(self) -> None:
+        registry = Registry(7, BEAT)
+        for number in range(1, 2000):
+            now = float(number)
+            registry.check_in(check_in(number, 1, born=number, address=1), now)
+            registry.check_in(check_in(number, 2, number, DRAINING, address=1), now)
+            registry.leave(f"i-{number:x}", None, now)
+            registry.expire(now)
+        self.assertLess(len(registry.entries()), 200)
+        self.assertLess(len(registry._sequences) + len(registry._newest), 500)
+
+    def test_views_of_control_hosts_that_are_gone_are_dropped(self) -> None:
+        views = Views()
+        for number in range(200):
+            views.take(update(entry(number + 1), control=f"c{number}:1"), 10.0 * number)
+            views.forget_silent(10.0 * number)
+        self.assertLess(len(views._views), 20)
--- a/packages/core/tests/test_tagging.py
+++ b/packages/core/tests/test_tagging.py
@@ -221,3 +221,21 @@
                 unanswered += attempt == 1
         self.assertEqual(unanswered, 0)
         self.assertLess(delayed, 20)
+
+
+class MemoryTest(unittest.TestCase):
+    """Targets and callers that come and go for long."""
+
+    def test_state_does_not_grow_with_lifetimes_and_flows(self) -> None:
+        made = forwarder()
+        for number in range(1, 400):
+            now = float(number * 20)
+            made.update(update(entry(number), epoch=number), now)
+            for port in range(40000, 40020):
+                placed = made.decide(syn(port), now)
+                if isinstance(placed, Forwarded):
+                    made.decide(data(port, placed.tag), now)
+            made.tick(now + 10.0)
+        self.assertLess(len(made._roster._entries) + len(made._roster._warm_at), 20)
+        self.assertLess(made.book.flows, 60)
+        self.assertLess(len(made.book._open) + len(made.book._pending), 20)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -122,6 +122,10 @@
 
     async def check_in(self, call: CheckIn) -> Confirm:
         """Take a target's check-in and return what became of it."""
+        if call.state is not checkins.LifeState.READY:
+            name, born = call.lifetime
+            detail = f"{name} born {born} says draining, check-in {call.sequence}"
+            self._events.record("drain_asked", target=str(call.endpoint), detail=detail)
         return await self._ask(Confirm, lambda token: self._feed(checkins.CheckedIn(token, call)))
 
     async def leave(self, target: TargetName, born: int | None) -> Confirm:
@@ -282,11 +286,13 @@
                 self._channel.send(host, body)
             case Confirm(token, outcome, confirmed, _):
                 if outcome is not checkins.CheckInOutcome.RENEWED:
-                    self._events.record("checked_in", detail=f"{outcome} confirmed {confirmed}")
+                    known = "known elsewhere" if confirmed else "not confirmed"
+                    self._events.record("checked_in", detail=f"{outcome}, {known}, call {token}")
                 self._answer(token, effect)
             case checkins.Expired(entry):
-                target = f"{entry.lifetime.target}@{entry.lifetime.born}"
-                self._events.record("target_silent", target=target)
+                name, born = entry.lifetime
+                detail = f"{name} born {born}, last check-in {entry.sequence}"
+                self._events.record("target_silent", target=str(entry.endpoint), detail=detail)
             case checkins.SubscriberLost(host):
                 self._events.record("subscriber_lost", target=host)
             case checkins.SubscriberFound(host):
@@ -314,11 +320,19 @@
 
     async def _poll(self) -> None:
         while True:
+            self._forget_silent()
             self._feed(checkins.ControlsKnown(frozenset(self._controls())))
             for host in sorted(self._policy.contacts - {self._name}):
                 self._subscribe(host, is_poll=True)
             await asyncio.sleep(POLL_SECONDS)
 
+    def _forget_silent(self) -> None:
+        """Poll hosts no longer that are neither seeds nor voters nor heard."""
+        kept = {*self._controls(), *self._settings.seeds}
+        self._policy.forget(self._policy.contacts - kept)
+        self._heard = {host: at for host, at in self._heard.items() if host in kept}
+        self._views.forget_silent(self._loop.time())
+
     def _controls(self) -> Iterable[HostName]:
         now = self._loop.time()
         yield self._name
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -15,7 +15,7 @@
     TargetEntry,
     Update,
 )
-from lacewingrudder_core.tagging import Dropped, Forwarded, TagForwarder, TagSegment
+from lacewingrudder_core.tagging import Dropped, Forwarded, TagForwarder, TagSegment, flow_tag
 from lacewingrudder_core.types import Endpoint, FlowKey, HostName
 
 from .._packets.datagrams import Address, DatagramSocket
@@ -78,6 +78,7 @@
         self._settled = asyncio.Event()
         self._readiness: HttpServer | None = None
         self._controls: set[HostName] = set(settings.seeds)
+        self._named: set[HostName] = set()
         self._lost: set[HostName] = set()
         self._addresses: dict[Endpoint, Address] = {}
         self._peers = Peers(0, 0)
@@ -140,6 +141,7 @@
             self._poll_controls()
             self._note_targets(self._forwarder.tick(now))
             self._note_controls(now)
+            self._forget_controls(now)
             self._note_readiness()
             settled = self._forwarder.version >= 0
             await asyncio.sleep(POLL_SECONDS if settled else FIRST_POLL_SECONDS)
@@ -164,7 +166,8 @@
             self._configure(body)
 
     def _updated(self, sender: HostName, update: Update) -> None:
-        self._controls |= set(update.controls)
+        self._named = set(update.controls)
+        self._controls |= self._named
         self._peers = update.peers
         self._note_targets(self._forwarder.update(update, self._loop.time()))
         if update.entries:
@@ -238,7 +241,8 @@
             "placed" if not segment.attempt else "placed_again",
             revision=self._forwarder.version,
             flow=_flow_text(segment.flow),
-            target=f"{decision.endpoint} tag {decision.tag:08x}",
+            target=str(decision.endpoint),
+            detail=f"tag {decision.tag:08x}, copy {segment.attempt} of the SYN",
         )
 
     def _note_flow(self, event: str, reason: str, segment: TagSegment) -> None:
@@ -246,16 +250,17 @@
             event,
             revision=self._forwarder.version,
             flow=_flow_text(segment.flow),
-            target=f"tag {segment.tag:08x}",
-            detail=reason,
+            detail=f"{reason}, tag {segment.tag:08x}",
         )
 
     def _note_targets(self, entries: Iterable[TargetEntry]) -> None:
         for entry in entries:
-            state = entry.state.name.lower()
-            detail = f"{state} as of check-in {entry.sequence}, service {entry.service}"
             name, born = entry.lifetime
-            self._events.record("target_changed", target=f"{name}@{born}", detail=detail)
+            detail = (
+                f"{entry.state.name.lower()} as of check-in {entry.sequence}, {name} born {born},"
+                f" service {entry.service}, tag {flow_tag(entry.lifetime):08x}"
+            )
+            self._events.record("target_changed", target=str(entry.endpoint), detail=detail)
 
     def _note_controls(self, now: float) -> None:
         for control in self._controls:
@@ -268,6 +273,20 @@
                 self._lost.discard(control)
                 self._events.record("control_regained", target=control)
 
+    def _forget_controls(self, now: float) -> None:
+        """Poll control hosts no longer that are neither seeds nor heard, nor named by others."""
+        heard = self._forwarder.views.heard
+        if now - heard > LOST_SECONDS:
+            return
+        kept = self._named | set(self._settings.seeds)
+        gone = {
+            control
+            for control in self._controls - kept
+            if self._forwarder.views.silence(control, now) > LOST_SECONDS
+        }
+        self._controls -= gone
+        self._lost -= gone
+
     def _note_readiness(self) -> None:
         ready = self.is_ready
         if ready != self._was_ready:
--- a/packages/daemon/tests/test_event_log.py
+++ b/packages/daemon/tests/test_event_log.py
@@ -3,6 +3,7 @@
 import unittest
 
 from lacewingrudder_daemon._fleet.event_log import EVENT_BURST, EventLog
+from lacewingrudder_wire.timeline import TimelineEvent
 
 
 class EventLogTest(unittest.TestCase):
@@ -14,10 +15,13 @@
 
     def lines(self) -> list[dict[str, object]]:
         os.set_blocking(self.reader, False)
-        return [json.loads(line) for line in os.read(self.reader, 1 << 20).splitlines()]
+        lines = os.read(self.reader, 1 << 20).decode().splitlines()
+        for line in lines:
+            TimelineEvent.from_line(line)
+        return [json.loads(line) for line in lines]
 
     def test_line_names_process_event_and_what_decided(self) -> None:
-        self.log.record("reset", revision=3, flow="a>b", target="tag 1", detail="no_route")
+        self.log.record("reset", revision=3, flow="a>b", target="10.0.0.1:80", detail="no_route")
         line = self.lines()[0]
         del line["time"]
         expected = {
@@ -25,7 +29,7 @@
             "event": "reset",
             "revision": 3,
             "flow": "a>b",
-            "target": "tag 1",
+            "target": "10.0.0.1:80",
             "detail": "no_route",
         }
         self.assertEqual(line, expected)
