--- a/packages/core/src/lacewingrudder_core/_flows/use.py
+++ b/packages/core/src/lacewingrudder_core/_flows/use.py
@@ -48,11 +48,14 @@
         return use, self._half_open.add(use.service, use.kind, key, now)
 
     def adopted(self, route: KindRoute, key: FlowKey, target: TargetName, now: float) -> FlowUse:
-        """Count a flow that another host kept; no first request of it is expected."""
+        """Count a flow that another host kept.
+
+        Admission expects no first request of it; how fast the target answers, it does not show.
+        """
         use, _ = self.opened(route, key, target, now)
         self.acknowledged(use, key, now)
-        self.caller_sent(use, now)
-        self.target_sent(use, now)
+        self._admission.became_busy(use.service, use.kind, now)
+        self._admission.became_idle(use.service, use.kind, now)
         return use
 
     def moved(self, use: FlowUse, target: TargetName) -> None:
