--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -12,7 +12,7 @@
 from ..latencies import Latencies
 from ..types import Endpoint, ZoneName
 from .evidence import Evidence
-from .flow_book import ANSWERED, REPEATED, FlowBook
+from .flow_book import FlowBook, Progress
 from .roster import Candidate, Roster
 from .selection import SplitCounter, choose_target
 from .tags import flow_tag
@@ -166,8 +166,8 @@
             self._open_seconds.add(now - opening.since)
             self._answered(tag, entry.zone)
         progress = self._book.take(segment, now)
-        if progress is ANSWERED:
+        if progress is Progress.ANSWERED:
             self._answered(tag, entry.zone)
-        elif progress is REPEATED:
+        elif progress is Progress.REPEATED:
             self._silent(tag, now)
         return Forwarded(entry.endpoint, entry.identity, tag)
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_book.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_book.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import enum
 
 from ..latencies import Latencies
 from ..types import FlowKey
@@ -45,11 +46,12 @@
         self.asked = now
 
 
-class Progress(int):
+class Progress(enum.Enum):
     """What a packet shows of its target."""
 
-
-NOTHING, ANSWERED, REPEATED = Progress(0), Progress(1), Progress(2)
+    NOTHING = enum.auto()
+    ANSWERED = enum.auto()
+    REPEATED = enum.auto()
 
 
 class FlowBook:
@@ -114,36 +116,33 @@
             self._forget(segment.flow)
         return progress
 
-    def expire(self, idle_seconds: float, now: float) -> list[int]:
-        """Forget idle flows and old SYNs; return the targets that left SYNs unanswered."""
+    def expire(self, idle_seconds: float, now: float) -> None:
+        """Forget idle flows and old SYNs."""
         while self._flows:
             key, flow = next(iter(self._flows.items()))
             if now - flow.seen <= idle_seconds:
                 break
             self._forget(key)
         late = [f for f, opening in self._openings.items() if now - opening.since > OPENING_SECONDS]
-        unanswered: list[int] = []
         for key in late:
-            opening = self.close_opening(key)
-            unanswered += opening.tried if opening is not None else []
+            self.close_opening(key)
         for counts in (self._open, self._waiting, self._pending):
             for tag in [tag for tag, count in counts.items() if not count]:
                 del counts[tag]
-        return unanswered
 
     def _progress(self, flow: _Flow, segment: TagSegment, now: float) -> Progress:
         is_new_ack = segment.acknowledged != flow.acknowledged
-        progress = NOTHING
+        progress = Progress.NOTHING
         if is_new_ack:
             if flow.acknowledged >= 0:
-                progress = ANSWERED
+                progress = Progress.ANSWERED
             flow.acknowledged = segment.acknowledged
             if flow.is_waiting:
                 self._answer_seconds.add(now - flow.asked)
             self._set_waiting(flow, False)
         if segment.payload:
             if segment.sequence == flow.sequence and not is_new_ack:
-                progress = REPEATED
+                progress = Progress.REPEATED
             flow.sequence = segment.sequence
             if not flow.is_waiting:
                 flow.asked = now
