--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import concurrent.futures
-import itertools
 import random
 import secrets
 import time
-from collections.abc import Callable, Iterable
-from typing import Any, TypeVar
+from collections.abc import Iterable
+from typing import Any
 
 from lacewingrudder_core import checkins, control
 from lacewingrudder_core import messages as m
@@ -24,16 +23,17 @@
     Update,
     Views,
 )
-from lacewingrudder_core.latencies import Latencies
 from lacewingrudder_core.notes import Catalogue, StoredConfiguration, SubmitReply
 from lacewingrudder_core.replica import DiscoveredVoters, ReplicaCore, ReplicaHeard
 from lacewingrudder_core.types import HostName, TargetName
 from lacewingrudder_wire.exceptions import CodecError
+from lacewingrudder_wire.replica_tags import REPLICA_TAGS
 
 from .._storage.disk import FolderDisk
 from .._storage.log_store import ReplicaStore
 from .._storage.registry_store import RegistryStore
 from ..control_task import ControlTask
+from .answers import Answers
 from .channel import Channel
 from .event_log import EventLog
 from .http import HttpHandler, HttpServer
@@ -55,27 +55,7 @@
 
 MILLISECONDS_PER_SECOND = 1000
 
-CONTROL_MESSAGES: dict[int, type[Any]] = {
-    **ENTRY_MESSAGES,
-    40: r.PreVoteRequest,
-    41: r.PreVoteReply,
-    42: r.VoteRequest,
-    43: r.VoteReply,
-    44: r.AppendRequest,
-    45: r.AppendReply,
-    46: r.SnapshotRequest,
-    47: r.SnapshotReply,
-    48: r.Introduce,
-    49: r.Introduced,
-    50: r.Found,
-    51: r.ForwardRequest,
-    52: r.ForwardReply,
-    53: r.Handover,
-    54: r.ReadRequest,
-    55: r.ReadReply,
-}
-AnswerT = TypeVar("AnswerT")
-
+CONTROL_MESSAGES = ENTRY_MESSAGES | REPLICA_TAGS
 _FORWARD_MESSAGES = (r.ForwardRequest, r.ForwardReply, r.ReadRequest, r.ReadReply)
 _CHECKIN_MESSAGES = (Subscription, Update, checkins.ConfigurationUpdate)
 
@@ -98,6 +78,7 @@
         self._registrar = registrar
         self._name = str(settings.messages)
         self._policy = DiscoveredVoters(settings.seeds, settings.founds)
+        self._answers = Answers()
         self._channel = Channel(CONTROL_MESSAGES, events, self._deliver)
         disk = FolderDisk(registrar.data_folder)
         self._control = self._make_control(disk, chart)
@@ -106,9 +87,6 @@
         self._thread = concurrent.futures.ThreadPoolExecutor(1, "registry")
         self._views = Views()
         self._heard: dict[HostName, float] = {}
-        self._call_seconds = Latencies()
-        self._tokens = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._server: HttpServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -126,18 +104,20 @@
             name, born = call.lifetime
             detail = f"{name} born {born} says draining, check-in {call.sequence}"
             self._events.record("drain_asked", target=str(call.endpoint), detail=detail)
-        return await self._ask(Confirm, lambda token: self._feed(checkins.CheckedIn(token, call)))
+        return await self._answers.ask(
+            Confirm, lambda token: self._feed(checkins.CheckedIn(token, call))
+        )
 
     async def leave(self, target: TargetName, born: int | None) -> Confirm:
         """Take a target's word that it ends, and return what became of it."""
-        return await self._ask(
+        return await self._answers.ask(
             Confirm, lambda token: self._feed(checkins.Left(token, target, born))
         )
 
     async def submit(self, configuration: StoredConfiguration) -> SubmitReply:
         """Hand in a configuration and return whether it was accepted."""
         request = m.SubmitConfiguration(configuration)
-        reply = await self._ask(
+        reply = await self._answers.ask(
             m.OperatorReply, lambda token: self._control.handle(control.Requested(token, request))
         )
         return reply.reply
@@ -145,7 +125,7 @@
     async def read(self) -> m.ConfigurationReply:
         """Return the newest configuration, if it is proved to be that."""
         request = m.ReadConfiguration()
-        return await self._ask(
+        return await self._answers.ask(
             m.ConfigurationReply,
             lambda token: self._control.handle(control.Requested(token, request)),
         )
@@ -205,7 +185,7 @@
                 "message_bytes_sent": self._channel.sent_bytes,
                 "messages_rejected": self._channel.rejected,
             },
-            {"call_seconds": self._call_seconds},
+            {"call_seconds": self._answers.seconds},
         )
 
     def _make_control(self, disk: FolderDisk, chart: Chart) -> ControlTask:
@@ -218,30 +198,10 @@
             store,
             self._events,
             self._channel.send,
-            self._answer,
+            self._answers.give,
             self._changed,
         )
 
-    async def _ask(self, kind: type[AnswerT], hand_in: Callable[[int], None]) -> AnswerT:
-        """Hand a request to a core under a token, and return the answer that carries it."""
-        token = next(self._tokens)
-        asked = self._loop.time()
-        future: asyncio.Future[Any] = self._loop.create_future()
-        self._waiting[token] = future
-        hand_in(token)
-        try:
-            answer = await future
-            assert isinstance(answer, kind)
-            return answer
-        finally:
-            del self._waiting[token]
-            self._call_seconds.add(self._loop.time() - asked)
-
-    def _answer(self, token: int, body: Any) -> None:
-        future = self._waiting.get(token)
-        if future is not None and not future.done():
-            future.set_result(body)
-
     def _changed(self, catalogue: Catalogue) -> None:
         if catalogue.configuration is None:
             return
@@ -288,7 +248,7 @@
                 if outcome is not checkins.CheckInOutcome.RENEWED:
                     known = "known elsewhere" if confirmed else "not confirmed"
                     self._events.record("checked_in", detail=f"{outcome}, {known}, call {token}")
-                self._answer(token, effect)
+                self._answers.give(token, effect)
             case checkins.Expired(entry):
                 name, born = entry.lifetime
                 detail = f"{name} born {born}, last check-in {entry.sequence}"
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
 from lacewingrudder_core.checkins import (
@@ -12,15 +11,15 @@
     LeavePlan,
     Peers,
     Subscription,
-    TargetEntry,
     Update,
 )
-from lacewingrudder_core.tagging import Dropped, Forwarded, TagForwarder, TagSegment, flow_tag
-from lacewingrudder_core.types import Endpoint, FlowKey, HostName
+from lacewingrudder_core.tagging import Dropped, Forwarded, TagForwarder
+from lacewingrudder_core.types import Endpoint, HostName
 
 from .._packets.datagrams import Address, DatagramSocket
 from .adapters import ConfigurationReader, PacketAdapter
 from .channel import Channel, address_of
+from .entry_events import EntryEvents
 from .event_log import EventLog
 from .messages import ENTRY_MESSAGES
 from .process import FleetProcess
@@ -72,6 +71,7 @@
         self._entry = entry
         self._adapter = packets
         self._reader = reader
+        self._reports = EntryEvents(events)
         self._forwarder = TagForwarder(settings.zone)
         self._socket = DatagramSocket(self._received)
         self._channel = Channel(ENTRY_MESSAGES, events, self._deliver)
@@ -139,7 +139,7 @@
         while True:
             now = self._loop.time()
             self._poll_controls()
-            self._note_targets(self._forwarder.tick(now))
+            self._reports.targets(self._forwarder.tick(now))
             self._note_controls(now)
             self._forget_controls(now)
             self._note_readiness()
@@ -169,7 +169,7 @@
         self._named = set(update.controls)
         self._controls |= self._named
         self._peers = update.peers
-        self._note_targets(self._forwarder.update(update, self._loop.time()))
+        self._reports.targets(self._forwarder.update(update, self._loop.time()))
         if update.entries:
             self._subscribe(sender, is_poll=False)
         self._note_readiness()
@@ -180,34 +180,30 @@
         try:
             configuration = self._reader.read(update.document)
         except ValueError as error:
-            self._events.record(
-                "configuration_unreadable", revision=update.version, detail=str(error)
-            )
+            self._reports.unreadable(update.version, error)
             return
         before = self._forwarder.version
         if self._forwarder.configure(configuration):
-            routes = len(configuration.routes)
-            detail = f"{routes} routes, after version {before}"
-            self._events.record("in_force", revision=update.version, detail=detail)
+            self._reports.in_force(update.version, before, len(configuration.routes))
         self._note_readiness()
 
     def _received(self, data: bytes, sender: Address) -> None:
         segment = self._adapter.read(data)
         if segment is None:
-            self._events.record("packet_rejected", detail=f"{len(data)} bytes from {sender[0]}")
+            self._reports.rejected(len(data), sender[0])
             return
         decision = self._forwarder.decide(segment, self._loop.time())
         if isinstance(decision, Forwarded):
             datagram = self._adapter.to_target(data, decision.identity, decision.tag)
             self._socket.send(datagram, self._address(decision.endpoint))
             if segment.opens:
-                self._note_placed(segment, decision)
+                self._reports.placed(segment, decision, self._forwarder.version)
         elif isinstance(decision, Dropped):
-            self._note_flow("dropped", decision.reason, segment)
+            self._reports.ended("dropped", decision.reason, segment, self._forwarder.version)
         else:
             packet = self._adapter.reset(segment)
             self._socket.send(packet.data, packet.destination)
-            self._note_flow("reset", decision.reason, segment)
+            self._reports.ended("reset", decision.reason, segment, self._forwarder.version)
 
     def _measure(self) -> Measures:
         from .metrics import Measures
@@ -236,42 +232,15 @@
             found = self._addresses[endpoint] = address_of(str(endpoint))
         return found
 
-    def _note_placed(self, segment: TagSegment, decision: Forwarded) -> None:
-        self._events.record(
-            "placed" if not segment.attempt else "placed_again",
-            revision=self._forwarder.version,
-            flow=_flow_text(segment.flow),
-            target=str(decision.endpoint),
-            detail=f"tag {decision.tag:08x}, copy {segment.attempt} of the SYN",
-        )
-
-    def _note_flow(self, event: str, reason: str, segment: TagSegment) -> None:
-        self._events.record(
-            event,
-            revision=self._forwarder.version,
-            flow=_flow_text(segment.flow),
-            detail=f"{reason}, tag {segment.tag:08x}",
-        )
-
-    def _note_targets(self, entries: Iterable[TargetEntry]) -> None:
-        for entry in entries:
-            name, born = entry.lifetime
-            detail = (
-                f"{entry.state.name.lower()} as of check-in {entry.sequence}, {name} born {born},"
-                f" service {entry.service}, tag {flow_tag(entry.lifetime):08x}"
-            )
-            self._events.record("target_changed", target=str(entry.endpoint), detail=detail)
-
     def _note_controls(self, now: float) -> None:
         for control in self._controls:
             silence = self._forwarder.views.silence(control, now)
             if silence > LOST_SECONDS and control not in self._lost:
                 self._lost.add(control)
-                detail = f"silent for {silence:.1f} s"
-                self._events.record("control_lost", target=control, detail=detail)
+                self._reports.control_lost(control, silence)
             elif silence <= LOST_SECONDS and control in self._lost:
                 self._lost.discard(control)
-                self._events.record("control_regained", target=control)
+                self._reports.control_regained(control)
 
     def _forget_controls(self, now: float) -> None:
         """Poll control hosts no longer that are neither seeds nor heard, nor named by others."""
@@ -292,10 +261,4 @@
         if ready != self._was_ready:
             self._was_ready = ready
             self._settled.set()
-            version = self._forwarder.version
-            self._events.record("ready" if ready else "not_ready", revision=version)
-
-
-def _flow_text(flow: FlowKey) -> str:
-    caller = Endpoint(flow.caller, flow.caller_port)
-    return f"{caller}>{Endpoint(flow.service, flow.service_port)}"
+            self._reports.readiness(ready, self._forwarder.version)
--- a/packages/wire/src/lacewingrudder_wire/codec.py
+++ b/packages/wire/src/lacewingrudder_wire/codec.py
@@ -6,16 +6,17 @@
 
 import cbor2
 from lacewingrudder_core import messages as m
-from lacewingrudder_core import replica as r
 from lacewingrudder_core.clock import HybridTime
 
 from . import handshake as h
 from .exceptions import CodecError
+from .replica_tags import REPLICA_TAGS
 from .values import from_plain, plain
 
 MESSAGE_LIMIT_BYTES = 1 << 20
 
 _TAGS: dict[int, type[Any]] = {
+    **REPLICA_TAGS,
     1: h.Challenge,
     2: h.Hello,
     3: h.Welcome,
@@ -33,22 +34,6 @@
     32: m.StatusRequest,
     33: m.Status,
     34: m.OperatorReply,
-    40: r.PreVoteRequest,
-    41: r.PreVoteReply,
-    42: r.VoteRequest,
-    43: r.VoteReply,
-    44: r.AppendRequest,
-    45: r.AppendReply,
-    46: r.SnapshotRequest,
-    47: r.SnapshotReply,
-    48: r.Introduce,
-    49: r.Introduced,
-    50: r.Found,
-    51: r.ForwardRequest,
-    52: r.ForwardReply,
-    53: r.Handover,
-    54: r.ReadRequest,
-    55: r.ReadReply,
     60: m.Ping,
     61: m.Ack,
     62: m.ProbeRequest,
--- /dev/null
+++ b/packages/wire/src/lacewingrudder_wire/replica_tags.py
@@ -0,0 +1,26 @@
+"""Numbers of the messages between replicas, the same on links and in datagrams."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from lacewingrudder_core import replica as r
+
+REPLICA_TAGS: dict[int, type[Any]] = {
+    40: r.PreVoteRequest,
+    41: r.PreVoteReply,
+    42: r.VoteRequest,
+    43: r.VoteReply,
+    44: r.AppendRequest,
+    45: r.AppendReply,
+    46: r.SnapshotRequest,
+    47: r.SnapshotReply,
+    48: r.Introduce,
+    49: r.Introduced,
+    50: r.Found,
+    51: r.ForwardRequest,
+    52: r.ForwardReply,
+    53: r.Handover,
+    54: r.ReadRequest,
+    55: r.ReadReply,
+}
