--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -129,7 +129,8 @@
             del self._heard[lifetime]
             known = self._publisher.get(lifetime)
             if known is not None and known.is_fresh and known.state is not LifeState.GONE:
-                stale.append(known._replace(is_fresh=False))
+                last = self._sequences.get(lifetime, known.sequence)
+                stale.append(known._replace(is_fresh=False, sequence=last))
                 self._publisher.put(stale[-1], now)
         for entry in self._publisher.forget_gone(now):
             self._forget(entry)
--- a/packages/core/tests/test_checkins.py
+++ b/packages/core/tests/test_checkins.py
@@ -84,11 +84,12 @@
         self.assertEqual(self.state(1, 2000), LifeState.READY)
 
     def test_target_that_misses_heartbeats_is_stale_and_returns(self) -> None:
-        self.registry.check_in(check_in(1, 1), 0.0)
+        self.registry.check_in(check_in(1, 1), -BEAT)
+        self.registry.check_in(check_in(1, 2), 0.0)
         self.assertEqual(self.registry.expire(3 * BEAT), [])
-        self.assertEqual(len(self.registry.expire(3 * BEAT + 0.1)), 1)
+        self.assertEqual([row.sequence for row in self.registry.expire(3 * BEAT + 0.1)], [2])
         self.assertFalse(self.registry.entries()[0].is_fresh)
-        self.assertEqual(self.registry.check_in(check_in(1, 2), 5.0), CheckInOutcome.REGISTERED)
+        self.assertEqual(self.registry.check_in(check_in(1, 3), 5.0), CheckInOutcome.REGISTERED)
         self.assertTrue(self.registry.entries()[0].is_fresh)
 
     def test_end_that_another_host_heard_outlives_that_host(self) -> None:
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -235,7 +235,7 @@
     def _note_controls(self, now: float) -> None:
         for control in self._controls:
             silence = self._forwarder.views.silence(control, now)
-            if silence > LOST_SECONDS and control not in self._lost:
+            if LOST_SECONDS < silence < float("inf") and control not in self._lost:
                 self._lost.add(control)
                 self._reports.control_lost(control, silence)
             elif silence <= LOST_SECONDS and control in self._lost:
