Cut the bound on SYNs only for an overload that lasts

One late timer or one full socket cut the bound to 50 SYNs a second, so that a host that had been paused refused the SYNs that had queued up meanwhile, and copies of SYNs of flows that it had just placed. What is still refused after 0.6 s is refused by shares (share_used), since the slots are taken by what waits. Conclusion: two measurements in a row are needed.

--- a/packages/core/src/lacewingrudder_core/_admission/overload.py
+++ b/packages/core/src/lacewingrudder_core/_admission/overload.py
@@ -1,9 +1,11 @@
 """Bounds the SYNs that a host takes from the fabric, before it relays or places any of them.
 
 A refusal here costs one look-up. The bound follows the host's own load, measured as the backlog of
-its packet socket and the lag of its loop: it is cut at once and recovers slowly (additive increase,
-multiplicative decrease). Under the bound, the kinds of work share it by max-min fairness, so that a
-kind that asks for less than an equal part is never refused. Packets of flows are never refused.
+its packet socket and the lag of its loop: it is cut while the overload lasts and recovers slowly
+(additive increase, multiplicative decrease). One high measurement alone cuts nothing: a process
+that was paused finds its timer late and its socket full once, however few SYNs are sent. Under the
+bound, the kinds of work share it by max-min fairness, so that a kind that asks for less than an
+equal part is never refused. Packets of flows are never refused.
 """
 
 from __future__ import annotations
@@ -18,6 +20,8 @@
 WINDOW_SECONDS = 0.1
 BACKLOG_LIMIT = 0.5
 LAG_LIMIT_SECONDS = 0.05
+OVERLOADED_MEASUREMENTS = 2
+"""Measurements in a row above a limit that show an overload rather than a pause."""
 CUT_FACTOR = 0.7
 RECOVERY_SYNS_PER_SECOND = 50.0
 
@@ -40,6 +44,7 @@
 
     def __init__(self) -> None:
         self._limit = MOST_SYNS_PER_SECOND
+        self._overloaded = 0
         self._window = 0.0
         self._demands: dict[Endpoint, float] = {}
         self._admitted: dict[Endpoint, float] = {}
@@ -56,11 +61,14 @@
         :param backlog: filled fraction of the packet socket's buffer.
         :param lag: seconds by which the loop is late.
         """
-        if backlog > BACKLOG_LIMIT or lag > LAG_LIMIT_SECONDS:
-            taken = sum(self._admitted.values()) / WINDOW_SECONDS
-            self._limit = max(LEAST_SYNS_PER_SECOND, CUT_FACTOR * min(self._limit, taken or 0.0))
-        else:
+        if backlog <= BACKLOG_LIMIT and lag <= LAG_LIMIT_SECONDS:
+            self._overloaded = 0
             self._limit = min(MOST_SYNS_PER_SECOND, self._limit + RECOVERY_SYNS_PER_SECOND)
+            return
+        self._overloaded += 1
+        if self._overloaded >= OVERLOADED_MEASUREMENTS:
+            taken = sum(self._admitted.values()) / WINDOW_SECONDS
+            self._limit = max(LEAST_SYNS_PER_SECOND, CUT_FACTOR * min(self._limit, taken))
 
     def admits(self, syn: Segment, now: float) -> bool:
         """Return whether a SYN may be looked at now."""
