Add a soak of the real processes under faults from outside

What it does: `python -m soak` starts three control hosts and some entry hosts as on the platform, carries their messages over a loopback proxy (cut, cut one way, lossy, delayed; calls reset, silent, answers lost), pauses, kills, stops, wipes and reloads processes in overlapping series with quieter spells between them, limits the size of files as a full disk, and changes targets; callers keep their flows open meanwhile. Thirteen promises are checked from what callers, targets and operators see. For the proxy, hosts may bind their messages to another address than others use (messages_bind). What the platform's stand-ins speak moves to standins/platform.py, which the fleet test uses as well.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,11 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/installed
 PACKAGES := core wire daemon cli
-SOURCES := packages platform standins measure tools tests
+SOURCES := packages platform standins measure soak tools tests
+SEED ?= 1
+MINUTES ?= 0
 
-.PHONY: test demo measure lint format install
+.PHONY: test demo measure soak lint format install
 
 install: $(STAMP)
 
@@ -21,6 +23,9 @@
 demo: install
 	$(PYTHON) -m standins.demo
 
+soak: install
+	$(PYTHON) -m soak --seed $(SEED) --minutes $(MINUTES)
+
 measure: install
 	$(PYTHON) -m measure
 
@@ -29,7 +34,7 @@
 	$(PYTHON) -m ruff check --quiet $(SOURCES)
 	$(PYTHON) -m mypy --no-error-summary $(foreach package,$(PACKAGES),packages/$(package)/src) \
 		platform/lacewingrudder_platform \
-		standins measure tools
+		standins measure soak tools
 
 format: install
 	$(PYTHON) -m black --quiet $(SOURCES)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -132,7 +132,7 @@
 
     async def _start(self) -> None:
         self._loop = asyncio.get_running_loop()
-        self._channel.open(self._settings.messages)
+        self._channel.open(self._settings.messages_bind)
         if self._server is not None:
             await self._server.start(self._registrar.calls)
         self._changed(self._control.core.catalogue)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -94,7 +94,7 @@
 
     async def _start(self) -> None:
         self._loop = asyncio.get_running_loop()
-        self._channel.open(self._settings.messages)
+        self._channel.open(self._settings.messages_bind)
         self._socket.open(address_of(str(self._entry.packets)))
         self._poller = asyncio.create_task(self._poll())
         with contextlib.suppress(TimeoutError):
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/settings.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/settings.py
@@ -45,6 +45,8 @@
     :param entry: ``None`` unless the process is an entry host.
     :param registrar: ``None`` unless the process is a control host.
     :param metrics: HTTP address for metrics, or ``None``.
+    :param messages_bind: where this host listens for messages; another address than ``messages``
+        if addresses are translated on the way.
     """
 
     name: str
@@ -57,6 +59,7 @@
     entry: TagEntrySettings | None
     registrar: RegistrarSettings | None
     metrics: Endpoint | None
+    messages_bind: Endpoint
 
 
 class SettingsFile:
@@ -116,6 +119,7 @@
         entry=_entry(reader),
         registrar=_registrar(reader),
         metrics=reader.endpoint("metrics") if "metrics" in document else None,
+        messages_bind=reader.endpoint("messages_bind") if "messages_bind" in document else messages,
     )
 
 
--- a/packages/daemon/tests/test_fleet_settings.py
+++ b/packages/daemon/tests/test_fleet_settings.py
@@ -40,6 +40,12 @@
         self.assertIsNone(settings.entry)
         self.assertEqual(settings.registrar.data_folder, Path("/data"))
 
+    def test_messages_may_be_bound_to_another_address_than_others_use(self) -> None:
+        settings = self.read(messages_bind="10.9.0.1:7720")
+        self.assertEqual(settings.messages, Endpoint.parse("10.1.0.10:7720"))
+        self.assertEqual(settings.messages_bind, Endpoint.parse("10.9.0.1:7720"))
+        self.assertEqual(self.read().messages_bind, self.read().messages)
+
     def test_errors_name_file_field_and_reason(self) -> None:
         cases: list[tuple[str, Any]] = [
             ("name", ""),
@@ -51,6 +57,7 @@
             ("beat_ms", 0),
             ("grace_s", True),
             ("readiness", None),
+            ("messages_bind", "10.9.0.1"),
         ]
         for field, value in cases:
             with self.subTest(field=field), self.assertRaises(DocumentError) as raised:
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,72 @@
+"""``python -m soak``: soaks from given or fresh seeds; exits 1 if a promise was broken."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import sys
+import time
+from pathlib import Path
+
+import click
+
+from .hosts import MOST_HOSTS
+from .run import Outcome, run_soak
+
+CONTROLS = 3
+
+
+@click.command()
+@click.option("--seed", "seeds", type=int, multiple=True, help="Seed of a soak; may be repeated.")
+@click.option("--count", type=click.IntRange(1), default=1, help="Soaks with successive seeds.")
+@click.option("--minutes", type=float, default=0.0, help="Fresh seeds for this long instead.")
+@click.option("--seconds", type=float, default=22.0, help="For how long faults begin in a soak.")
+@click.option(
+    "--entries",
+    type=click.IntRange(1, MOST_HOSTS - CONTROLS),
+    default=4,
+    help="Number of entry hosts.",
+)
+@click.option(
+    "--keep",
+    type=click.Path(path_type=Path, file_okay=False),
+    default=Path("target/soak"),
+    help="Where logs of soaks with findings are kept.",
+)
+def main(
+    seeds: tuple[int, ...], count: int, minutes: float, seconds: float, entries: int, keep: Path
+) -> None:
+    """Run the system's processes under random faults and check what users were promised.
+
+    The schedule of faults follows from the seed alone. One line a promise is printed for each soak.
+    """
+    first = list(seeds) or [random.SystemRandom().getrandbits(31)]
+    end = time.monotonic() + 60 * minutes
+    outcomes: list[Outcome] = []
+    for seed in _seeds(first, count, end if minutes else None):
+        outcomes.append(asyncio.run(run_soak(seed, seconds, entries, keep)))
+        _report(outcomes[-1])
+    broken = [outcome.seed for outcome in outcomes if outcome.findings]
+    click.echo(f"{len(outcomes)} soaks, {len(broken)} with a broken promise {broken or ''}")
+    sys.exit(1 if broken else 0)
+
+
+def _seeds(first: list[int], count: int, end: float | None) -> collections.abc.Iterator[int]:
+    if end is None:
+        for seed in first:
+            yield from range(seed, seed + count)
+        return
+    yield first[0]
+    while time.monotonic() < end:
+        yield random.SystemRandom().getrandbits(31)
+
+
+def _report(outcome: Outcome) -> None:
+    click.echo(f"seed {outcome.seed}: {len(outcome.findings)} broken {outcome.folder}")
+    for line in outcome.lines:
+        click.echo(f"  {line}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/links.py
@@ -0,0 +1,127 @@
+"""Loopback proxies between the processes: datagrams among hosts, connections of calls."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from standins.sockets import open_socket
+from standins.wire import Address
+
+_LINGER_RESET = struct.pack("ii", 1, 0)
+_READ_BYTES = 65_536
+
+
+class Impairment(NamedTuple):
+    """What a link does to datagrams of one direction.
+
+    :param loss: part of them that is lost, 1 for a cut.
+    :param delay: seconds.
+    """
+
+    loss: float = 0.0
+    delay: float = 0.0
+
+
+class HostLinks:
+    """Carries datagrams between hosts that know each other by this proxy's addresses alone.
+
+    :param hosts: by name, the address others use and the one that the process binds.
+    """
+
+    def __init__(self, hosts: Mapping[str, tuple[Address, Address]], seed: int) -> None:
+        self._bound = {name: bound for name, (_, bound) in hosts.items()}
+        self._names = {bound: name for name, bound in self._bound.items()}
+        self._impaired: dict[tuple[str, str], list[Impairment]] = {}
+        self._random = random.Random(seed)
+        self._send: dict[str, Callable[[bytes, Address], bool]] = {}
+        for name, (public, _) in hosts.items():
+            self._send[name] = open_socket(public, self._receiver(name))
+
+    def impair(self, source: str, destination: str, impairment: Impairment) -> None:
+        """Impair one direction of a link, beside what impairs it already."""
+        self._impaired.setdefault((source, destination), []).append(impairment)
+
+    def mend(self, source: str, destination: str, impairment: Impairment) -> None:
+        """End one impairment."""
+        self._impaired[source, destination].remove(impairment)
+
+    def _receiver(self, destination: str) -> Callable[[bytes, Address], None]:
+        def receive(data: bytes, sender: Address) -> None:
+            source = self._names.get(sender)
+            if source is not None:
+                self._carry(source, destination, data)
+
+        return receive
+
+    def _carry(self, source: str, destination: str, data: bytes) -> None:
+        impairments = self._impaired.get((source, destination), ())
+        if any(self._random.random() < row.loss for row in impairments):
+            return
+        delay = sum(row.delay for row in impairments)
+        send, to = self._send[source], self._bound[destination]
+        if delay:
+            asyncio.get_running_loop().call_later(delay, send, data, to)
+        else:
+            send(data, to)
+
+
+class CallProxy:
+    """Carries connections of targets and operators to one control host.
+
+    :param public: where callers connect.
+    :param bound: where the control host listens.
+    """
+
+    def __init__(self, public: Address, bound: Address) -> None:
+        self._public = public
+        self._bound = bound
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.is_silent = False
+        self.loses_answers = False
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, *self._public)
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for writer in list(self._writers):
+            opened = writer.get_extra_info("socket")
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            there, back = await asyncio.open_connection(*self._bound)
+            copies = (
+                self._copy(reader, back, lambda: self.is_silent),
+                self._copy(there, writer, lambda: self.is_silent or self.loses_answers),
+            )
+            await asyncio.wait(
+                [asyncio.ensure_future(copy) for copy in copies],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            back.close()
+        except OSError:
+            pass  # The host is down: its caller sees a closed connection.
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    @staticmethod
+    async def _copy(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, drops: Callable[[], bool]
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(_READ_BYTES):
+                if not drops():
+                    writer.write(data)
+                    await writer.drain()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -83,7 +83,7 @@
     ) -> None:
         self.shape = shape
         self._options = options or {}
-        self._claim = _claim_network()
+        self._claim = claim_network()
         self._network = self._claim.getsockname()[0].rpartition(".")[0]
         self._temporary = None if folder else tempfile.TemporaryDirectory(prefix="lwr-")
         self.folder = folder or Path(self._temporary.name if self._temporary else "")
@@ -356,7 +356,7 @@
         return results
 
 
-def _claim_network() -> socket.socket:
+def claim_network() -> socket.socket:
     """Return a socket whose address claims a /24 of the loopback range for one fleet."""
     while True:
         address = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}.254"
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -4,18 +4,24 @@
 
 import http.client
 import json
-import os
 import signal
-import socket
-import struct
 import subprocess
-import sys
 import tempfile
 import time
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parent.parent
+from standins.platform import (
+    ManifestRoute,
+    Packet,
+    ProcessAddresses,
+    manifest,
+    process_settings,
+    start_process,
+    write_settings,
+)
+
 MESSAGE_PORT = 28_510
 PACKET_PORT = 28_511
 READY_PORT = 28_512
@@ -25,36 +31,15 @@
 CALLER = "127.0.3.1"
 SERVICE = "198.18.0.1"
 SERVICE_PORT = 8080
-SYN, ACK, RST = 64, 128, 8
-HEADER = struct.Struct("!IIIHHIIIBBH")
 WAIT_SECONDS = 20.0
 
 
-def number(address: str) -> int:
-    return int.from_bytes(socket.inet_aton(address), "big")
-
-
-def packet(port: int, flags: int, tag: int = 0, data: bytes = b"", sequence: int = 1) -> bytes:
-    head = (7, sequence, 0, port, SERVICE_PORT, number(SERVICE), number(CALLER), tag, flags, 0)
-    return HEADER.pack(*head, len(data)) + data
+def packet(port: int, flags: int, tag: int = 0, data: bytes = b"") -> bytes:
+    return Packet(CALLER, port, SERVICE, SERVICE_PORT, flags, 1, 0, tag, data).pack()
 
 
-def manifest(version: int, *services: str) -> dict[str, Any]:
-    route = {
-        "name": "r-1",
-        "hostname": SERVICE,
-        "path-prefix": f"/{SERVICE_PORT}/",
-        "type": "unsafe",
-        "timeout-ms": 1200,
-        "priority": 1,
-        "service": "a",
-    }
-    return {
-        "version": version,
-        "routes": [route],
-        "services": [{"name": name} for name in ("a", *services)],
-        "limits": {"idle-timeout-ms": 15000},
-    }
+def configuration(version: int, *services: str) -> Any:
+    return manifest(version, [ManifestRoute(SERVICE, SERVICE_PORT, "a")], ("a", *services))
 
 
 class Fleet:
@@ -71,17 +56,9 @@
 
     def start(self, address: str, founds: bool = False) -> None:
         settings = self._path / f"{address}.json"
-        settings.write_text(json.dumps(self._settings(address, founds)))
-        environment = {
-            **os.environ,
-            "PYTHONPATH": str(ROOT / "platform"),
-            "LACEWINGRUDDER_NODE_FILE": str(settings),
-        }
-        command = [sys.executable, "-m", "lacewingrudder_platform"]
+        write_settings(settings, self._settings(address, founds))
         with (self._path / f"{address}.log").open("ab") as log:
-            self.processes[address] = subprocess.Popen(
-                command, env=environment, cwd=self._path, stdout=log, stderr=log
-            )
+            self.processes[address] = start_process(settings, log)
 
     def end(self, address: str, how: signal.Signals = signal.SIGKILL) -> int:
         process = self.processes.pop(address)
@@ -96,27 +73,16 @@
     def log(self, address: str) -> str:
         return (self._path / f"{address}.log").read_text()
 
-    def _settings(self, address: str, founds: bool) -> dict[str, Any]:
-        settings: dict[str, Any] = {
-            "name": address,
-            "zone": "z",
-            "messages": f"{address}:{MESSAGE_PORT}",
-            "seeds": [f"{control}:{CALL_PORT}" for control in CONTROLS],
-            "founds": founds,
-            "beat_ms": 1200,
-            "grace_s": 6,
-        }
+    def _settings(self, address: str, founds: bool) -> Mapping[str, Any]:
+        messages = f"{address}:{MESSAGE_PORT}"
         if address in CONTROLS:
-            settings |= {
-                "calls": f"{address}:{CALL_PORT}",
-                "data_folder": str(self._path / f"data-{address}"),
-            }
+            addresses = ProcessAddresses(messages, messages, f"{address}:{CALL_PORT}")
         else:
-            settings |= {
-                "packets": f"{address}:{PACKET_PORT}",
-                "readiness": f"{address}:{READY_PORT}",
-            }
-        return settings
+            public, readiness = f"{address}:{PACKET_PORT}", f"{address}:{READY_PORT}"
+            addresses = ProcessAddresses(messages, messages, public, readiness)
+        seeds = [f"{control}:{CALL_PORT}" for control in CONTROLS]
+        folder = self._path / f"data-{address}"
+        return process_settings(address, "z", addresses, seeds, founds, folder)
 
 
 def call(address: str, port: int, method: str, path: str, body: Any = None) -> tuple[int, bytes]:
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -6,23 +6,21 @@
 
 from lacewingrudder_core._tagging.core import SETTLE_SECONDS
 from platform_fleet import (
-    ACK,
     CALL_PORT,
     CALLER,
     CONTROLS,
     ENTRIES,
-    HEADER,
     PACKET_PORT,
     READY_PORT,
-    RST,
-    SYN,
     Fleet,
     call,
-    manifest,
+    configuration,
     packet,
     until,
 )
 
+from standins.platform import ACK, RST, SYN, read_packet, split_identity
+
 CONFIG = "/lacewingrudder/config"
 TARGET = "/lacewingrudder/instances/i-7f3a91c2"
 READY = "/lacewingrudder/readyz"
@@ -63,7 +61,7 @@
         until(200, CONTROLS, CALL_PORT, "PUT", TARGET, body)
 
     def start(self) -> None:
-        until(200, CONTROLS, CALL_PORT, "PUT", CONFIG, manifest(3))
+        until(200, CONTROLS, CALL_PORT, "PUT", CONFIG, configuration(3))
         self.check_in()
         for entry in ENTRIES:
             until(200, (entry,), READY_PORT, "GET", READY)
@@ -73,8 +71,10 @@
 
     def received(self) -> tuple[int, int]:
         """Return the number of the target that a datagram is meant for, and its flow tag."""
-        data = self.target.recv(2048)
-        return int.from_bytes(data[:8], "big"), HEADER.unpack_from(data, 8)[7]
+        identity, data = split_identity(self.target.recv(2048))
+        received = read_packet(data)
+        self.assertTrue(received.is_genuine)
+        return identity, received.packet.echo
 
     def test_flow_goes_on_through_another_entry_host_after_a_kill(self) -> None:
         self.start()
@@ -92,12 +92,12 @@
         self.check_in("draining")
         for entry in ENTRIES:
             self.send(entry, packet(40002, SYN))
-            reset = HEADER.unpack(self.caller.recv(2048))
-            self.assertEqual((reset[8], reset[4]), (RST, 40002))
+            reset = read_packet(self.caller.recv(2048)).packet
+            self.assertEqual((reset.flags, reset.destination_port), (RST, 40002))
 
     def test_configuration_outlives_the_kill_of_all_processes(self) -> None:
         self.start()
-        until(200, CONTROLS, CALL_PORT, "PUT", CONFIG, manifest(9, "b"))
+        until(200, CONTROLS, CALL_PORT, "PUT", CONFIG, configuration(9, "b"))
         for address in (*CONTROLS, *ENTRIES):
             self.fleet.end(address)
         for address in (*CONTROLS, *ENTRIES):
@@ -112,8 +112,8 @@
         for address in CONTROLS[1:]:
             self.fleet.end(address)
         until(503, CONTROLS[:1], CALL_PORT, "GET", CONFIG)
-        until(503, CONTROLS[:1], CALL_PORT, "PUT", CONFIG, manifest(4))
-        self.assertEqual(call(CONTROLS[0], CALL_PORT, "PUT", CONFIG, manifest(2))[0], 200)
+        until(503, CONTROLS[:1], CALL_PORT, "PUT", CONFIG, configuration(4))
+        self.assertEqual(call(CONTROLS[0], CALL_PORT, "PUT", CONFIG, configuration(2))[0], 200)
 
     def test_planned_stop_ends_with_code_0_and_forwards_until_then(self) -> None:
         self.start()
