End an entry host when its poll task fails; drop what nobody reads

The supervision that control hosts had moves to the process that both have in common; a test with a failing task failed before. `Confirm.zone` and the zone of what waits for a confirmation were read by nobody, and `CheckInCore._push` took a time that it did not use.

--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -80,13 +80,11 @@
     """Answer a target.
 
     :param confirmed: whether what it said is known where it has to be.
-    :param zone: of the target.
     """
 
     token: int
     outcome: CheckInOutcome
     confirmed: bool
-    zone: ZoneName
 
 
 class Expired(NamedTuple):
@@ -115,7 +113,6 @@
 
     token: int
     outcome: CheckInOutcome
-    zone: ZoneName
     number: int
     due: float
     resend: float
@@ -150,15 +147,15 @@
             call = event.call
             outcome = self._registry.check_in(call, now)
             is_promise = call.state is not LifeState.READY
-            return self._published(event.token, outcome, is_promise, call.zone, now)
+            return self._published(event.token, outcome, is_promise, now)
         if isinstance(event, Left):
             outcome = self._registry.leave(event.target, event.born, now)
-            return self._published(event.token, outcome, True, "", now)
+            return self._published(event.token, outcome, True, now)
         if isinstance(event, Subscribed):
             return self._subscribed(event.subscription, now)
         if isinstance(event, PeerUpdated):
             heard = self._registry.hear(event.update.entries, now)
-            return self._push(now) if heard else []
+            return self._push() if heard else []
         if isinstance(event, ConfigurationCommitted):
             return self._committed(event.configuration)
         if isinstance(event, ControlsKnown):
@@ -167,7 +164,7 @@
         return self._tick(now)
 
     def _published(
-        self, token: int, outcome: CheckInOutcome, is_promise: bool, zone: ZoneName, now: float
+        self, token: int, outcome: CheckInOutcome, is_promise: bool, now: float
     ) -> list[CheckInEffect]:
         """Publish what a call changed, and answer it.
 
@@ -175,14 +172,12 @@
         the first: its sender got no answer, so that nobody else may know yet.
         """
         if outcome is CheckInOutcome.FOREIGN:
-            return [Confirm(token, outcome, False, zone)]
-        effects = self._push(now)
+            return [Confirm(token, outcome, False)]
+        effects = self._push()
         if not is_promise:
-            return [Confirm(token, outcome, True, zone), *effects]
+            return [Confirm(token, outcome, True), *effects]
         number = self._registry.position.number
-        waiting = _Waiting(
-            token, outcome, zone, number, now + CONFIRM_SECONDS, now + RESEND_SECONDS
-        )
+        waiting = _Waiting(token, outcome, number, now + CONFIRM_SECONDS, now + RESEND_SECONDS)
         self._waiting.append(waiting)
         return effects + self._confirm(now)
 
@@ -211,21 +206,21 @@
         expired = self._registry.expire(now)
         effects: list[CheckInEffect] = [Expired(entry) for entry in expired]
         if expired:
-            effects += self._push(now)
+            effects += self._push()
         effects += [SubscriberLost(host) for host in self._subscribers.drop_silent(now)]
         return effects + self._resend(now) + self._confirm(now)
 
     def _resend(self, now: float) -> list[CheckInEffect]:
         effects: list[CheckInEffect] = []
         if any(now >= row.resend for row in self._waiting):
-            effects = self._push(now)
+            effects = self._push()
             again = now + RESEND_SECONDS
             self._waiting = [
                 row._replace(resend=again) if now >= row.resend else row for row in self._waiting
             ]
         return effects
 
-    def _push(self, now: float) -> list[CheckInEffect]:
+    def _push(self) -> list[CheckInEffect]:
         return [
             self._update(subscription)
             for subscription in self._subscribers.all()
@@ -240,7 +235,7 @@
             lacking = self._lacking(row.number)
             if not lacking or now >= row.due:
                 confirmed = not lacking or self._has_second_control(row.number)
-                effects.append(Confirm(row.token, row.outcome, confirmed, row.zone))
+                effects.append(Confirm(row.token, row.outcome, confirmed))
             else:
                 kept.append(row)
         self._waiting = kept
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -137,13 +137,11 @@
             await self._server.start(self._registrar.calls)
         self._changed(self._control.core.catalogue)
         self._tasks = [
-            asyncio.create_task(self._control.run()),
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._poll()),
-            asyncio.create_task(self._keep_registry()),
+            self._supervised(self._control.run()),
+            self._supervised(self._tick()),
+            self._supervised(self._poll()),
+            self._supervised(self._keep_registry()),
         ]
-        for task in self._tasks:
-            task.add_done_callback(self._ended)
 
     async def _leave(self) -> None:
         await self._control.leave()
@@ -160,11 +158,6 @@
     def _settings_changed(self) -> None:
         self._policy.learn(self._settings.seeds)
 
-    def _ended(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self._events.record("task_failed", detail=repr(task.exception()))
-            self._loop.stop()
-
     def _restored(self) -> Registry:
         epoch = int(time.time() * MILLISECONDS_PER_SECOND)
         registry = Registry(epoch, self._settings.beat_seconds)
@@ -244,7 +237,7 @@
         match effect:
             case checkins.SendUpdate(host, body):
                 self._channel.send(host, body)
-            case Confirm(token, outcome, confirmed, _):
+            case Confirm(token, outcome, confirmed):
                 if outcome is not checkins.CheckInOutcome.RENEWED:
                     known = "known elsewhere" if confirmed else "not confirmed"
                     self._events.record("checked_in", detail=f"{outcome}, {known}, call {token}")
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -13,7 +13,7 @@
     Subscription,
     Update,
 )
-from lacewingrudder_core.tagging import Dropped, Forwarded, TagForwarder
+from lacewingrudder_core.tagging import Dropped, Forwarded, ResetReason, TagForwarder
 from lacewingrudder_core.types import Endpoint, HostName
 
 from .._packets.datagrams import Address, DatagramSocket
@@ -96,7 +96,7 @@
         self._loop = asyncio.get_running_loop()
         self._channel.open(self._settings.messages_bind)
         self._socket.open(address_of(str(self._entry.packets)))
-        self._poller = asyncio.create_task(self._poll())
+        self._poller = self._supervised(self._poll())
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SETTLE_SECONDS):
                 await self._settled.wait()
@@ -203,7 +203,9 @@
         else:
             packet = self._adapter.reset(segment)
             self._socket.send(packet.data, packet.destination)
-            self._reports.ended("reset", decision.reason, segment, self._forwarder.version)
+            is_refusal = decision.reason is ResetReason.OVERLOAD
+            event = "refused" if is_refusal else "reset"
+            self._reports.ended(event, decision.reason, segment, self._forwarder.version)
 
     def _measure(self) -> Measures:
         from .metrics import Measures
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/process.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/process.py
@@ -5,7 +5,8 @@
 import abc
 import asyncio
 import signal
-from typing import TYPE_CHECKING
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any
 
 from lacewingrudder_wire.exceptions import DocumentError
 
@@ -65,6 +66,17 @@
     def _settings_changed(self) -> None:
         """Take in new settings."""
 
+    def _supervised(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Start a task without which this process is of no use: it ends with the task."""
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self._events.record("task_failed", detail=repr(task.exception()))
+            asyncio.get_running_loop().stop()
+
     async def _watch_settings(self) -> None:
         while True:
             await asyncio.sleep(RELOAD_SECONDS)
--- /dev/null
+++ b/packages/daemon/tests/test_fleet_process.py
@@ -0,0 +1,44 @@
+import asyncio
+import unittest
+from typing import Any
+from unittest.mock import Mock
+
+from lacewingrudder_daemon._fleet.metrics import Measures
+from lacewingrudder_daemon._fleet.process import FleetProcess
+
+
+class FailingProcess(FleetProcess):
+    """A process one of whose tasks fails at once."""
+
+    async def _start(self) -> None:
+        self.task = self._supervised(self._fail())
+
+    async def _fail(self) -> None:
+        raise OSError("no route")
+
+    async def _leave(self) -> None:
+        return None
+
+    async def _close(self) -> None:
+        return None
+
+    def _settings_changed(self) -> None:
+        return None
+
+    def _measure(self) -> Measures:
+        raise NotImplementedError
+
+
+class FleetProcessTest(unittest.TestCase):
+    def test_process_ends_with_a_line_when_one_of_its_tasks_fails(self) -> None:
+        events, settings = Mock(), Mock(metrics=None, zone="z")
+        process = FailingProcess(settings, Mock(), events)
+        with self.assertRaises(RuntimeError):
+            asyncio.run(self._bounded(process.run()))
+        recorded: list[Any] = [call.args[0] for call in events.record.call_args_list]
+        self.assertIn("task_failed", recorded)
+
+    @staticmethod
+    async def _bounded(work: Any) -> None:
+        async with asyncio.timeout(5):
+            await work
