Refuse new flows at the SYN while a service answers too late

Cause: under a burst beyond what the targets can do, nothing was refused. The queues of the targets stayed full, so that nearly every answer came after its latency objective. Ruled out: refusing by the share of late answers over all targets, from half of the objective. What it does: a host limits the requests of a service that wait at it (additive increase, multiplicative decrease) once more than 15 % of its answers and more than half of the answering targets are late twice in a row. Repeated requests give no sample. Less urgent kinds have 0.8 of the limit. Besides: a damaged configuration is an error of its document, the default idle time has one name, tags are not hashed again for each candidate, and the set of ended tags follows from the entries.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -13,10 +13,11 @@
 from ..types import Endpoint, ZoneName
 from .evidence import Evidence
 from .flow_book import FlowBook, Progress
+from .overload import OverloadGuard
 from .roster import Candidate, Roster
 from .selection import SplitCounter, choose_target
-from .tags import flow_tag
 from .types import (
+    IDLE_SECONDS,
     Configuration,
     Decision,
     Dropped,
@@ -47,6 +48,7 @@
         self._zones: Evidence[ZoneName] = Evidence()
         self._configuration: Configuration | None = None
         self._splits: dict[Endpoint, SplitCounter] = {}
+        self._guards: dict[str, OverloadGuard] = {}
         self._started: float | None = None
         self._open_seconds = Latencies()
 
@@ -93,7 +95,7 @@
 
     def tick(self, now: float) -> list[TargetEntry]:
         """Let time pass; return targets that changed."""
-        idle = 15.0 if self._configuration is None else self._configuration.idle_seconds
+        idle = IDLE_SECONDS if self._configuration is None else self._configuration.idle_seconds
         self._book.expire(idle, now)
         self._views.forget_silent(now)
         self._evidence.forget(lambda tag: self._roster.entry(tag) is not None)
@@ -110,7 +112,7 @@
             return Reset(ResetReason.NO_ROUTE)
         if segment.opens:
             return self._open(segment, route, now)
-        return self._follow(segment, now)
+        return self._follow(segment, route, now)
 
     def _open(self, segment: TagSegment, route: Route, now: float) -> Decision:
         opening = self._book.opening(segment.flow)
@@ -118,6 +120,8 @@
             self._book.close_opening(segment.flow)
             service = self._splits.setdefault(route.endpoint, SplitCounter()).choose(route.splits)
             tried: list[int] = []
+            if service is not None and not self._admits(service, route.urgency):
+                return Reset(ResetReason.OVERLOAD)
         else:
             service, tried = opening.service, opening.tried
             self._silent(tried[-1], now)
@@ -129,19 +133,28 @@
         self._book.open(segment.flow, service, target.tag, now)
         return Forwarded(target.entry.endpoint, target.entry.identity, target.tag)
 
+    def _guard(self, service: str) -> OverloadGuard:
+        return self._guards.setdefault(service, OverloadGuard())
+
+    def _admits(self, service: str, urgency: int) -> bool:
+        return self._guard(service).admits(self._waiting(service), urgency)
+
+    def _waiting(self, service: str) -> int:
+        return sum(self._book.waiting(row.tag) for row in self._roster.candidates(service))
+
     def _choose(self, service: str, tried: list[int], now: float) -> Candidate | None:
         return choose_target(
             self._roster.candidates(service),
             tried,
             self._zone,
             self._book.load,
-            lambda entry: self._is_avoided(entry, now),
+            lambda candidate: self._is_avoided(candidate, now),
             now,
         )
 
-    def _is_avoided(self, entry: TargetEntry, now: float) -> bool:
-        tag = flow_tag(entry.lifetime)
-        return self._evidence.is_avoided(tag, now) or self._zones.is_avoided(entry.zone, now)
+    def _is_avoided(self, candidate: Candidate, now: float) -> bool:
+        zone = candidate.entry.zone
+        return self._evidence.is_avoided(candidate.tag, now) or self._zones.is_avoided(zone, now)
 
     def _silent(self, tag: int, now: float) -> None:
         """Take in that a target did not answer; other zones may be out of reach as a whole."""
@@ -154,7 +167,7 @@
         self._evidence.answered(tag)
         self._zones.answered(zone)
 
-    def _follow(self, segment: TagSegment, now: float) -> Decision:
+    def _follow(self, segment: TagSegment, route: Route, now: float) -> Decision:
         tag = segment.tag
         entry = self._roster.entry(tag)
         if entry is None:
@@ -165,9 +178,13 @@
         if opening is not None:
             self._open_seconds.add(now - opening.since)
             self._answered(tag, entry.zone)
-        progress = self._book.take(segment, now)
-        if progress is Progress.ANSWERED:
+        observation = self._book.take(segment, now)
+        if observation.progress is Progress.ANSWERED:
             self._answered(tag, entry.zone)
-        elif progress is Progress.REPEATED:
+        elif observation.progress is Progress.REPEATED:
             self._silent(tag, now)
+        seconds, objective = observation.answer_seconds, route.objective_seconds
+        if seconds is not None and objective is not None:
+            waiting = self._waiting(entry.service) + 1
+            self._guard(entry.service).answered(tag, seconds, objective, waiting, now)
         return Forwarded(entry.endpoint, entry.identity, tag)
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_book.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_book.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+from typing import NamedTuple
 
 from ..latencies import Latencies
 from ..types import FlowKey
@@ -35,7 +36,7 @@
 
 
 class _Flow:
-    __slots__ = ("acknowledged", "asked", "is_waiting", "seen", "sequence", "tag")
+    __slots__ = ("acknowledged", "asked", "is_repeated", "is_waiting", "seen", "sequence", "tag")
 
     def __init__(self, tag: int, now: float) -> None:
         self.tag = tag
@@ -43,6 +44,7 @@
         self.sequence = -1
         self.acknowledged = -1
         self.is_waiting = False
+        self.is_repeated = False
         self.asked = now
 
 
@@ -54,6 +56,18 @@
     REPEATED = enum.auto()
 
 
+class Observation(NamedTuple):
+    """What a packet shows of its target.
+
+    :param answer_seconds: how long the answer took that it acknowledges first; ``None`` for any
+        other packet, and for an answer to a repeated request, which may be to either copy (Karn's
+        algorithm).
+    """
+
+    progress: Progress
+    answer_seconds: float | None = None
+
+
 class FlowBook:
     """Flows that passed this host of late."""
 
@@ -100,7 +114,11 @@
                 self._pending[tag] -= 1
         return opening
 
-    def take(self, segment: TagSegment, now: float) -> Progress:
+    def waiting(self, tag: int) -> int:
+        """Return how many requests wait for a target, flows being opened among them."""
+        return self._waiting[tag] + self._pending[tag]
+
+    def take(self, segment: TagSegment, now: float) -> Observation:
         """Take in a packet of an open flow; return what it shows of its target."""
         flow = self._flows.get(segment.flow)
         if flow is None or flow.tag != segment.tag:
@@ -111,10 +129,10 @@
                 self._forget(next(iter(self._flows)))
         flow.seen = now
         self._flows.move_to_end(segment.flow)
-        progress = self._progress(flow, segment, now)
+        observation = self._observe(flow, segment, now)
         if segment.ends:
             self._forget(segment.flow)
-        return progress
+        return observation
 
     def expire(self, idle_seconds: float, now: float) -> None:
         """Forget idle flows and old SYNs."""
@@ -130,24 +148,31 @@
             for tag in [tag for tag, count in counts.items() if not count]:
                 del counts[tag]
 
-    def _progress(self, flow: _Flow, segment: TagSegment, now: float) -> Progress:
+    def _observe(self, flow: _Flow, segment: TagSegment, now: float) -> Observation:
         is_new_ack = segment.acknowledged != flow.acknowledged
-        progress = Progress.NOTHING
+        observation = Observation(Progress.NOTHING)
         if is_new_ack:
-            if flow.acknowledged >= 0:
-                progress = Progress.ANSWERED
-            flow.acknowledged = segment.acknowledged
-            if flow.is_waiting:
-                self._answer_seconds.add(now - flow.asked)
-            self._set_waiting(flow, False)
+            observation = self._acknowledge(flow, segment, now)
         if segment.payload:
             if segment.sequence == flow.sequence and not is_new_ack:
-                progress = Progress.REPEATED
+                observation = Observation(Progress.REPEATED)
+                flow.is_repeated = True
             flow.sequence = segment.sequence
             if not flow.is_waiting:
                 flow.asked = now
+                flow.is_repeated = False
             self._set_waiting(flow, True)
-        return progress
+        return observation
+
+    def _acknowledge(self, flow: _Flow, segment: TagSegment, now: float) -> Observation:
+        is_known = flow.acknowledged >= 0
+        flow.acknowledged = segment.acknowledged
+        seconds: float | None = None
+        if flow.is_waiting:
+            self._answer_seconds.add(now - flow.asked)
+            seconds = None if flow.is_repeated else now - flow.asked
+        self._set_waiting(flow, False)
+        return Observation(Progress.ANSWERED if is_known else Progress.NOTHING, seconds)
 
     def _set_waiting(self, flow: _Flow, waiting: bool) -> None:
         if flow.is_waiting != waiting:
--- a/packages/core/src/lacewingrudder_core/_tagging/roster.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/roster.py
@@ -31,7 +31,6 @@
 
     def __init__(self) -> None:
         self._entries: dict[int, TargetEntry] = {}
-        self._gone: set[int] = set()
         self._candidates: dict[str, tuple[Candidate, ...]] = {}
         self._warm_at: dict[Lifetime, float] = {}
 
@@ -46,7 +45,8 @@
 
     def is_gone(self, tag: int) -> bool:
         """Return whether the lifetime that a tag names is known to have ended."""
-        return tag in self._gone
+        entry = self._entries.get(tag)
+        return entry is not None and entry.state is LifeState.GONE
 
     def candidates(self, service: str) -> tuple[Candidate, ...]:
         """Return the targets that may get new flows of a service."""
@@ -59,7 +59,6 @@
         candidates: dict[str, list[Candidate]] = {}
         changed: list[TargetEntry] = []
         entries: dict[int, TargetEntry] = {}
-        gone: set[int] = set()
         for lifetime, target in known.items():
             tag = flow_tag(lifetime)
             if tag in shared:
@@ -71,13 +70,11 @@
             if before is None or before.state != entry.state:
                 changed.append(entry)
             entries[tag] = entry
-            if entry.state is LifeState.GONE:
-                gone.add(tag)
-            elif entry.state is LifeState.READY:
+            if entry.state is LifeState.READY:
                 warm_at = self._warm_at.setdefault(lifetime, now + entry.cold_ms / 1000)
                 candidate = Candidate(tag, entry, target.is_fresh, warm_at)
                 candidates.setdefault(entry.service, []).append(candidate)
-        self._entries, self._gone = entries, gone
+        self._entries = entries
         self._warm_at = {life: at for life, at in self._warm_at.items() if life in known}
         self._candidates = {name: tuple(rows) for name, rows in candidates.items()}
         return changed
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Collection, Sequence
 
-from .._checkins.types import TargetEntry
 from ..types import ZoneName
 from .roster import Candidate
 from .types import Split
@@ -46,7 +45,7 @@
     tried: Collection[int],
     zone: ZoneName,
     load: Callable[[int], tuple[int, int]],
-    is_avoided: Callable[[TargetEntry], bool],
+    is_avoided: Callable[[Candidate], bool],
     now: float,
 ) -> Candidate | None:
     """Return the least loaded target, those of the own zone first, or ``None``.
@@ -67,7 +66,7 @@
             used *= COLD_FACTOR
         if candidate.entry.zone != zone:
             used += FOREIGN_ZONE_LOAD
-        doubts = 2 * (not candidate.is_fresh) + is_avoided(candidate.entry)
+        doubts = 2 * (not candidate.is_fresh) + is_avoided(candidate)
         doubts += candidate.entry.zone in silent_zones
         return doubts + 4 * tried_count(candidate.tag), used
 
--- a/packages/core/src/lacewingrudder_core/_tagging/types.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/types.py
@@ -8,6 +8,9 @@
 
 from ..types import Endpoint, FlowKey
 
+IDLE_SECONDS = 15.0
+"""How long a flow may carry nothing where no configuration says otherwise."""
+
 
 class TagSegment(NamedTuple):
     """What a host reads of one packet of a caller.
@@ -44,12 +47,14 @@
 
     :param is_idempotent: whether requests inside may be repeated.
     :param urgency: 0 is the least urgent.
+    :param objective_seconds: when answers to requests inside are due, or ``None``.
     """
 
     endpoint: Endpoint
     splits: tuple[Split, ...]
     is_idempotent: bool
     urgency: int
+    objective_seconds: float | None = None
 
 
 class Configuration(NamedTuple):
@@ -76,6 +81,7 @@
 
     NO_ROUTE = "no_route"
     NO_TARGET = "no_target"
+    OVERLOAD = "overload"
     TARGET_GONE = "target_gone"
 
 
--- a/packages/core/src/lacewingrudder_core/tagging.py
+++ b/packages/core/src/lacewingrudder_core/tagging.py
@@ -2,6 +2,7 @@
 
 from ._tagging.core import TagForwarder as TagForwarder
 from ._tagging.tags import flow_tag as flow_tag
+from ._tagging.types import IDLE_SECONDS as IDLE_SECONDS
 from ._tagging.types import Configuration as Configuration
 from ._tagging.types import Decision as Decision
 from ._tagging.types import Dropped as Dropped
--- /dev/null
+++ b/packages/core/tests/test_tag_overload.py
@@ -0,0 +1,123 @@
+"""Loads of forwarding by tag that are beyond what targets can do, or only look like it."""
+
+import unittest
+
+from checkin_fakes import EDITS, configuration, entry, syn, update
+from lacewingrudder_core._tagging.overload import (
+    JUDGE_SECONDS,
+    LEAST_ANSWERS,
+    LEAST_LIMIT,
+    OverloadGuard,
+)
+from lacewingrudder_core.tagging import Reset, ResetReason, Route, Split, TagForwarder
+from overload_model import OBJECTIVE_SECONDS, Burst, Outcome, OverloadModel
+
+HOSTS = 7
+TARGETS = 7
+
+
+def in_time(outcomes: list[Outcome], begins: float, ends: float) -> int:
+    return sum(row.is_in_time for row in outcomes if begins <= row.at < ends)
+
+
+class BurstTest(unittest.TestCase):
+    """New flows for 1.3 to 6 times what the targets can do, for six seconds."""
+
+    def play(self, load: float, is_guarded: bool) -> float:
+        """Return requests answered in time, as a part of what full use of the slots answers."""
+        model = OverloadModel(HOSTS, [1.0] * TARGETS, is_guarded)
+        bursts = [Burst(0.4, 0.0, 4.0), Burst(load, 4.0, 10.0), Burst(0.4, 10.0, 14.0)]
+        outcomes = model.run(bursts)
+        self.assertGreater(in_time(outcomes, 0.0, 3.5), 0)
+        after = [row for row in outcomes if row.at > 11.0]
+        self.assertGreaterEqual(sum(row.is_in_time for row in after), 0.95 * len(after))
+        return in_time(outcomes, 5.0, 10.0) / (5.0 * model.capacity)
+
+    def in_time_under(self, *loads: float) -> None:
+        for load in loads:
+            with self.subTest(load=load):
+                guarded = self.play(load, is_guarded=True)
+                self.assertGreaterEqual(guarded, 0.75)
+                self.assertGreater(guarded, 1.2 * self.play(load, is_guarded=False))
+
+    def test_most_of_what_the_targets_can_do_is_done_in_time(self) -> None:
+        self.in_time_under(1.3, 2.0, 3.0)
+
+    def test_most_of_it_also_where_targets_turn_most_requests_away(self) -> None:
+        self.in_time_under(4.0, 6.0)
+
+
+class NoOverloadTest(unittest.TestCase):
+    """Loads at which nobody is to be refused."""
+
+    def test_burst_that_the_targets_can_serve(self) -> None:
+        model = OverloadModel(HOSTS, [1.0] * TARGETS)
+        model.run([Burst(0.4, 0.0, 3.0), Burst(0.7, 3.0, 9.0)])
+        self.assertEqual(model.refused, 0)
+
+    def test_two_of_seven_targets_four_times_slower(self) -> None:
+        model = OverloadModel(HOSTS, [4.0, 4.0, 1.0, 1.0, 1.0, 1.0, 1.0])
+        model.run([Burst(0.4, 0.0, 8.0)])
+        self.assertEqual(model.refused, 0)
+
+    def test_many_hosts_that_see_few_answers_each(self) -> None:
+        model = OverloadModel(60, [1.0] * TARGETS)
+        model.run([Burst(0.7, 0.0, 8.0)])
+        self.assertEqual(model.refused, 0)
+
+
+class GuardTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.guard = OverloadGuard()
+        self.now = 0.0
+
+    def answers(self, seconds: float, waiting: int = 10) -> None:
+        """Bring in just the answers of one judgement."""
+        for tag in range(LEAST_ANSWERS):
+            self.now += JUDGE_SECONDS / (LEAST_ANSWERS - 2)
+            self.guard.answered(tag % TARGETS, seconds, OBJECTIVE_SECONDS, waiting, self.now)
+
+    def test_late_answers_limit_what_waits_and_more_of_them_limit_it_further(self) -> None:
+        self.assertTrue(self.guard.admits(1000, 8))
+        self.answers(0.9 * OBJECTIVE_SECONDS)
+        self.assertIsNone(self.guard.limit)
+        self.answers(0.9 * OBJECTIVE_SECONDS)
+        first = self.guard.limit
+        assert first is not None
+        self.assertLess(first, 10)
+        self.answers(0.9 * OBJECTIVE_SECONDS)
+        self.assertLess(self.guard.limit or 0.0, first)
+        self.assertFalse(self.guard.admits(10, 8))
+
+    def test_one_request_is_always_tried(self) -> None:
+        for _ in range(50):
+            self.answers(OBJECTIVE_SECONDS, waiting=1)
+        self.assertEqual(self.guard.limit, LEAST_LIMIT)
+        self.assertTrue(self.guard.admits(0, 0))
+
+    def test_limit_ends_with_the_overload(self) -> None:
+        for _ in range(2):
+            self.answers(OBJECTIVE_SECONDS)
+        self.assertIsNotNone(self.guard.limit)
+        for _ in range(20):
+            self.answers(0.1 * OBJECTIVE_SECONDS, waiting=3)
+        self.assertIsNone(self.guard.limit)
+
+    def test_less_urgent_work_is_refused_first(self) -> None:
+        self.assertTrue(self.guard.admits(0, 8))
+        for _ in range(2):
+            self.answers(OBJECTIVE_SECONDS, waiting=10)
+        waiting = [number for number in range(12) if self.guard.admits(number, 8)]
+        self.assertGreater(len(waiting), sum(self.guard.admits(n, 7) for n in range(12)))
+
+
+class RefusalTest(unittest.TestCase):
+    def test_refused_flow_is_reset_at_its_syn_and_never_sent_to_a_target(self) -> None:
+        made = TagForwarder("adum")
+        made.configure(configuration(1, Route(EDITS, (Split("proofdesk", 1),), False, 8, 0.2)))
+        made.update(update(entry(1)), 0.0)
+        made._guards["proofdesk"] = guard = OverloadGuard()
+        guard._limit = LEAST_LIMIT
+        made.decide(syn(40001), 0.0)
+        self.assertEqual(made.decide(syn(40002), 0.0), Reset(ResetReason.OVERLOAD))
+        self.assertEqual(made.book.load(made._roster.candidates("proofdesk")[0].tag), (1, 0))
