--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 MINUTES ?= 0
 
-.PHONY: test demo measure soak lint format install
+.PHONY: test demo measure soak report lint format install
 
 install: $(STAMP)
 
@@ -29,6 +29,9 @@
 measure: install
 	$(PYTHON) -m measure
 
+report: install
+	$(PYTHON) -m tools.report journal docs/report.html
+
 lint: install
 	$(PYTHON) -m black --check --quiet $(SOURCES)
 	$(PYTHON) -m ruff check --quiet $(SOURCES)
