--- a/measure/log_gaps.py
+++ b/measure/log_gaps.py
@@ -12,7 +12,8 @@
 from lacewingrudder_wire.client import request
 
 from standins.firms import ASANTE_BOATENG
-from standins.fleet import EntryHost, Fleet, service_entry
+from standins.fleet import EntryHost, Fleet
+from standins.loads import service_entry
 
 WATCH_SECONDS = 5.0
 PAUSE_SECONDS = 0.02
--- a/measure/spread.py
+++ b/measure/spread.py
@@ -12,7 +12,8 @@
 from lacewingrudder_wire.timeline import TimelineEvent, read_file
 
 from standins.firms import ASANTE_BOATENG
-from standins.fleet import Fleet, service_entry
+from standins.fleet import Fleet
+from standins.loads import service_entry
 
 ENTRIES = 7
 CONTROLS = 3
--- a/measure/whole_system.py
+++ b/measure/whole_system.py
@@ -14,7 +14,8 @@
 
 from standins import demo
 from standins.firms import FIRMS, GANTS_LAURENTIDE, FirmShape, ServiceShape
-from standins.fleet import Fleet, load
+from standins.fleet import Fleet
+from standins.loads import load
 
 ADMISSION = {"": "shares", "baseline_none_": "none", "baseline_shared_": "shared_limit"}
 ENTRY_HOSTS = 7
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from standins.fleet import claim_network
+from standins.networks import claim_network
 from standins.platform import (
     GRACE_SECONDS,
     ProcessAddresses,
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from .firms import FIRMS, FirmShape
-from .fleet import Fleet, load, service_entry
+from .fleet import Fleet
+from .loads import load, service_entry
 
 ENTRY_HOSTS = 5
 CONTROL_HOSTS = 3
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,7 +5,6 @@
 import contextlib
 import itertools
 import json
-import random
 import signal
 import socket
 import subprocess
@@ -18,6 +17,8 @@
 from typing import Any, NamedTuple
 
 from .firms import FirmShape, ServiceShape
+from .loads import service_entry
+from .networks import claim_network
 
 ROOT = Path(__file__).resolve().parent.parent
 BIN = Path(sys.executable).parent
@@ -25,7 +26,6 @@
 STOP_SECONDS = 5.0
 POLL_SECONDS = 0.05
 TARGET_FIRST_PORT = 9000
-CLAIM_PORT = 4999
 
 
 class FleetError(Exception):
@@ -356,45 +356,6 @@
         return results
 
 
-def claim_network() -> socket.socket:
-    """Return a socket whose address claims a /24 of the loopback range for one fleet."""
-    while True:
-        address = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}.254"
-        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            claim.bind((address, CLAIM_PORT))
-            return claim
-        except OSError:
-            claim.close()
-
-
-def service_entry(service: ServiceShape) -> dict[str, Any]:
-    """Return a service as a release note describes it."""
-    return {
-        "name": service.name,
-        "address": service.address,
-        "key": service.key,
-        "kinds": [kind._asdict() for kind in service.kinds],
-    }
-
-
-def load(service: ServiceShape, kind: str, **changes: Any) -> dict[str, Any]:
-    """Return a load of one kind of work for the callers."""
-    port = next(entry.port for entry in service.kinds if entry.name == kind)
-    return {
-        "name": kind,
-        "service": service.name,
-        "endpoint": f"{service.address}:{port}",
-        "rate": 20.0,
-        "start": 0.0,
-        "duration": 5.0,
-        "requests": 3,
-        "pause": 0.2,
-        "answer_bytes": 3000,
-        "patience": 5.0,
-    } | changes
-
-
 def _offset(service: ServiceShape) -> int:
     return 100 if service.address.endswith(".1") else 200
 
--- /dev/null
+++ b/standins/networks.py
@@ -0,0 +1,20 @@
+"""Loopback networks that only one fleet uses at a time."""
+
+from __future__ import annotations
+
+import random
+import socket
+
+CLAIM_PORT = 4999
+
+
+def claim_network() -> socket.socket:
+    """Return a socket whose address claims a /24 of the loopback range for one fleet."""
+    while True:
+        address = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}.254"
+        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            claim.bind((address, CLAIM_PORT))
+            return claim
+        except OSError:
+            claim.close()
--- a/tests/test_control_hosts.py
+++ b/tests/test_control_hosts.py
@@ -12,7 +12,8 @@
 from lacewingrudder_wire.exceptions import LacewingrudderError
 
 from standins.firms import ASANTE_BOATENG
-from standins.fleet import EntryHost, Fleet, service_entry
+from standins.fleet import EntryHost, Fleet
+from standins.loads import service_entry
 
 WAIT_SECONDS = 20.0
 POLL_SECONDS = 0.1
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -7,7 +7,8 @@
 from lacewingrudder_wire.timeline import TimelineEvent, read_file
 
 from standins.firms import ASANTE_BOATENG
-from standins.fleet import EntryHost, Fleet, service_entry
+from standins.fleet import EntryHost, Fleet
+from standins.loads import service_entry
 
 IN_FORCE_SECONDS = 4.0
 FROZEN_SECONDS = 4.0
--- a/tests/test_flow_survival.py
+++ b/tests/test_flow_survival.py
@@ -4,7 +4,8 @@
 import unittest
 
 from standins.firms import ASANTE_BOATENG
-from standins.fleet import Fleet, load
+from standins.fleet import Fleet
+from standins.loads import load
 
 FABRIC = {"loss": 0.002, "duplicate": 0.01, "reorder": 0.02}
 PATIENCE_SECONDS = 15.0
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,7 +1,8 @@
 import unittest
 
 from standins.firms import ASANTE_BOATENG
-from standins.fleet import Fleet, load
+from standins.fleet import Fleet
+from standins.loads import load
 
 
 class WholePathTest(unittest.TestCase):
--- a/tests/test_withdraw_order.py
+++ b/tests/test_withdraw_order.py
@@ -2,7 +2,8 @@
 import unittest
 
 from standins.firms import ASANTE_BOATENG
-from standins.fleet import Fleet, load
+from standins.fleet import Fleet
+from standins.loads import load
 
 ORDER_SECONDS = 3.0
 
