Forward flows of a restarted target to it, since only it can tell them

A SYN went out with the tag of the earlier lifetime, before the entry host had heard of the later one; the later one took it, since its number is the same, and opened the flow. Ruled out: a shared tag (both lifetimes have their own), a late update (the restart was known within a heartbeat). Conclusion: packets of an ended lifetime go to the living one that has its identifier, address and service, under its tag; the target resets what it does not hold.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -18,6 +18,7 @@
 from .selection import SplitCounter, choose_target
 from .types import (
     IDLE_SECONDS,
+    Avoided,
     Configuration,
     Decision,
     Dropped,
@@ -46,6 +47,7 @@
         self._book = FlowBook()
         self._evidence: Evidence[int] = Evidence()
         self._zones: Evidence[ZoneName] = Evidence()
+        self._avoided: list[Avoided] = []
         self._configuration: Configuration | None = None
         self._splits: dict[Endpoint, SplitCounter] = {}
         self._guards: dict[str, OverloadGuard] = {}
@@ -78,6 +80,11 @@
             return False
         return not self._roster.is_empty or now - self._started > SETTLE_SECONDS
 
+    def take_avoided(self) -> list[Avoided]:
+        """Return what new flows have kept away from since this was asked last."""
+        avoided, self._avoided = self._avoided, []
+        return avoided
+
     def configure(self, configuration: Configuration) -> bool:
         """Put a configuration in force unless a newer one is; return whether it was."""
         if configuration.version <= self.version:
@@ -158,17 +165,20 @@
 
     def _silent(self, tag: int, now: float) -> None:
         """Take in that a target did not answer; other zones may be out of reach as a whole."""
-        self._evidence.failed(tag, now)
         entry = self._roster.entry(tag)
-        if entry is not None and entry.zone != self._zone:
-            self._zones.failed(entry.zone, now)
+        if entry is None:
+            return
+        if self._evidence.failed(tag, now):
+            self._avoided.append(Avoided(entry.zone, entry.endpoint))
+        if entry.zone != self._zone and self._zones.failed(entry.zone, now):
+            self._avoided.append(Avoided(entry.zone, None))
 
     def _answered(self, tag: int, zone: ZoneName) -> None:
         self._evidence.answered(tag)
         self._zones.answered(zone)
 
     def _follow(self, segment: TagSegment, route: Route, now: float) -> Decision:
-        tag = segment.tag
+        tag = self._roster.current(segment.tag)
         entry = self._roster.entry(tag)
         if entry is None:
             return Dropped(DropReason.UNKNOWN_TAG if tag else DropReason.UNTAGGED)
@@ -178,7 +188,7 @@
         if opening is not None:
             self._open_seconds.add(now - opening.since)
             self._answered(tag, entry.zone)
-        observation = self._book.take(segment, now)
+        observation = self._book.take(segment._replace(tag=tag), now)
         if observation.progress is Progress.ANSWERED:
             self._answered(tag, entry.zone)
         elif observation.progress is Progress.REPEATED:
--- a/packages/core/src/lacewingrudder_core/_tagging/roster.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/roster.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self._entries: dict[int, TargetEntry] = {}
+        self._successors: dict[int, int] = {}
         self._candidates: dict[str, tuple[Candidate, ...]] = {}
         self._warm_at: dict[Lifetime, float] = {}
 
@@ -43,6 +44,15 @@
         """Return the lifetime that a tag names, or ``None`` if it is not known or shared."""
         return self._entries.get(tag)
 
+    def current(self, tag: int) -> int:
+        """Return the tag of the lifetime that packets with a tag go to now.
+
+        A SYN may reach a target that started again before this host hears of it. Such a flow has
+        the tag of the earlier lifetime, and the later one holds it. Only the target can tell; it
+        resets what it does not hold.
+        """
+        return self._successors.get(tag, tag)
+
     def is_gone(self, tag: int) -> bool:
         """Return whether the lifetime that a tag names is known to have ended."""
         entry = self._entries.get(tag)
@@ -75,11 +85,26 @@
                 candidate = Candidate(tag, entry, target.is_fresh, warm_at)
                 candidates.setdefault(entry.service, []).append(candidate)
         self._entries = entries
+        self._successors = _successors(entries)
         self._warm_at = {life: at for life, at in self._warm_at.items() if life in known}
         self._candidates = {name: tuple(rows) for name, rows in candidates.items()}
         return changed
 
 
+def _successors(entries: Mapping[int, TargetEntry]) -> dict[int, int]:
+    """Return for ended lifetimes the living one that has their identifier, address and service."""
+    living = {_place(row): tag for tag, row in entries.items() if row.state is not LifeState.GONE}
+    return {
+        tag: living[_place(row)]
+        for tag, row in entries.items()
+        if row.state is LifeState.GONE and _place(row) in living
+    }
+
+
+def _place(entry: TargetEntry) -> tuple[TargetName, Endpoint, str]:
+    return entry.lifetime.target, entry.endpoint, entry.service
+
+
 def _ended(known: Mapping[Lifetime, KnownTarget]) -> set[Lifetime]:
     """Return the lifetimes that ended, or whose name or address a later lifetime has."""
     by_name: dict[TargetName, int] = {}
--- a/packages/core/src/lacewingrudder_core/_tagging/types.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/types.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from ..types import Endpoint, FlowKey
+from ..types import Endpoint, FlowKey, ZoneName
 
 IDLE_SECONDS = 15.0
 """How long a flow may carry nothing where no configuration says otherwise."""
@@ -68,6 +68,16 @@
     idle_seconds: float
 
 
+class Avoided(NamedTuple):
+    """New flows keep away for a while from what left several packets in a row unanswered.
+
+    :param target: ``None`` for a whole zone.
+    """
+
+    zone: ZoneName
+    target: Endpoint | None
+
+
 class DropReason(enum.StrEnum):
     """Why a packet is not forwarded, without an answer to the caller."""
 
--- a/packages/core/src/lacewingrudder_core/tagging.py
+++ b/packages/core/src/lacewingrudder_core/tagging.py
@@ -1,8 +1,10 @@
 """Forwarding by a tag that both ends of a flow return."""
 
 from ._tagging.core import TagForwarder as TagForwarder
+from ._tagging.evidence import FAILURES_TO_AVOID as FAILURES_TO_AVOID
 from ._tagging.tags import flow_tag as flow_tag
 from ._tagging.types import IDLE_SECONDS as IDLE_SECONDS
+from ._tagging.types import Avoided as Avoided
 from ._tagging.types import Configuration as Configuration
 from ._tagging.types import Decision as Decision
 from ._tagging.types import Dropped as Dropped
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -116,6 +116,7 @@
         plan = LeavePlan(end - LEAVE_SECONDS)
         while not plan.may_leave(self._peers, self._is_blind(), self._loop.time()):
             await asyncio.sleep(FIRST_POLL_SECONDS)
+        self._reports.leaving(self._peers, self._is_blind())
         self._is_leaving = True
         self._note_readiness()
         self._poll_controls()
@@ -140,6 +141,7 @@
             now = self._loop.time()
             self._poll_controls()
             self._reports.targets(self._forwarder.tick(now))
+            self._reports.avoided(self._forwarder.take_avoided())
             self._note_controls(now)
             self._forget_controls(now)
             self._note_readiness()
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
@@ -4,8 +4,14 @@
 
 from collections.abc import Iterable
 
-from lacewingrudder_core.checkins import TargetEntry
-from lacewingrudder_core.tagging import Forwarded, TagSegment, flow_tag
+from lacewingrudder_core.checkins import Peers, TargetEntry
+from lacewingrudder_core.tagging import (
+    FAILURES_TO_AVOID,
+    Avoided,
+    Forwarded,
+    TagSegment,
+    flow_tag,
+)
 from lacewingrudder_core.types import Endpoint, FlowKey, HostName
 
 from ..event_sink import EventSink
@@ -49,6 +55,22 @@
             )
             self._sink.record("target_changed", target=str(entry.endpoint), detail=detail)
 
+    def avoided(self, rows: Iterable[Avoided]) -> None:
+        """Report targets and zones that new flows keep away from for a while."""
+        for zone, target in rows:
+            detail = f"zone {zone}, {FAILURES_TO_AVOID} packets in a row without an answer"
+            if target is None:
+                self._sink.record("zone_avoided", detail=detail)
+            else:
+                self._sink.record("target_avoided", target=str(target), detail=detail)
+
+    def leaving(self, peers: Peers, is_blind: bool) -> None:
+        """Report that this host says not ready because it is told to stop, and what it knew."""
+        detail = f"{peers.ready} of {peers.known} other hosts of the zone are ready"
+        if is_blind:
+            detail += ", no control host answers"
+        self._sink.record("leaving", detail=detail)
+
     def in_force(self, version: int, before: int, routes: int) -> None:
         """Report that a configuration is in force."""
         detail = f"{routes} routes, after version {before}"
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import random
+import signal
 import sys
 import time
 from pathlib import Path
@@ -41,6 +42,8 @@
 
     The schedule of faults follows from the seed alone. One line a promise is printed for each soak.
     """
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     first = list(seeds) or [random.SystemRandom().getrandbits(31)]
     end = time.monotonic() + 60 * minutes
     outcomes: list[Outcome] = []
