--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,10 @@
 from .targets import Surroundings, Targets
 
 START_SECONDS = 30.0
+TARGETS_OCTET = 240
+CALLERS_OCTET = 250
+"""Last octets of addresses in the claimed network; hosts have those below."""
+
 FLOWS_PER_SERVICE = 8
 TARGETS_PER_SERVICE = 6
 OPERATORS = 2
@@ -62,6 +66,8 @@
         self._hosts = Hosts(shape, folder)
         self._cuts: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        self._names = {row.bound: name for name, row in self._hosts.addresses.items()}
+        self._results = FlowResults()
 
     @property
     def ledger(self) -> Ledger:
@@ -100,36 +106,18 @@
         return task
 
     async def _wire(self, caller: Caller) -> None:
-        hosts, shape, network = self._hosts, self._shape, self._hosts.network
+        """Make the proxies, then whoever uses the system, then what strikes it."""
+        hosts, shape = self._hosts, self._shape
         links = HostLinks({name: row.links for name, row in hosts.addresses.items()}, self._seed())
-        calls: dict[str, CallProxy] = {}
-        for name in shape.controls:
-            public, bound = hosts.addresses[name]
-            calls[name] = CallProxy((public, CALL_PORT), (bound, CALL_PORT))
-            await calls[name].start()
-        self._names = {row.bound: name for name, row in hosts.addresses.items()}
-        controls: list[Address] = [(hosts.addresses[c].public, CALL_PORT) for c in shape.controls]
-        entries = {name: hosts.addresses[name].bound for name in shape.entries}
-        packets = {name: (host, PACKET_PORT) for name, host in entries.items()}
-        address = (f"{network}.250", PACKET_PORT)
-        self._callers = Callers(address, packets, self._check, self._seed())
-        ready = {name: (host, READY_PORT) for name, host in entries.items()}
-        self._routers = Routers(caller, ready)
+        calls = {name: self._call_proxy(name) for name in shape.controls}
+        for proxy in calls.values():
+            await proxy.start()
+        self._wire_callers(caller)
+        controls: list[Address] = [
+            (hosts.addresses[name].public, CALL_PORT) for name in shape.controls
+        ]
         self._operators = Operators(caller, controls, self._check, self._now, self._seed())
-        around = Surroundings(
-            caller,
-            controls,
-            address,
-            self._check,
-            self._is_cut,
-            lambda sender, since: self._is_calm(self._names[sender], since),
-            self._operators.services,
-            self._now,
-        )
-        self._targets = Targets(around)
-        self._changes = TargetChanges(
-            f"{network}.240", self._targets, around, shape.zones, self._seed()
-        )
+        self._wire_targets(caller, controls)
         self._injector = Injector(
             shape,
             hosts,
@@ -141,7 +129,36 @@
             self._check,
             self._now,
         )
-        self._results = FlowResults()
+
+    def _call_proxy(self, control: str) -> CallProxy:
+        public, bound = self._hosts.addresses[control]
+        return CallProxy((public, CALL_PORT), (bound, CALL_PORT))
+
+    def _wire_callers(self, caller: Caller) -> None:
+        addresses = {name: self._hosts.addresses[name].bound for name in self._shape.entries}
+        packets = {name: (address, PACKET_PORT) for name, address in addresses.items()}
+        ready = {name: (address, READY_PORT) for name, address in addresses.items()}
+        self._callers = Callers(self._callers_address, packets, self._check, self._seed())
+        self._routers = Routers(caller, ready)
+
+    @property
+    def _callers_address(self) -> Address:
+        return f"{self._hosts.network}.{CALLERS_OCTET}", PACKET_PORT
+
+    def _wire_targets(self, caller: Caller, controls: list[Address]) -> None:
+        around = Surroundings(
+            caller,
+            controls,
+            self._callers_address,
+            self._check,
+            self._is_cut,
+            lambda sender, since: self._is_calm(self._names[sender], since),
+            self._operators.services,
+            self._now,
+        )
+        self._targets = Targets(around)
+        host = f"{self._hosts.network}.{TARGETS_OCTET}"
+        self._changes = TargetChanges(host, self._targets, around, self._shape.zones, self._seed())
 
     def _is_cut(self, sender: str, zone: str) -> bool:
         """Whether a host can't reach a zone: one of the two zones is cut off."""
