--- a/soak/links.py
+++ b/soak/links.py
@@ -83,12 +83,20 @@
         self._bound = bound
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._connections: set[asyncio.Task[None]] = set()
         self.is_silent = False
         self.loses_answers = False
 
     async def start(self) -> None:
         """Listen."""
-        self._server = await asyncio.start_server(self._serve, *self._public)
+        self._server = await asyncio.start_server(self._accept, *self._public)
+
+    def close(self) -> None:
+        """Stop to listen and drop all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in self._connections:
+            connection.cancel()
 
     def reset(self) -> None:
         """Reset all open connections."""
@@ -97,6 +105,11 @@
             opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
             writer.transport.abort()
 
+    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = asyncio.create_task(self._serve(reader, writer))
+        self._connections.add(connection)
+        connection.add_done_callback(self._connections.discard)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
@@ -105,11 +118,13 @@
                 self._copy(reader, back, lambda: self.is_silent),
                 self._copy(there, writer, lambda: self.is_silent or self.loses_answers),
             )
-            await asyncio.wait(
-                [asyncio.ensure_future(copy) for copy in copies],
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            back.close()
+            ways = [asyncio.ensure_future(copy) for copy in copies]
+            try:
+                await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for way in ways:
+                    way.cancel()
+                back.close()
         except OSError:
             pass  # The host is down: its caller sees a closed connection.
         finally:
--- a/soak/run.py
+++ b/soak/run.py
@@ -68,6 +68,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._names = {row.bound: name for name, row in self._hosts.addresses.items()}
         self._results = FlowResults()
+        self._calls: dict[str, CallProxy] = {}
 
     @property
     def ledger(self) -> Ledger:
@@ -89,6 +90,8 @@
             for task in self._tasks:
                 task.cancel()
             self._changes.close()
+            for proxy in self._calls.values():
+                proxy.close()
             self._hosts.close()
 
     def _now(self) -> float:
@@ -109,8 +112,8 @@
         """Make the proxies, then whoever uses the system, then what strikes it."""
         hosts, shape = self._hosts, self._shape
         links = HostLinks({name: row.links for name, row in hosts.addresses.items()}, self._seed())
-        calls = {name: self._call_proxy(name) for name in shape.controls}
-        for proxy in calls.values():
+        self._calls = {name: self._call_proxy(name) for name in shape.controls}
+        for proxy in self._calls.values():
             await proxy.start()
         self._wire_callers(caller)
         controls: list[Address] = [
@@ -122,7 +125,7 @@
             shape,
             hosts,
             links,
-            calls,
+            self._calls,
             self._changes,
             self._calm,
             self._cuts,
