--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,6 +23,9 @@
 
 RESEND_SECONDS = (0.2, 0.4, 0.8)
 FIRST_PORT = 10_000
+REQUESTS_A_FLOW = (5, 80)
+PAUSE_SECONDS = (0.05, 0.3)
+REOPEN_SECONDS = 0.1
 
 
 class Routers:
@@ -184,7 +187,7 @@
                 await self._flow(port, queue)
             finally:
                 self._callers.end(port)
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(REOPEN_SECONDS)
 
     async def _flow(self, port: int, queue: asyncio.Queue[tuple[Packet, bool]]) -> None:
         def choose() -> str:
@@ -196,7 +199,7 @@
             return
         answer = opened.answer
         sequence, acknowledged, tag = answer.acknowledged, answer.sequence + 1, answer.echo
-        for _ in range(self._random.randint(5, 80)):
+        for _ in range(self._random.randint(*REQUESTS_A_FLOW)):
             ask = self._packet(port, ACK, sequence, acknowledged, tag, b"request")
             reply = await self._ask(port, queue, choose, ask)
             self._results.add(self._now(), reply is not None)
@@ -204,7 +207,7 @@
                 return
             sequence += len(ask.data)
             tag = reply.echo
-            await asyncio.sleep(self._random.uniform(0.05, 0.3))
+            await asyncio.sleep(self._random.uniform(*PAUSE_SECONDS))
         self._callers.send(choose(), self._packet(port, FIN | ACK, sequence, acknowledged, tag))
 
     async def _ask(
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -29,6 +29,7 @@
 READY_PORT = 28_512
 CALL_PORT = 28_513
 STOP_MARGIN_SECONDS = 1.0
+STOP_POLL_SECONDS = 0.05
 DISK_FULL_BYTES = 16
 MOST_HOSTS = 110
 """Hosts that the addresses of one claimed network are enough for."""
@@ -118,7 +119,7 @@
             if process.poll() is not None:
                 del self._processes[name]
                 return process.returncode
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(STOP_POLL_SECONDS)
         if self._processes.get(name) is not process:
             return 0
         self.kill(name)
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -25,6 +25,9 @@
 REUSE_SECONDS = 2.0
 """How long the address of a target that ended stays unused."""
 
+SAME_NAME_SECONDS = 0.5
+"""How soon a target that crashed starts again under its identifier."""
+
 FIRST_TARGET_PORT = 29_000
 
 
@@ -59,7 +62,7 @@
         life = target.life
         if kind is FaultKind.TARGET_SAME_NAME:
             target.is_alive = False
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(SAME_NAME_SECONDS)
             self._put(life.number, life.service, life.zone, target.address)
             return
         self.start(life.service, life.zone)
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -23,6 +23,7 @@
 """How many later configurations keep the route that one adds."""
 
 PUT_SECONDS = 30.0
+PUT_AGAIN_SECONDS = 0.1
 
 
 class Stored(NamedTuple):
@@ -80,7 +81,7 @@
             if answer.status == 200:
                 self.acknowledged.setdefault(version, self._now())
                 return True
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(PUT_AGAIN_SECONDS)
         return False
 
     async def resend(self) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,7 @@
 from .targets import Surroundings, Targets
 
 START_SECONDS = 30.0
+WATCH_SECONDS = 0.2
 TARGETS_OCTET = 240
 CALLERS_OCTET = 250
 """Last octets of addresses in the claimed network; hosts have those below."""
@@ -183,7 +184,7 @@
                 self._changes.start(service, self._shape.zones[index % len(self._shape.zones)])
         async with asyncio.timeout(START_SECONDS):
             while len(self._routers.ready) < len(self._shape.entries):
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(WATCH_SECONDS)
 
     async def _strike(self) -> None:
         for service_port in BASE_PORTS:
@@ -231,7 +232,7 @@
             for name, code in self._hosts.ended():
                 self._check(Promise.RUNNING, False, f"{name} ended by itself with {code}")
                 self._hosts.start(name)
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(WATCH_SECONDS)
 
     async def _judge_recovery(self) -> None:
         """After the last fault all hosts take flows, and configurations are taken and read."""
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from standins.platform import ACK, BEAT_MS, FIN, RST, SYN, Packet, read_packet, split_identity
+from standins.platform import ACK, BEAT_SECONDS, FIN, RST, SYN, Packet, read_packet, split_identity
 from standins.sockets import open_socket
 from standins.wire import Address
 
@@ -18,6 +18,13 @@
 DRAIN_SECONDS = 3.0
 """How long after its confirmation a drain may still be followed by new flows."""
 
+DRAIN_CALLS = 5
+DRAIN_RETRY_SECONDS = 0.3
+"""How often, and how soon after one another, a target asks for the confirmation of its drain."""
+
+BEAT_JITTER = (0.9, 1.1)
+SLOTS = 3
+
 FlowName = tuple[str, int, int]
 """Address and port of the caller, and the service's port."""
 
@@ -81,15 +88,15 @@
         """Check in until this target ends."""
         while self.is_alive:
             await self._check_in()
-            await asyncio.sleep(BEAT_MS / 1000 * self._random.uniform(0.9, 1.1))
+            await asyncio.sleep(BEAT_SECONDS * self._random.uniform(*BEAT_JITTER))
 
     async def drain(self) -> None:
         """Announce the end until it is confirmed or not worth to wait for any longer."""
         self.is_draining = True
-        for _ in range(5):
+        for _ in range(DRAIN_CALLS):
             if await self._check_in():
                 return
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(DRAIN_RETRY_SECONDS)
 
     def judge_drained(self) -> None:
         """Count a drain after which no new flow came; those that came are counted with them."""
@@ -109,7 +116,7 @@
             "address": f"{self.address[0]}:{self.address[1]}",
             "zone": self.life.zone,
             "version": "v1",
-            "concurrency": 3,
+            "concurrency": SLOTS,
             "state": state,
             "cold-remaining-ms": 0,
             "sequence": next(self._sequences),
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -15,8 +15,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SYN, ACK, FIN, RST = 64, 128, 4, 8
-BEAT_MS = 1200
+BEAT_SECONDS = 1.2
 GRACE_SECONDS = 6
+MILLISECONDS_PER_SECOND = 1000
 IDLE_MS = 15_000
 
 _HEADER = struct.Struct("!IIIHHIIIBBH")
@@ -174,7 +175,7 @@
         "messages_bind": addresses.bind,
         "seeds": list(seeds),
         "founds": founds,
-        "beat_ms": BEAT_MS,
+        "beat_ms": int(BEAT_SECONDS * MILLISECONDS_PER_SECOND),
         "grace_s": GRACE_SECONDS,
     }
     if addresses.readiness:
