Judge how long leaving takes by a stepped clock

The test sent a packet each 10 ms of real time and shortened the quiet time to 50 ms; a pause of the test's process that is longer looks like quiet to the task. Shown by blocking the test's loop four times: left after 0.403 to 0.420 s with pauses of up to 0.03 s, after 0.151 to 0.197 s with pauses of 0.06 and 0.1 s. Ruled out: the same in the product. Its socket is read before timers run when a paused process goes on, and packets that queued up count as arrived. Conclusion: the test now steps a clock of its own and uses the product's own times; both bounds are kept, from below and from above, to two ticks.

--- a/packages/daemon/tests/test_entry_task.py
+++ b/packages/daemon/tests/test_entry_task.py
@@ -1,5 +1,5 @@
-import asyncio
 import unittest
+from collections.abc import Callable
 from unittest import mock
 
 from lacewingrudder_core import flows
@@ -95,24 +95,52 @@
         self.task.datagram_received(relayed, PEER)
         self.assertEqual(self.task.drops, {"unknown_sender": 1})
 
-    async def test_leave_waits_for_quiet_but_not_for_ever(self) -> None:
-        with (
-            mock.patch.object(entry_task, "LEAVE_LEAST_SECONDS", 0.02),
-            mock.patch.object(entry_task, "LEAVE_QUIET_SECONDS", 0.05),
-            mock.patch.object(entry_task, "LEAVE_MOST_SECONDS", 0.4),
-            mock.patch.object(entry_task, "TICK_SECONDS", 0.01),
-        ):
-            loop = asyncio.get_running_loop()
-            began = loop.time()
-            leaving = loop.create_task(self.task.leave())
-            while not leaving.done() and loop.time() - began < 2.0:
+    async def leave_after(self, is_busy: bool) -> float:
+        """Return how long leaving takes, with a packet at each tick or with none."""
+        clock = SteppedClock()
+
+        def deliver() -> None:
+            if is_busy:
                 self.task.datagram_received(encapsulation.encapsulate(self.packet), FABRIC)
-                await asyncio.sleep(0.01)
-            self.assertGreaterEqual(loop.time() - began, 0.39)
-            await asyncio.sleep(0.06)
-            began = loop.time()
+
+        clock.stepped = deliver
+        with mock.patch.object(entry_task, "asyncio", clock):
             await self.task.leave()
-            self.assertLess(loop.time() - began, 0.3)
+        return clock.now
+
+    async def test_leave_ends_with_the_packets_still_arriving_at_the_latest_moment(self) -> None:
+        took = await self.leave_after(is_busy=True)
+        self.assertGreaterEqual(took, entry_task.LEAVE_MOST_SECONDS)
+        self.assertLess(took, entry_task.LEAVE_MOST_SECONDS + 2 * entry_task.TICK_SECONDS)
+
+    async def test_leave_ends_once_no_packet_arrives(self) -> None:
+        took = await self.leave_after(is_busy=False)
+        quiet = max(entry_task.LEAVE_LEAST_SECONDS, entry_task.LEAVE_QUIET_SECONDS)
+        self.assertGreaterEqual(took, quiet)
+        self.assertLess(took, quiet + 2 * entry_task.TICK_SECONDS)
+
+
+class SteppedClock:
+    """Stands in for :mod:`asyncio`: time passes in sleeps alone, so that no pause shows."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.stepped: Callable[[], None] = lambda: None
+
+    def get_running_loop(self) -> "SteppedClock":
+        """Return itself as the loop."""
+        return self
+
+    def time(self) -> float:
+        """Return the time."""
+        return self.now
+
+    async def sleep(self, seconds: float) -> None:
+        """Let time pass in steps of a tick."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + entry_task.TICK_SECONDS)
+            self.stepped()
 
 
 class EncapsulationTest(unittest.TestCase):
