--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -51,6 +51,7 @@
         self._configuration: Configuration | None = None
         self._splits: dict[Endpoint, SplitCounter] = {}
         self._guards: dict[str, OverloadGuard] = {}
+        self._urgencies: dict[str, int] = {}
         self._started: float | None = None
         self._open_seconds = Latencies()
 
@@ -90,6 +91,7 @@
         if configuration.version <= self.version:
             return False
         self._configuration = configuration
+        self._urgencies = _urgencies(configuration)
         return True
 
     def update(self, update: Update, now: float) -> list[TargetEntry]:
@@ -127,7 +129,7 @@
             self._book.close_opening(segment.flow)
             service = self._splits.setdefault(route.endpoint, SplitCounter()).choose(route.splits)
             tried: list[int] = []
-            if service is not None and not self._admits(service, route.urgency):
+            if service is not None and not self._admits(service, route):
                 return Reset(ResetReason.OVERLOAD)
         else:
             service, tried = opening.service, opening.tried
@@ -143,11 +145,13 @@
     def _guard(self, service: str) -> OverloadGuard:
         return self._guards.setdefault(service, OverloadGuard())
 
-    def _admits(self, service: str, urgency: int) -> bool:
-        return self._guard(service).admits(self._waiting(service), urgency)
+    def _admits(self, service: str, route: Route) -> bool:
+        is_most_urgent = route.urgency >= self._urgencies[service]
+        return self._guard(service).admits(self._waiting(service), is_most_urgent)
 
     def _waiting(self, service: str) -> int:
-        return sum(self._book.waiting(row.tag) for row in self._roster.candidates(service))
+        loads = (self._book.load(row.tag) for row in self._roster.candidates(service))
+        return sum(load.waiting + load.opening for load in loads)
 
     def _choose(self, service: str, tried: list[int], now: float) -> Candidate | None:
         return choose_target(
@@ -188,7 +192,9 @@
         if opening is not None:
             self._open_seconds.add(now - opening.since)
             self._answered(tag, entry.zone)
-        observation = self._book.take(segment._replace(tag=tag), now)
+        if tag != segment.tag:
+            segment = segment._replace(tag=tag)
+        observation = self._book.take(segment, now)
         if observation.progress is Progress.ANSWERED:
             self._answered(tag, entry.zone)
         elif observation.progress is Progress.REPEATED:
@@ -198,3 +204,12 @@
             waiting = self._waiting(entry.service) + 1
             self._guard(entry.service).answered(tag, seconds, objective, waiting, now)
         return Forwarded(entry.endpoint, entry.identity, tag)
+
+
+def _urgencies(configuration: Configuration) -> dict[str, int]:
+    """Return how urgent the most urgent kind of work of each service is."""
+    urgencies: dict[str, int] = {}
+    for route in configuration.routes.values():
+        for split in (split for split in route.splits if split.weight > 0):
+            urgencies[split.service] = max(urgencies.get(split.service, 0), route.urgency)
+    return urgencies
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_book.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_book.py
@@ -68,6 +68,19 @@
     answer_seconds: float | None = None
 
 
+class TargetLoad(NamedTuple):
+    """What a target has to do, as far as this host sees.
+
+    :param flows: that are open.
+    :param opening: SYNs that it got of flows that have not opened.
+    :param waiting: requests that wait for their answers.
+    """
+
+    flows: int
+    opening: int
+    waiting: int
+
+
 class FlowBook:
     """Flows that passed this host of late."""
 
@@ -89,9 +102,9 @@
         """How many flows are known."""
         return len(self._flows)
 
-    def load(self, tag: int) -> tuple[int, int]:
-        """Return a target's open flows, those being opened among them, and its busy ones."""
-        return self._open[tag] + self._pending[tag], self._waiting[tag]
+    def load(self, tag: int) -> TargetLoad:
+        """Return what a target has to do."""
+        return TargetLoad(self._open[tag], self._pending[tag], self._waiting[tag])
 
     def opening(self, flow: FlowKey) -> Opening | None:
         """Return the SYN of a flow that has not opened, or ``None``."""
@@ -114,10 +127,6 @@
                 self._pending[tag] -= 1
         return opening
 
-    def waiting(self, tag: int) -> int:
-        """Return how many requests wait for a target, flows being opened among them."""
-        return self._waiting[tag] + self._pending[tag]
-
     def take(self, segment: TagSegment, now: float) -> Observation:
         """Take in a packet of an open flow; return what it shows of its target."""
         flow = self._flows.get(segment.flow)
--- a/packages/core/src/lacewingrudder_core/_tagging/roster.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/roster.py
@@ -8,7 +8,7 @@
 from .._checkins.types import LifeState, Lifetime, TargetEntry
 from .._checkins.views import KnownTarget
 from ..types import Endpoint, TargetName
-from .tags import flow_tag, shared_tags
+from .tags import unshared_tags
 
 
 class Candidate(NamedTuple):
@@ -65,14 +65,11 @@
     def rebuild(self, known: Mapping[Lifetime, KnownTarget], now: float) -> list[TargetEntry]:
         """Take in what is known; return the lifetimes that are new or changed their state."""
         ended = _ended(known)
-        shared = shared_tags(known)
         candidates: dict[str, list[Candidate]] = {}
         changed: list[TargetEntry] = []
         entries: dict[int, TargetEntry] = {}
-        for lifetime, target in known.items():
-            tag = flow_tag(lifetime)
-            if tag in shared:
-                continue
+        for lifetime, tag in unshared_tags(known).items():
+            target = known[lifetime]
             entry = target.entry
             if lifetime in ended:
                 entry = entry._replace(state=LifeState.GONE)
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Sequence
 
 from ..types import ZoneName
+from .flow_book import TargetLoad
 from .roster import Candidate
 from .types import Split
 
@@ -44,7 +45,7 @@
     candidates: Sequence[Candidate],
     tried: Collection[int],
     zone: ZoneName,
-    load: Callable[[int], tuple[int, int]],
+    load: Callable[[int], TargetLoad],
     is_avoided: Callable[[Candidate], bool],
     now: float,
 ) -> Candidate | None:
@@ -54,14 +55,14 @@
     last: one of them is still better than none. A copy also leaves another zone that did not
     answer, since the way there may be cut.
 
-    :param load: a target's open flows and its busy ones, as this host sees them.
+    :param load: what a target has to do, by its tag.
     """
     silent_zones = {row.entry.zone for row in candidates if row.tag in tried} - {zone}
 
     def cost(candidate: Candidate) -> tuple[int, float]:
-        flows, busy = load(candidate.tag)
+        flows, opening, waiting = load(candidate.tag)
         slots = max(1, candidate.entry.slots)
-        used = (BUSY_WEIGHT * busy + FLOW_WEIGHT * (flows + 1)) / slots
+        used = (BUSY_WEIGHT * waiting + FLOW_WEIGHT * (flows + opening + 1)) / slots
         if now < candidate.warm_at:
             used *= COLD_FACTOR
         if candidate.entry.zone != zone:
--- a/packages/core/src/lacewingrudder_core/_tagging/tags.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/tags.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 
 from .._checkins.types import Lifetime
@@ -16,11 +17,11 @@
     return name_hash(lifetime.target, lifetime.born & 0xFFFFFFFFFFFFFFFF) & _TAG_MASK or 1
 
 
-def shared_tags(lifetimes: Iterable[Lifetime]) -> frozenset[int]:
-    """Return the tags that more than one lifetime has; no new flow may get one of these."""
-    seen: set[int] = set()
-    shared: set[int] = set()
-    for lifetime in lifetimes:
-        tag = flow_tag(lifetime)
-        (shared if tag in seen else seen).add(tag)
-    return frozenset(shared)
+def unshared_tags(lifetimes: Iterable[Lifetime]) -> dict[Lifetime, int]:
+    """Return the tags of lifetimes, without those that share theirs.
+
+    No new flow may get a tag that more than one lifetime has.
+    """
+    tags = {lifetime: flow_tag(lifetime) for lifetime in lifetimes}
+    uses = collections.Counter(tags.values())
+    return {lifetime: tag for lifetime, tag in tags.items() if uses[tag] == 1}
--- a/packages/core/tests/test_tag_overload.py
+++ b/packages/core/tests/test_tag_overload.py
@@ -6,10 +6,12 @@
 from lacewingrudder_core._tagging.overload import (
     JUDGE_SECONDS,
     LEAST_ANSWERS,
+    LEAST_LATE,
     LEAST_LIMIT,
     OverloadGuard,
 )
 from lacewingrudder_core.tagging import Reset, ResetReason, Route, Split, TagForwarder
+from lacewingrudder_core.types import Endpoint
 from overload_model import OBJECTIVE_SECONDS, Burst, Outcome, OverloadModel
 
 HOSTS = 7
@@ -73,12 +75,17 @@
 
     def answers(self, seconds: float, waiting: int = 10) -> None:
         """Bring in just the answers of one judgement."""
-        for tag in range(LEAST_ANSWERS):
+        self.mixed_answers(LEAST_ANSWERS, seconds, 0.0, waiting)
+
+    def mixed_answers(self, slow: int, seconds: float, others: float, waiting: int = 10) -> None:
+        """Bring in the answers of one judgement, some slow and the others after ``others``."""
+        for number in range(LEAST_ANSWERS):
             self.now += JUDGE_SECONDS / (LEAST_ANSWERS - 2)
-            self.guard.answered(tag % TARGETS, seconds, OBJECTIVE_SECONDS, waiting, self.now)
+            taken = seconds if number < slow else others
+            self.guard.answered(0, taken, OBJECTIVE_SECONDS, waiting, self.now)
 
     def test_late_answers_limit_what_waits_and_more_of_them_limit_it_further(self) -> None:
-        self.assertTrue(self.guard.admits(1000, 8))
+        self.assertTrue(self.guard.admits(1000, True))
         self.answers(0.9 * OBJECTIVE_SECONDS)
         self.assertIsNone(self.guard.limit)
         self.answers(0.9 * OBJECTIVE_SECONDS)
@@ -87,13 +94,24 @@
         self.assertLess(first, 10)
         self.answers(0.9 * OBJECTIVE_SECONDS)
         self.assertLess(self.guard.limit or 0.0, first)
-        self.assertFalse(self.guard.admits(10, 8))
+        self.assertFalse(self.guard.admits(10, True))
+
+    def test_late_answers_count_by_their_time_among_requests_turned_away_at_once(self) -> None:
+        for _ in range(2):
+            self.mixed_answers(LEAST_LATE, OBJECTIVE_SECONDS, 0.03 * OBJECTIVE_SECONDS)
+        self.assertIsNotNone(self.guard.limit)
+
+    def test_few_late_answers_are_no_overload(self) -> None:
+        for _ in range(4):
+            self.mixed_answers(LEAST_LATE - 1, 3 * OBJECTIVE_SECONDS, 0.03 * OBJECTIVE_SECONDS)
+            self.mixed_answers(LEAST_LATE, OBJECTIVE_SECONDS, 0.5 * OBJECTIVE_SECONDS)
+        self.assertIsNone(self.guard.limit)
 
     def test_one_request_is_always_tried(self) -> None:
         for _ in range(50):
             self.answers(OBJECTIVE_SECONDS, waiting=1)
         self.assertEqual(self.guard.limit, LEAST_LIMIT)
-        self.assertTrue(self.guard.admits(0, 0))
+        self.assertTrue(self.guard.admits(0, False))
 
     def test_limit_ends_with_the_overload(self) -> None:
         for _ in range(2):
@@ -104,14 +122,32 @@
         self.assertIsNone(self.guard.limit)
 
     def test_less_urgent_work_is_refused_first(self) -> None:
-        self.assertTrue(self.guard.admits(0, 8))
+        self.assertTrue(self.guard.admits(0, True))
         for _ in range(2):
             self.answers(OBJECTIVE_SECONDS, waiting=10)
-        waiting = [number for number in range(12) if self.guard.admits(number, 8)]
-        self.assertGreater(len(waiting), sum(self.guard.admits(n, 7) for n in range(12)))
+        waiting = [number for number in range(12) if self.guard.admits(number, True)]
+        self.assertGreater(len(waiting), sum(self.guard.admits(n, False) for n in range(12)))
 
 
 class RefusalTest(unittest.TestCase):
+    def admitted(self, made: TagForwarder, first_port: int) -> int:
+        """Return how many of ten SYNs to the usual address are not refused."""
+        decisions = [made.decide(syn(first_port + number), 0.0) for number in range(10)]
+        return 10 - decisions.count(Reset(ResetReason.OVERLOAD))
+
+    def test_urgency_counts_among_the_routes_in_force(self) -> None:
+        made = TagForwarder("adum")
+        made.update(update(entry(1)), 0.0)
+        made._guards["proofdesk"] = guard = OverloadGuard()
+        guard._limit = 5.0
+        splits = (Split("proofdesk", 1),)
+        usual = Route(EDITS, splits, False, 3, 0.2)
+        urgent = Route(Endpoint(EDITS.address, 999), splits, False, 8, 0.2)
+        made.configure(configuration(1, usual, urgent))
+        self.assertEqual(self.admitted(made, 41001), 4)
+        made.configure(configuration(2, usual))
+        self.assertEqual(self.admitted(made, 42001), 1)
+
     def test_refused_flow_is_reset_at_its_syn_and_never_sent_to_a_target(self) -> None:
         made = TagForwarder("adum")
         made.configure(configuration(1, Route(EDITS, (Split("proofdesk", 1),), False, 8, 0.2)))
@@ -120,4 +156,4 @@
         guard._limit = LEAST_LIMIT
         made.decide(syn(40001), 0.0)
         self.assertEqual(made.decide(syn(40002), 0.0), Reset(ResetReason.OVERLOAD))
-        self.assertEqual(made.book.load(made._roster.candidates("proofdesk")[0].tag), (1, 0))
+        self.assertEqual(made.book.load(made._roster.candidates("proofdesk")[0].tag).opening, 1)
--- a/packages/core/tests/test_tagging.py
+++ b/packages/core/tests/test_tagging.py
@@ -2,7 +2,7 @@
 import unittest
 
 from checkin_fakes import EDITS, SHEETS, configuration, data, entry, syn, update
-from lacewingrudder_core._tagging.tags import flow_tag, shared_tags
+from lacewingrudder_core._tagging.tags import flow_tag, unshared_tags
 from lacewingrudder_core.checkins import LifeState, Lifetime
 from lacewingrudder_core.tagging import (
     Dropped,
@@ -231,7 +231,8 @@
                 break
             seen[tag] = lifetime
             number += 1
-        self.assertEqual(shared_tags([lifetime, seen[tag], Lifetime("i-other", 1)]), {tag})
+        other = Lifetime("i-other", 1)
+        self.assertEqual(unshared_tags([lifetime, seen[tag], other]), {other: flow_tag(other)})
 
 
 class ZoneCutTest(unittest.TestCase):
