--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-from .._checkins.types import TargetEntry, Update
-from .._checkins.views import Views
+from .._checkins.types import Update
+from .._checkins.views import KnownTarget, Views
 from ..latencies import Latencies
 from ..types import Endpoint, ZoneName
 from .evidence import Evidence
@@ -94,7 +94,7 @@
         self._urgencies = _urgencies(configuration)
         return True
 
-    def update(self, update: Update, now: float) -> list[TargetEntry]:
+    def update(self, update: Update, now: float) -> list[KnownTarget]:
         """Take in what a control host publishes; return targets that are new or changed."""
         if self._started is None:
             self._started = now
@@ -102,7 +102,7 @@
             return []
         return self._roster.rebuild(self._views.merge(now), now)
 
-    def tick(self, now: float) -> list[TargetEntry]:
+    def tick(self, now: float) -> list[KnownTarget]:
         """Let time pass; return targets that changed."""
         idle = IDLE_SECONDS if self._configuration is None else self._configuration.idle_seconds
         self._book.expire(idle, now)
--- a/packages/core/src/lacewingrudder_core/_tagging/roster.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/roster.py
@@ -30,7 +30,7 @@
     """
 
     def __init__(self) -> None:
-        self._entries: dict[int, TargetEntry] = {}
+        self._targets: dict[int, KnownTarget] = {}
         self._successors: dict[int, int] = {}
         self._candidates: dict[str, tuple[Candidate, ...]] = {}
         self._warm_at: dict[Lifetime, float] = {}
@@ -42,7 +42,8 @@
 
     def entry(self, tag: int) -> TargetEntry | None:
         """Return the lifetime that a tag names, or ``None`` if it is not known or shared."""
-        return self._entries.get(tag)
+        target = self._targets.get(tag)
+        return None if target is None else target.entry
 
     def current(self, tag: int) -> int:
         """Return the tag of the lifetime that packets with a tag go to now.
@@ -55,41 +56,53 @@
 
     def is_gone(self, tag: int) -> bool:
         """Return whether the lifetime that a tag names is known to have ended."""
-        entry = self._entries.get(tag)
+        entry = self.entry(tag)
         return entry is not None and entry.state is LifeState.GONE
 
     def candidates(self, service: str) -> tuple[Candidate, ...]:
         """Return the targets that may get new flows of a service."""
         return self._candidates.get(service, ())
 
-    def rebuild(self, known: Mapping[Lifetime, KnownTarget], now: float) -> list[TargetEntry]:
-        """Take in what is known; return the lifetimes that are new or changed their state."""
+    def rebuild(self, known: Mapping[Lifetime, KnownTarget], now: float) -> list[KnownTarget]:
+        """Take in what is known; return what is new or changed.
+
+        A change is another state, or that heartbeats of a living target are missed or heard again.
+        """
         ended = _ended(known)
         candidates: dict[str, list[Candidate]] = {}
-        changed: list[TargetEntry] = []
-        entries: dict[int, TargetEntry] = {}
+        changed: list[KnownTarget] = []
+        targets: dict[int, KnownTarget] = {}
         for lifetime, tag in unshared_tags(known).items():
             target = known[lifetime]
-            entry = target.entry
             if lifetime in ended:
-                entry = entry._replace(state=LifeState.GONE)
-            before = self._entries.get(tag)
-            if before is None or before.state != entry.state:
-                changed.append(entry)
-            entries[tag] = entry
-            if entry.state is LifeState.READY:
-                warm_at = self._warm_at.setdefault(lifetime, now + entry.cold_ms / 1000)
-                candidate = Candidate(tag, entry, target.is_fresh, warm_at)
-                candidates.setdefault(entry.service, []).append(candidate)
-        self._entries = entries
-        self._successors = _successors(entries)
+                target = KnownTarget(target.entry._replace(state=LifeState.GONE), is_fresh=False)
+            before = self._targets.get(tag)
+            if before is None or _belief(before) != _belief(target):
+                changed.append(target)
+            targets[tag] = target
+            if target.entry.state is LifeState.READY:
+                candidate = self._candidate(tag, target, now)
+                candidates.setdefault(target.entry.service, []).append(candidate)
+        self._targets = targets
+        self._successors = _successors(targets)
         self._warm_at = {life: at for life, at in self._warm_at.items() if life in known}
         self._candidates = {name: tuple(rows) for name, rows in candidates.items()}
         return changed
 
+    def _candidate(self, tag: int, target: KnownTarget, now: float) -> Candidate:
+        warm_at = now + target.entry.cold_ms / 1000
+        warm_at = self._warm_at.setdefault(target.entry.lifetime, warm_at)
+        return Candidate(tag, target.entry, target.is_fresh, warm_at)
+
+
+def _belief(target: KnownTarget) -> tuple[LifeState, bool]:
+    """Return what of a target is told when it changes."""
+    return target.entry.state, target.is_fresh
+
 
-def _successors(entries: Mapping[int, TargetEntry]) -> dict[int, int]:
+def _successors(targets: Mapping[int, KnownTarget]) -> dict[int, int]:
     """Return for ended lifetimes the living one that has their identifier, address and service."""
+    entries = {tag: target.entry for tag, target in targets.items()}
     living = {_place(row): tag for tag, row in entries.items() if row.state is not LifeState.GONE}
     return {
         tag: living[_place(row)]
--- a/packages/core/tests/test_tagging.py
+++ b/packages/core/tests/test_tagging.py
@@ -94,6 +94,21 @@
             packet = data(40001, tag, 2 + 100 * step, 1 + 100 * step)
             self.assertEqual(self.place(made, packet, step).identity, 1)
 
+    def test_missed_heartbeats_are_told_once_and_so_is_their_return(self) -> None:
+        made = forwarder(entry(1))
+        told = []
+        for number, fresh in ((2, False), (3, False), (4, True), (5, True)):
+            changed = made.update(update(entry(1, fresh=fresh), number=number), 1.0)
+            told.append([target.is_fresh for target in changed])
+        self.assertEqual(told, [[False], [], [True], []])
+
+    def test_an_ended_target_is_told_once(self) -> None:
+        made = forwarder(entry(1))
+        gone = entry(1, LifeState.GONE)
+        changed = made.update(update(gone, number=2), 1.0)
+        self.assertEqual([target.entry.state for target in changed], [LifeState.GONE])
+        self.assertEqual(made.update(update(gone, number=3), 1.0), [])
+
     def test_what_is_avoided_is_told_once(self) -> None:
         made = forwarder(entry(1, zone="suame"))
         for attempt in range(4):
@@ -271,6 +286,6 @@
                 if isinstance(placed, Forwarded):
                     made.decide(data(port, placed.tag), now)
             made.tick(now + 10.0)
-        self.assertLess(len(made._roster._entries) + len(made._roster._warm_at), 20)
+        self.assertLess(len(made._roster._targets) + len(made._roster._warm_at), 20)
         self.assertLess(made.book.flows, 60)
         self.assertLess(len(made.book._open) + len(made.book._pending), 20)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from lacewingrudder_core.checkins import Peers, TargetEntry
+from lacewingrudder_core.checkins import KnownTarget, LifeState, Peers
 from lacewingrudder_core.tagging import (
     FAILURES_TO_AVOID,
     Avoided,
@@ -45,13 +45,14 @@
             detail=f"{reason}, tag {segment.tag:08x}",
         )
 
-    def targets(self, entries: Iterable[TargetEntry]) -> None:
-        """Report lifetimes that are new or in another state."""
-        for entry in entries:
+    def targets(self, targets: Iterable[KnownTarget]) -> None:
+        """Report lifetimes that are new, in another state, or whose heartbeats are missed."""
+        for entry, is_fresh in targets:
             name, born = entry.lifetime
+            missed = "" if is_fresh or entry.state is LifeState.GONE else ", heartbeats missed"
             detail = (
-                f"{entry.state.name.lower()} as of check-in {entry.sequence}, {name} born {born},"
-                f" service {entry.service}, tag {flow_tag(entry.lifetime):08x}"
+                f"{entry.state.name.lower()} as of check-in {entry.sequence}{missed},"
+                f" {name} born {born}, service {entry.service}, tag {flow_tag(entry.lifetime):08x}"
             )
             self._sink.record("target_changed", target=str(entry.endpoint), detail=detail)
 
