Make the cost of a heartbeat and of a SYN independent of how many targets there are

A SYN compares the targets of the own zone, 16 in turn where there are more, and all of them only if the best of these is in doubt or as loaded as one elsewhere; the outcome is the same up to 16 targets. Each host begins to look at another target: 95 hosts with 5 flows each placed all of them on the first 5 of 25 targets, as the new test shows on the former code.

--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -173,6 +173,8 @@
         """
         if outcome is CheckInOutcome.FOREIGN:
             return [Confirm(token, outcome, False)]
+        if outcome is CheckInOutcome.RENEWED and not is_promise:
+            return [Confirm(token, outcome, True)]
         effects = self._push(now)
         if not is_promise:
             return [Confirm(token, outcome, True), *effects]
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -17,7 +17,7 @@
 from .flow_book import FlowBook, Progress
 from .overload import OverloadGuard
 from .roster import Candidate, Roster
-from .selection import SplitCounter, choose_target
+from .selection import SplitCounter, TargetChooser
 from .types import (
     IDLE_SECONDS,
     Avoided,
@@ -44,16 +44,18 @@
     """Decides on callers' packets.
 
     :param zone: of this host.
+    :param seed: a number of this host's own, for choices among equal targets.
     """
 
-    def __init__(self, zone: ZoneName) -> None:
+    def __init__(self, zone: ZoneName, seed: int = 0) -> None:
         self._zone = zone
         self._views = Views()
         self._standings: list[Standing] = []
         self._is_behind = False
         self._rebuilt = float("-inf")
-        self._roster = Roster()
+        self._roster = Roster(zone, seed)
         self._book = FlowBook()
+        self._chooser = TargetChooser(zone, self._book.load)
         self._evidence: Evidence[int] = Evidence()
         self._zones: Evidence[ZoneName] = Evidence()
         self._avoided: list[Avoided] = []
@@ -121,7 +123,7 @@
 
     def _is_urgent(self, entry: TargetEntry) -> bool:
         """Whether to place flows without an entry would be wrong: an end, or the first target."""
-        return entry.state is not LifeState.READY or not self._roster.candidates(entry.service)
+        return entry.state is not LifeState.READY or not self._roster.candidates(entry.service).rows
 
     def catch_up(self, now: float) -> list[KnownTarget]:
         """Work in the updates that wait for it; return targets that are new or changed."""
@@ -185,15 +187,13 @@
         )
 
     def _waiting(self, service: str) -> int:
-        loads = (self._book.load(row.tag) for row in self._roster.candidates(service))
+        loads = (self._book.load(row.tag) for row in self._roster.candidates(service).rows)
         return sum(load.waiting + load.opening for load in loads)
 
     def _choose(self, service: str, tried: list[int], now: float) -> Candidate | None:
-        return choose_target(
+        return self._chooser.choose(
             self._roster.candidates(service),
             tried,
-            self._zone,
-            self._book.load,
             lambda candidate: self._is_avoided(candidate, now),
             now,
         )
--- a/packages/core/src/lacewingrudder_core/_tagging/roster.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/roster.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from .._checkins.types import LifeState, Lifetime, TargetEntry
 from .._checkins.views import KnownTarget
-from ..types import Endpoint, TargetName
+from ..types import Endpoint, TargetName, ZoneName
 from .tags import unshared_tags
 
 
@@ -23,16 +23,35 @@
     warm_at: float
 
 
+class Candidates(NamedTuple):
+    """The targets that may get new flows of a service.
+
+    :param near: those of this host's zone.
+    """
+
+    rows: tuple[Candidate, ...]
+    near: tuple[Candidate, ...]
+
+
+_NO_CANDIDATES = Candidates((), ())
+
+
 class Roster:
     """The targets that this host knows.
 
     Ended lifetimes stay known by their tags, so that flows of theirs are told at once.
+
+    :param zone: of this host.
+    :param seed: at which of the targets this host begins to look. Hosts that all begin at the first
+        one place their few flows on the same targets.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, zone: ZoneName, seed: int) -> None:
+        self._zone = zone
+        self._seed = seed
         self._targets: dict[int, KnownTarget] = {}
         self._successors: dict[int, int] = {}
-        self._candidates: dict[str, tuple[Candidate, ...]] = {}
+        self._candidates: dict[str, Candidates] = {}
         self._warm_at: dict[Lifetime, float] = {}
 
     @property
@@ -59,9 +78,9 @@
         entry = self.entry(tag)
         return entry is not None and entry.state is LifeState.GONE
 
-    def candidates(self, service: str) -> tuple[Candidate, ...]:
+    def candidates(self, service: str) -> Candidates:
         """Return the targets that may get new flows of a service."""
-        return self._candidates.get(service, ())
+        return self._candidates.get(service, _NO_CANDIDATES)
 
     def rebuild(self, known: Mapping[Lifetime, KnownTarget], now: float) -> list[KnownTarget]:
         """Take in what is known; return what is new or changed.
@@ -86,9 +105,17 @@
         self._targets = targets
         self._successors = _successors(targets)
         self._warm_at = {life: at for life, at in self._warm_at.items() if life in known}
-        self._candidates = {name: tuple(rows) for name, rows in candidates.items()}
+        self._candidates = {name: self._ordered(rows) for name, rows in candidates.items()}
         return changed
 
+    def _ordered(self, rows: Sequence[Candidate]) -> Candidates:
+        near = [row for row in rows if row.entry.zone == self._zone]
+        return Candidates(self._turned(rows), self._turned(near))
+
+    def _turned(self, rows: Sequence[Candidate]) -> tuple[Candidate, ...]:
+        first = self._seed % len(rows) if rows else 0
+        return (*rows[first:], *rows[:first])
+
     def _candidate(self, tag: int, target: KnownTarget, now: float) -> Candidate:
         warm_at = now + target.entry.cold_ms / 1000
         warm_at = self._warm_at.setdefault(target.entry.lifetime, warm_at)
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Sequence
+from typing import NamedTuple
 
 from ..types import ZoneName
 from .flow_book import TargetLoad
-from .roster import Candidate
+from .roster import Candidate, Candidates
 from .types import Split
 
 BUSY_WEIGHT = 1.0
@@ -18,6 +19,11 @@
 FOREIGN_ZONE_LOAD = 3.0
 """Load that a target of another zone has to be below the own zone's, as a share of its slots."""
 
+COMPARED = 16
+"""Targets of the own zone that are compared for a flow. The best of a few is nearly as good as the
+best of all (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001), and a SYN
+at a host with 1,000 targets would take milliseconds."""
+
 COLD_FACTOR = 1.6
 """How much slower a target is that has just started."""
 
@@ -41,37 +47,69 @@
         return best.service
 
 
-def choose_target(
-    candidates: Sequence[Candidate],
-    tried: Collection[int],
-    zone: ZoneName,
-    load: Callable[[int], TargetLoad],
-    is_avoided: Callable[[Candidate], bool],
-    now: float,
-) -> Candidate | None:
-    """Return the least loaded target, those of the own zone first, or ``None``.
-
-    Targets that earlier copies of the SYN went to, that are avoided, or that miss heartbeats come
-    last: one of them is still better than none. A copy also leaves another zone that did not
-    answer, since the way there may be cut.
+class TargetChooser:
+    """Chooses targets for new flows of one host.
 
+    :param zone: of this host.
     :param load: what a target has to do, by its tag.
     """
-    silent_zones = {row.entry.zone for row in candidates if row.tag in tried} - {zone}
 
-    def cost(candidate: Candidate) -> tuple[int, float]:
-        flows, opening, waiting = load(candidate.tag)
+    def __init__(self, zone: ZoneName, load: Callable[[int], TargetLoad]) -> None:
+        self._zone = zone
+        self._load = load
+        self._next = 0
+
+    def choose(
+        self,
+        candidates: Candidates,
+        tried: Collection[int],
+        is_avoided: Callable[[Candidate], bool],
+        now: float,
+    ) -> Candidate | None:
+        """Return the least loaded target, those of the own zone first, or ``None``.
+
+        Targets that earlier copies of the SYN went to, that are avoided, or that miss heartbeats
+        come last: one of them is still better than none. A copy also leaves another zone that did
+        not answer, since the way there may be cut.
+        """
+        rows = candidates.rows
+        silent_zones = {row.entry.zone for row in rows if row.tag in tried} - {self._zone}
+
+        def cost(candidate: Candidate) -> _Cost:
+            zone = candidate.entry.zone
+            doubts = 2 * (not candidate.is_fresh) + is_avoided(candidate) + (zone in silent_zones)
+            doubts += 4 * sum(1 for tag in tried if tag == candidate.tag)
+            return _Cost(doubts, self._used(candidate, now))
+
+        near = self._few(candidates.near)
+        best = min(near, key=cost, default=None)
+        if best is not None and cost(best) < _Cost(0, FOREIGN_ZONE_LOAD):
+            return best
+        return min(rows, key=cost, default=None)
+
+    def _used(self, candidate: Candidate, now: float) -> float:
+        flows, opening, waiting = self._load(candidate.tag)
         slots = max(1, candidate.entry.slots)
         used = (BUSY_WEIGHT * waiting + FLOW_WEIGHT * (flows + opening + 1)) / slots
         if now < candidate.warm_at:
             used *= COLD_FACTOR
-        if candidate.entry.zone != zone:
-            used += FOREIGN_ZONE_LOAD
-        doubts = 2 * (not candidate.is_fresh) + is_avoided(candidate)
-        doubts += candidate.entry.zone in silent_zones
-        return doubts + 4 * tried_count(candidate.tag), used
+        return used if candidate.entry.zone == self._zone else used + FOREIGN_ZONE_LOAD
+
+    def _few(self, near: Sequence[Candidate]) -> Sequence[Candidate]:
+        """Return candidates to compare: all in turn, a few at a time."""
+        if len(near) <= COMPARED:
+            return near
+        start = self._next % len(near)
+        self._next = start + COMPARED
+        return [*near[start : start + COMPARED], *near[: max(0, self._next - len(near))]]
 
-    def tried_count(tag: int) -> int:
-        return sum(1 for other in tried if other == tag)
 
-    return min(candidates, key=cost, default=None)
+class _Cost(NamedTuple):
+    """What speaks against a target; the lowest is chosen.
+
+    :param doubts: whether it answers at all.
+    :param used: its load for each slot.
+    """
+
+    doubts: int
+    used: float
--- a/packages/core/tests/test_tag_overload.py
+++ b/packages/core/tests/test_tag_overload.py
@@ -162,4 +162,6 @@
         guard._limit = LEAST_LIMIT
         made.decide(syn(40001), 0.0)
         self.assertEqual(made.decide(syn(40002), 0.0), Reset(ResetReason.OVERLOAD))
-        self.assertEqual(made.book.load(made._roster.candidates("proofdesk")[0].tag).opening, 1)
+        self.assertEqual(
+            made.book.load(made._roster.candidates("proofdesk").rows[0].tag).opening, 1
+        )
--- a/packages/core/tests/test_tagging.py
+++ b/packages/core/tests/test_tagging.py
@@ -2,8 +2,10 @@
 import unittest
 
 from checkin_fakes import EDITS, SHEETS, configuration, data, entry, syn, update
+from lacewingrudder_core._tagging.selection import COMPARED
 from lacewingrudder_core._tagging.tags import flow_tag, unshared_tags
 from lacewingrudder_core.checkins import LifeState, Lifetime
+from lacewingrudder_core.hashing import name_hash
 from lacewingrudder_core.tagging import (
     Dropped,
     DropReason,
@@ -253,6 +255,47 @@
         self.assertLess(misses, 12)
 
 
+class LargeFleetTest(unittest.TestCase):
+    """Many hosts with a few flows each, and more targets than a host compares for a flow."""
+
+    def placed(self, made: TagForwarder, flows: int) -> collections.Counter[int]:
+        """Open flows that never end, and count them by target."""
+        counts: collections.Counter[int] = collections.Counter()
+        for port in range(40000, 40000 + flows):
+            decision = made.decide(syn(port), 0.0)
+            assert isinstance(decision, Forwarded)
+            counts[decision.identity] += 1
+        return counts
+
+    def fleet(self, targets: int, seed: int, zone: str = "adum") -> TagForwarder:
+        made = TagForwarder("adum", seed)
+        made.configure(configuration())
+        made.update(update(*(entry(number, zone=zone) for number in range(targets))), 0.0)
+        return made
+
+    def test_few_flows_of_each_of_many_hosts_spread_over_all_targets(self) -> None:
+        total: collections.Counter[int] = collections.Counter()
+        for host in range(95):
+            total += self.placed(self.fleet(25, name_hash(f"10.1.0.{host}:7720")), 5)
+        self.assertEqual(len(total), 25)
+        self.assertLess(max(total.values()), 2 * total.total() / 25)
+
+    def test_flows_spread_evenly_where_a_few_targets_are_compared_at_a_time(self) -> None:
+        counts = self.placed(self.fleet(10 * COMPARED, 7), 40 * COMPARED)
+        self.assertEqual(set(counts.values()), {4})
+
+    def test_targets_of_other_zones_are_found_where_there_is_none_near(self) -> None:
+        counts = self.placed(self.fleet(10 * COMPARED, 7, zone="suame"), 10 * COMPARED)
+        self.assertEqual(set(counts.values()), {1})
+
+    def test_all_of_a_large_zone_are_compared_before_one_in_doubt_gets_a_flow(self) -> None:
+        made = TagForwarder("adum", 7)
+        made.configure(configuration())
+        stale = [entry(number, fresh=False) for number in range(10 * COMPARED)]
+        made.update(update(*stale, entry(5000)), 0.0)
+        self.assertEqual(set(self.placed(made, 10)), {5000})
+
+
 class TagTest(unittest.TestCase):
     def test_tag_follows_from_the_lifetime_alone(self) -> None:
         self.assertEqual(flow_tag(Lifetime("i-1", 5)), flow_tag(Lifetime("i-1", 5)))
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -13,6 +13,7 @@
     Subscription,
     Update,
 )
+from lacewingrudder_core.hashing import name_hash
 from lacewingrudder_core.tagging import (
     REBUILD_SECONDS,
     Dropped,
@@ -78,7 +79,7 @@
         self._adapter = packets
         self._reader = reader
         self._reports = EntryEvents(events)
-        self._forwarder = TagForwarder(settings.zone)
+        self._forwarder = TagForwarder(settings.zone, name_hash(str(settings.messages)))
         self._socket = DatagramSocket(self._received)
         self._channel = Channel(ENTRY_MESSAGES, events, self._deliver)
         self._settled = asyncio.Event()
