--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -7,7 +7,6 @@
 import random
 import secrets
 import time
-from collections.abc import Iterable
 from typing import Any
 
 from lacewingrudder_core import checkins, control
@@ -35,6 +34,7 @@
 from ..control_task import ControlTask
 from .answers import Answers
 from .channel import Channel
+from .contacts import ControlContacts
 from .event_log import EventLog
 from .http import HttpHandler, HttpServer
 from .messages import ENTRY_MESSAGES
@@ -50,9 +50,6 @@
 KEEP_SECONDS = 0.3
 """How soon after a change the targets are written to the disk."""
 
-CONTROL_KEPT_SECONDS = 20.0
-"""How long a silent control host that does not vote is still told to others."""
-
 MILLISECONDS_PER_SECOND = 1000
 
 CONTROL_MESSAGES = ENTRY_MESSAGES | REPLICA_TAGS
@@ -78,6 +75,7 @@
         self._registrar = registrar
         self._name = str(settings.messages)
         self._policy = DiscoveredVoters(settings.seeds, settings.founds)
+        self._contacts = ControlContacts(self._name, self._policy)
         self._answers = Answers()
         self._channel = Channel(CONTROL_MESSAGES, events, self._deliver)
         disk = FolderDisk(registrar.data_folder)
@@ -86,7 +84,6 @@
         self._checkins = CheckInCore(self._name, settings.zone, self._restored())
         self._thread = concurrent.futures.ThreadPoolExecutor(1, "registry")
         self._views = Views()
-        self._heard: dict[HostName, float] = {}
         self._server: HttpServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -156,7 +153,7 @@
         self._control.close()
 
     def _settings_changed(self) -> None:
-        self._policy.learn(self._settings.seeds)
+        self._contacts.learn(self._settings.seeds)
 
     def _restored(self) -> Registry:
         epoch = int(time.time() * MILLISECONDS_PER_SECOND)
@@ -220,14 +217,13 @@
 
     def _updated(self, sender: HostName, update: Update) -> None:
         self._learn(sender)
-        self._policy.learn(update.controls)
+        self._contacts.learn(update.controls)
         if self._views.take(update, self._loop.time()):
             self._feed(checkins.PeerUpdated(update))
             self._subscribe(sender, is_poll=False)
 
     def _learn(self, host: HostName) -> None:
-        self._heard[host] = self._loop.time()
-        self._policy.learn((host,))
+        self._contacts.hear(host, self._loop.time())
 
     def _feed(self, event: checkins.CheckInEvent) -> None:
         for effect in self._checkins.handle(event, self._loop.time()):
@@ -273,28 +269,16 @@
 
     async def _poll(self) -> None:
         while True:
-            self._forget_silent()
-            self._feed(checkins.ControlsKnown(frozenset(self._controls())))
-            for host in sorted(self._policy.contacts - {self._name}):
+            now = self._loop.time()
+            voters = [voter.name for voter in self._control.core.replica.state.log.voters]
+            known = self._contacts.known(voters, now)
+            self._contacts.forget({*known, *self._settings.seeds})
+            self._views.forget_silent(now)
+            self._feed(checkins.ControlsKnown(known))
+            for host in self._contacts.others:
                 self._subscribe(host, is_poll=True)
             await asyncio.sleep(POLL_SECONDS)
 
-    def _forget_silent(self) -> None:
-        """Poll hosts no longer that are neither seeds nor voters nor heard."""
-        kept = {*self._controls(), *self._settings.seeds}
-        self._policy.forget(self._policy.contacts - kept)
-        self._heard = {host: at for host, at in self._heard.items() if host in kept}
-        self._views.forget_silent(self._loop.time())
-
-    def _controls(self) -> Iterable[HostName]:
-        now = self._loop.time()
-        yield self._name
-        for voter in self._control.core.replica.state.log.voters:
-            yield voter.name
-        for host, heard in self._heard.items():
-            if now - heard < CONTROL_KEPT_SECONDS:
-                yield host
-
     def _subscribe(self, host: HostName, is_poll: bool) -> None:
         position = self._views.position(host)
         subscription = Subscription(self._name, self._settings.zone, True, position, -1, is_poll)
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -14,7 +14,11 @@
 
 from standins.networks import claim_network
 from standins.platform import (
+    CALL_PORT,
     GRACE_SECONDS,
+    MESSAGE_PORT,
+    PACKET_PORT,
+    READY_PORT,
     ProcessAddresses,
     process_settings,
     start_process,
@@ -24,10 +28,6 @@
 
 from .plan import Shape
 
-MESSAGE_PORT = 28_510
-PACKET_PORT = 28_511
-READY_PORT = 28_512
-CALL_PORT = 28_513
 STOP_MARGIN_SECONDS = 1.0
 STOP_POLL_SECONDS = 0.05
 DISK_FULL_BYTES = 16
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,10 +10,11 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from standins.platform import CALL_PORT, PACKET_PORT, READY_PORT
 from standins.wire import Address
 
 from .callers import Callers, FlowResults, LongFlow, Routers
-from .hosts import CALL_PORT, PACKET_PORT, READY_PORT, Hosts
+from .hosts import Hosts
 from .http import Caller
 from .injector import Injector, TargetChanges
 from .links import CallProxy, HostLinks
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,6 +16,12 @@
 ROOT = Path(__file__).resolve().parent.parent
 SYN, ACK, FIN, RST = 64, 128, 4, 8
 BEAT_SECONDS = 1.2
+MESSAGE_PORT = 28_510
+PACKET_PORT = 28_511
+READY_PORT = 28_512
+CALL_PORT = 28_513
+"""Ports of every process on its own address: messages, packets, readiness, and calls."""
+
 GRACE_SECONDS = 6
 MILLISECONDS_PER_SECOND = 1000
 IDLE_MS = 15_000
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -13,6 +13,10 @@
 from typing import Any
 
 from standins.platform import (
+    CALL_PORT,
+    MESSAGE_PORT,
+    PACKET_PORT,
+    READY_PORT,
     ManifestRoute,
     Packet,
     ProcessAddresses,
@@ -22,10 +26,6 @@
     write_settings,
 )
 
-MESSAGE_PORT = 28_510
-PACKET_PORT = 28_511
-READY_PORT = 28_512
-CALL_PORT = 28_513
 CONTROLS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
 ENTRIES = ("127.0.2.1", "127.0.2.2")
 CALLER = "127.0.3.1"
