--- a/measure/capacity_processes.py
+++ b/measure/capacity_processes.py
@@ -73,7 +73,7 @@
     fields = (folder / "stat").read_text().rpartition(")")[2].split()
     ticks = int(fields[11]) + int(fields[12])
     resident = int(fields[21]) * os.sysconf("SC_PAGESIZE")
-    return Use(ticks / os.sysconf("SC_CLK_TCK"), resident, fleet.metric(host, SENT_METRIC))
+    return Use(ticks / os.sysconf("SC_CLK_TCK"), resident, host.metric(SENT_METRIC))
 
 
 def _print(size: Size, uses: list[tuple[Use, Use]]) -> None:
--- a/measure/log_gaps.py
+++ b/measure/log_gaps.py
@@ -11,8 +11,9 @@
 from lacewingrudder_core.types import Endpoint, OrderAction, TargetOrder
 from lacewingrudder_wire.client import request
 
+from standins.entry_host import EntryHost
 from standins.firms import ASANTE_BOATENG
-from standins.fleet import EntryHost, Fleet
+from standins.fleet import Fleet
 from standins.loads import service_entry
 
 WATCH_SECONDS = 5.0
--- a/measure/spread.py
+++ b/measure/spread.py
@@ -26,7 +26,7 @@
 
 def sent_bytes(fleet: Fleet) -> list[float]:
     """Return the bytes of messages that each host has sent so far."""
-    return [fleet.metric(host, METRIC) for host in fleet.hosts]
+    return [host.metric(METRIC) for host in fleet.hosts]
 
 
 def in_force_seconds(events: list[TimelineEvent], revision: int) -> float:
--- a/measure/whole_system.py
+++ b/measure/whole_system.py
@@ -60,7 +60,7 @@
 
 
 def _sent_bytes(fleet: Fleet) -> list[float]:
-    return [fleet.metric(host, SENT_METRIC) for host in fleet.hosts]
+    return [host.metric(SENT_METRIC) for host in fleet.hosts]
 
 
 def measure_flood(shape: FirmShape, prefix: str, admission: str) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import itertools
 import json
 import signal
@@ -16,6 +15,7 @@
 from types import TracebackType
 from typing import Any, NamedTuple
 
+from .entry_host import EntryHost
 from .firms import FirmShape, ServiceShape
 from .loads import service_entry
 from .networks import claim_network
@@ -32,34 +32,6 @@
     """The system did not reach an expected state in time."""
 
 
-class EntryHost(NamedTuple):
-    """An entry host of the fleet."""
-
-    name: str
-    zone: str
-    address: str
-
-    @property
-    def data(self) -> str:
-        """Where it takes packets."""
-        return f"{self.address}:4754"
-
-    @property
-    def listen(self) -> str:
-        """Where it takes links."""
-        return f"{self.address}:7000"
-
-    @property
-    def announce(self) -> str:
-        """Where targets announce themselves."""
-        return f"{self.address}:8080"
-
-    @property
-    def metrics(self) -> str:
-        """Where its metrics are."""
-        return f"{self.address}:9100"
-
-
 class Fleet:
     """One firm's system; use it as a context manager.
 
@@ -307,18 +279,10 @@
     def _wait_for_metric(self, name: str, reached: Callable[[float], bool], seconds: float) -> None:
         def all_reached() -> bool:
             hosts = [host for host in self.hosts if host.name in self.processes]
-            return all(reached(self.metric(host, name)) for host in hosts)
+            return all(reached(host.metric(name)) for host in hosts)
 
         self._wait(all_reached, seconds, f"{name} is not as expected on all hosts")
 
-    def metric(self, host: EntryHost, name: str) -> float:
-        """Return the sum of a metric over its labels, or 0 if the host does not answer."""
-        with contextlib.suppress(OSError):
-            lines = _get(host.metrics, "/metrics").splitlines()
-            values = [line.split()[-1] for line in lines if line.split("{")[0].split()[0] == name]
-            return sum(float(value) for value in values)
-        return 0.0
-
     def _wait(self, reached: Any, seconds: float, otherwise: str) -> None:
         deadline = time.monotonic() + seconds
         while not reached():
@@ -358,11 +322,3 @@
 
 def _offset(service: ServiceShape) -> int:
     return 100 if service.address.endswith(".1") else 200
-
-
-def _get(endpoint: str, path: str) -> str:
-    address, _, port = endpoint.rpartition(":")
-    with socket.create_connection((address, int(port)), timeout=1.0) as connection:
-        connection.sendall(f"GET {path} HTTP/1.0\r\nHost: {address}\r\n\r\n".encode())
-        parts = iter(lambda: connection.recv(65536), b"")
-        return b"".join(parts).decode().partition("\r\n\r\n")[2]
--- a/tests/test_control_hosts.py
+++ b/tests/test_control_hosts.py
@@ -11,8 +11,9 @@
 from lacewingrudder_wire.client import request
 from lacewingrudder_wire.exceptions import LacewingrudderError
 
+from standins.entry_host import EntryHost
 from standins.firms import ASANTE_BOATENG
-from standins.fleet import EntryHost, Fleet
+from standins.fleet import Fleet
 from standins.loads import service_entry
 
 WAIT_SECONDS = 20.0
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -6,8 +6,9 @@
 
 from lacewingrudder_wire.timeline import TimelineEvent, read_file
 
+from standins.entry_host import EntryHost
 from standins.firms import ASANTE_BOATENG
-from standins.fleet import EntryHost, Fleet
+from standins.fleet import Fleet
 from standins.loads import service_entry
 
 IN_FORCE_SECONDS = 4.0
