--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -31,6 +31,10 @@
 STOP_MARGIN_SECONDS = 1.0
 STOP_POLL_SECONDS = 0.05
 DISK_FULL_BYTES = 16
+LOG_NAME = "replica.log"
+MOST_TORN_BYTES = 20
+"""Less than the first frame of a log, so that what is left at its end is no whole frame."""
+
 MOST_HOSTS = 110
 """Hosts that the addresses of one claimed network are enough for."""
 
@@ -158,6 +162,14 @@
         """Remove the data of a host that does not run."""
         shutil.rmtree(self._folder / f"data-{name}", ignore_errors=True)
 
+    def tear(self, name: str) -> None:
+        """Leave a write that was cut off at the end of the log of a host that does not run."""
+        log = self._folder / f"data-{name}" / LOG_NAME
+        if log.exists():
+            begun = log.read_bytes()[: 1 + 7 * self.run_number(name) % MOST_TORN_BYTES]
+            with log.open("ab") as file:
+                file.write(begun)
+
     def ended(self) -> list[tuple[str, int]]:
         """Return the hosts that ended by themselves, with their exit codes, and forget these."""
         found = [
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -157,7 +157,7 @@
 
     async def _kill(self, fault: Fault) -> None:
         self._disturb([fault.victim], fault.for_seconds + CATCH_UP_SECONDS)
-        self._hosts.kill(fault.victim)
+        self._lose_power(fault.victim)
         await asyncio.sleep(fault.for_seconds)
         self._restart(fault.victim)
 
@@ -188,7 +188,7 @@
         everyone = (*self._shape.controls, *self._shape.entries)
         self._disturb(everyone, seconds + CATCH_UP_SECONDS)
         for host in everyone:
-            self._hosts.kill(host)
+            self._lose_power(host)
         await asyncio.sleep(seconds)
         for host in everyone:
             self._restart(host)
@@ -239,6 +239,12 @@
         await asyncio.sleep(fault.for_seconds)
         self._calls[fault.victim].loses_answers = False
 
+    def _lose_power(self, host: str) -> None:
+        """Kill a host in the middle of a write to its disk; one that does not run keeps it."""
+        if self._hosts.has_started(host):
+            self._hosts.kill(host)
+            self._hosts.tear(host)
+
     def _restart(self, host: str) -> None:
         """Start a host again; one that another fault started already runs on."""
         if not self._hosts.has_started(host):
