--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -7,7 +7,7 @@
 import sys
 import traceback
 
-SCRIPTS = ("floods", "whole_system", "flows", "placement", "log", "membership", "spread")
+SCRIPTS = ("floods", "whole_system", "flows", "placement", "log", "membership", "spread", "fleet_cores")
 
 
 def main(chosen: list[str]) -> int:
--- a/packages/core/tests/test_tagging.py
+++ b/packages/core/tests/test_tagging.py
@@ -1,5 +1,7 @@
 import collections
+import sys
 import unittest
+from types import FrameType
 
 from checkin_fakes import EDITS, SHEETS, configuration, data, entry, syn, update
 from lacewingrudder_core._checkins.core import RESEND_SECONDS
@@ -304,6 +306,31 @@
         self.assertEqual(set(self.placed(made, 10)), {5000})
 
 
+class ReplacementTest(unittest.TestCase):
+    """Targets are replaced one after the other in a fleet of 300 and of 3,000."""
+
+    def calls(self, targets: int) -> int:
+        """Return how many calls of functions it takes to work in the drain of one target."""
+        made = forwarder(*(entry(number) for number in range(targets)))
+        drain = update(entry(7, LifeState.DRAINING), number=2)
+        count = 0
+
+        def counted(frame: FrameType, event: str, argument: object) -> None:
+            nonlocal count
+            count += event in ("call", "c_call")
+
+        sys.setprofile(counted)
+        try:
+            made.update(drain, 10.0)
+            made.catch_up(10.0)
+        finally:
+            sys.setprofile(None)
+        return count
+
+    def test_work_for_one_change_does_not_grow_with_the_targets(self) -> None:
+        self.assertLess(self.calls(3000), 2 * self.calls(300))
+
+
 class TagTest(unittest.TestCase):
     def test_tag_follows_from_the_lifetime_alone(self) -> None:
         self.assertEqual(flow_tag(Lifetime("i-1", 5)), flow_tag(Lifetime("i-1", 5)))
