--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -7,7 +7,16 @@
 import sys
 import traceback
 
-SCRIPTS = ("floods", "whole_system", "flows", "placement", "log", "membership", "spread", "fleet_cores")
+SCRIPTS = (
+    "floods",
+    "whole_system",
+    "flows",
+    "placement",
+    "log",
+    "membership",
+    "spread",
+    "fleet_cores",
+)
 
 
 def main(chosen: list[str]) -> int:
