--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -48,6 +48,11 @@
             self.assertIn(part, text)
         self.assertNotIn("probes", text)
 
+    def test_day_that_was_given_up_has_prices_without_a_value(self) -> None:
+        prices = [["machine-seconds", 10.0, 0.02], ["duties missed", 1.0, None]]
+        self.write(entry("a", "2026-01-01", day("sweep-300", 0.0, prices=prices)))
+        self.assertEqual(read_journal(self.folder)[0].days[0].prices, {"machine-seconds": 0.02})
+
     def test_runs_without_an_outcome_are_shown_and_escaped(self) -> None:
         self.write(entry("a", "2026-01-01", site=None, error="the run did not finish"))
         text = page(read_journal(self.folder))
--- a/tools/report.py
+++ b/tools/report.py
@@ -30,7 +30,7 @@
 
     :param worth: benefit earned less prices, as a part of what was owed.
     :param rules: names of broken rules, and a fault if there was one.
-    :param prices: what was taken off, by what for.
+    :param prices: what was taken off, by what for; a day that was given up lacks some.
     """
 
     name: str
@@ -82,7 +82,8 @@
 
 def _day(row: Mapping[str, Any]) -> PlayedDay:
     rules = tuple(sorted(row["rules"]))
-    prices = {name: price for name, _, price in row["prices"] if price >= LEAST_PRICE}
+    priced = ((name, price) for name, _, price in row["prices"] if price is not None)
+    prices = {name: price for name, price in priced if price >= LEAST_PRICE}
     return PlayedDay(row["name"], row["G"], rules + (("fault",) if row["fault"] else ()), prices)
 
 
