Apply single changes to an entry host's index of targets

Now views name the lifetimes that an update, a restart or a lost control host touches, and the index looks at these, and at those that share their name, address or tag. The pacing of rebuilds goes, and with it its tests; in their place each update has to be in force, and confirmed, at once.

--- a/measure/fleet_cores.py
+++ b/measure/fleet_cores.py
@@ -93,7 +93,10 @@
 
 
 def measure_entry_host(size: FleetSize) -> None:
-    """Print the cost of a SYN, a tick and a change of one target on an entry host."""
+    """Print the cost of a SYN, a tick and a change of one target on an entry host.
+
+    Also print that of the loss of all control hosts but one.
+    """
     forwarder = TagForwarder(LOCAL_ZONE)
     route = Route(ROUTE_ENDPOINT, (Split(SERVICE, 1),), False, 0)
     forwarder.configure(Configuration(1, {ROUTE_ENDPOINT: route}, 15.0))
@@ -107,7 +110,6 @@
         forwarder.apply_update(
             Update(host, Position(1, targets_per_control), 0, entries, -1, (host,)), 0.0
         )
-    forwarder.apply_pending(0.0)
 
     def open_flow(number: int) -> None:
         flow = FlowKey(
@@ -121,12 +123,19 @@
         message = Update(
             "10.0.0.0:1", position, targets_per_control + number, (entry,), -1, ("10.0.0.0:1",)
         )
-        forwarder.apply_update(message, 2.0 + number)
+        forwarder.apply_update(message, 2.0)
+
+    def lose_controls(number: int) -> None:
+        forwarder.apply_update(
+            Update("10.0.0.0:1", Position(1, number), 0, (), -1, ("10.0.0.0:1",)), 9.0
+        )
+        forwarder.tick(9.0)
 
     name = f"{size.hosts}_hosts_{size.targets}_targets"
     print(f"entry_syn_us_{name}={_mean_microseconds(open_flow):.0f}")
     print(f"entry_tick_us_{name}={_mean_microseconds(lambda n: forwarder.tick(1.0)):.0f}")
-    print(f"entry_change_us_{name}={_mean_microseconds(drain_target, 10):.0f}", flush=True)
+    print(f"entry_change_us_{name}={_mean_microseconds(drain_target, 10):.0f}")
+    print(f"entry_control_loss_us_{name}={_mean_microseconds(lose_controls, 1):.0f}", flush=True)
 
 
 def main() -> None:
--- a/packages/core/src/lacewingrudder_core/_checkins/views.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/views.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from ..types import HostName
@@ -28,14 +27,13 @@
     has_recent_heartbeat: bool
 
 
-class ViewValidity(NamedTuple):
+class _Validity(NamedTuple):
     """Whether the view of a control host is valid, so that its heartbeat reports count.
 
     :param is_previous_valid: whether the entries from before the control host's last start are
         valid.
     """
 
-    host: HostName
     is_valid: bool
     is_previous_valid: bool
 
@@ -54,6 +52,21 @@
         self.previous_entries: dict[Lifetime, TargetEntry] = {}
         self.previous_valid_until = float("-inf")
         self.past_epochs: set[int] = set()
+        self.validity = _Validity(True, False)
+
+    def lifetimes(self) -> set[Lifetime]:
+        """Return all lifetimes that this view has an entry of."""
+        return self.entries.keys() | self.previous_entries.keys()
+
+    def change_validity(self, validity: _Validity) -> set[Lifetime]:
+        """Change which entries are valid; return their lifetimes."""
+        changed: set[Lifetime] = set()
+        if validity.is_valid != self.validity.is_valid:
+            changed |= self.entries.keys()
+        if validity.is_previous_valid != self.validity.is_previous_valid:
+            changed |= self.previous_entries.keys()
+        self.validity = validity
+        return changed
 
     def begin_epoch(self, epoch: int, now: float) -> None:
         """Begin a new epoch after a restart; the entries from before stay valid for a while."""
@@ -64,7 +77,11 @@
 
 
 class Views:
-    """Views of all control hosts; stale and duplicate updates have no effect."""
+    """Views of all control hosts; stale and duplicate updates have no effect.
+
+    Methods that change the views return the lifetimes that may look different afterwards, so that
+    callers need not look at the others.
+    """
 
     def __init__(self) -> None:
         self._views: dict[HostName, _View] = {}
@@ -84,74 +101,78 @@
         view = self._views.get(control)
         return float("inf") if view is None else now - view.last_received_at
 
-    def apply_update(self, update: Update, now: float) -> bool:
-        """Apply an update; return whether it brought changes."""
+    def apply_update(self, update: Update, now: float) -> set[Lifetime]:
+        """Apply an update; return the lifetimes that it changed."""
         view = self._views.setdefault(update.host, _View())
         epoch, number = update.position
         is_new = epoch != view.position.epoch
         if is_new and (update.since or epoch in view.past_epochs):
-            return False
+            return set()
         view.last_received_at = now
+        changed: set[Lifetime] = set()
         if is_new:
+            changed = view.lifetimes()
             view.begin_epoch(epoch, now)
         if update.since > view.position.number or number <= view.position.number:
-            return False
+            return changed
         for entry in update.entries:
-            view.entries[entry.lifetime] = entry
+            if view.entries.get(entry.lifetime) != entry:
+                view.entries[entry.lifetime] = entry
+                changed.add(entry.lifetime)
         view.position = update.position
-        return True
-
-    def remove_unresponsive(self, now: float) -> None:
-        """Drop the views of long unresponsive control hosts, unless all are unresponsive."""
-        if now - self.last_received_at > VIEW_VALIDITY_SECONDS:
-            return
-        self._views = {
-            host: view
-            for host, view in self._views.items()
-            if now - view.last_received_at <= VIEW_RETENTION_SECONDS
-        }
+        return changed
 
-    def validities(self, now: float) -> list[ViewValidity]:
-        """Return which views are valid.
+    def refresh(self, now: float) -> set[Lifetime]:
+        """Update which views are valid; return the lifetimes in those whose validity changed.
 
         While all control hosts are unresponsive, no view expires: the last known state is the best
-        available.
+        available. Otherwise the views of long unresponsive control hosts are dropped.
         """
         all_unresponsive = now - self.last_received_at > VIEW_VALIDITY_SECONDS
-        return [
-            ViewValidity(
-                host,
-                all_unresponsive or now - view.last_received_at <= VIEW_VALIDITY_SECONDS,
+        changed: set[Lifetime] = set()
+        for host, view in list(self._views.items()):
+            silence = now - view.last_received_at
+            validity = _Validity(
+                all_unresponsive or silence <= VIEW_VALIDITY_SECONDS,
                 all_unresponsive or now <= view.previous_valid_until,
             )
-            for host, view in self._views.items()
-        ]
+            if not all_unresponsive and silence > VIEW_RETENTION_SECONDS:
+                del self._views[host]
+                changed |= view.lifetimes()
+            else:
+                changed |= view.change_validity(validity)
+        return changed
+
+    def get(self, lifetime: Lifetime) -> KnownTarget | None:
+        """Return a lifetime as merged from all views as of the last refresh, or ``None``."""
+        merged: KnownTarget | None = None
+        for view in self._views.values():
+            is_valid, is_previous_valid = view.validity
+            merged = _merge(merged, view.previous_entries.get(lifetime), is_previous_valid)
+            merged = _merge(merged, view.entries.get(lifetime), is_valid)
+        return merged
 
     def merge(self, now: float) -> dict[Lifetime, KnownTarget]:
-        """Merge all views; the result changes only with the views and their validity."""
-        merged: dict[Lifetime, KnownTarget] = {}
-        for host, is_valid, is_previous_valid in self.validities(now):
-            view = self._views[host]
-            _merge(merged, view.previous_entries.values(), is_previous_valid)
-            _merge(merged, view.entries.values(), is_valid)
-        return merged
+        """Merge all views."""
+        self.refresh(now)
+        lifetimes = {lifetime for view in self._views.values() for lifetime in view.lifetimes()}
+        merged = {lifetime: self.get(lifetime) for lifetime in lifetimes}
+        return {lifetime: target for lifetime, target in merged.items() if target is not None}
 
 
 def _merge(
-    merged: dict[Lifetime, KnownTarget], entries: Iterable[TargetEntry], is_valid: bool
-) -> None:
-    for entry in entries:
-        has_recent_heartbeat = (
-            is_valid and entry.has_recent_heartbeat and entry.state is not LifeState.GONE
-        )
-        known = merged.get(entry.lifetime)
-        if known is None:
-            merged[entry.lifetime] = KnownTarget(entry, has_recent_heartbeat)
-            continue
-        latest = entry if _rank(entry) > _rank(known.entry) else known.entry
-        merged[entry.lifetime] = KnownTarget(
-            latest, has_recent_heartbeat or known.has_recent_heartbeat
-        )
+    known: KnownTarget | None, entry: TargetEntry | None, is_valid: bool
+) -> KnownTarget | None:
+    """Merge what one view says of a lifetime into what is known of it."""
+    if entry is None:
+        return known
+    has_recent_heartbeat = (
+        is_valid and entry.has_recent_heartbeat and entry.state is not LifeState.GONE
+    )
+    if known is None:
+        return KnownTarget(entry, has_recent_heartbeat)
+    latest = entry if _rank(entry) > _rank(known.entry) else known.entry
+    return KnownTarget(latest, has_recent_heartbeat or known.has_recent_heartbeat)
 
 
 def _rank(entry: TargetEntry) -> tuple[int, int]:
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -9,8 +9,8 @@
 
 import functools
 
-from .._checkins.types import LifeState, TargetEntry, Update
-from .._checkins.views import KnownTarget, Views, ViewValidity
+from .._checkins.types import Lifetime, Update
+from .._checkins.views import KnownTarget, Views
 from ..latencies import LatencyHistogram
 from ..types import Endpoint, ZoneName
 from .concurrency_limit import ConcurrencyLimiter
@@ -36,12 +36,6 @@
 """A host that received its first update less than this ago may not know all targets yet: they check
 in every 1.2 s."""
 
-REBUILD_INTERVAL_SECONDS_PER_TARGET = 0.0001
-MAX_REBUILD_INTERVAL_SECONDS = 0.1
-"""Minimum interval between rebuilds of the target index, per known target and at most. A rebuild
-takes some 5 us per known target, and many updates arrive while targets register or are replaced.
-The limit is below the 0.12 s after which a control host resends a drain."""
-
 
 class TagForwarder:
     """Decides where each packet of a caller goes.
@@ -53,9 +47,6 @@
     def __init__(self, zone: ZoneName, seed: int = 0) -> None:
         self._zone = zone
         self._views = Views()
-        self._view_validities: list[ViewValidity] = []
-        self._has_pending_updates = False
-        self._rebuilt_at = float("-inf")
         self._target_index = TargetIndex(zone, seed)
         self._flow_tracker = FlowTracker()
         self._chooser = TargetChooser(zone, self._flow_tracker.load)
@@ -95,15 +86,6 @@
             return False
         return not self._target_index.is_empty or now - self._started_at > DISCOVERY_TIMEOUT_SECONDS
 
-    @property
-    def has_pending_updates(self) -> bool:
-        """Whether :meth:`apply_pending` has updates to apply."""
-        return self._has_pending_updates
-
-    def pending_delay(self, now: float) -> float:
-        """Return the seconds until :meth:`apply_pending` is due."""
-        return max(0.0, self._rebuild_delay(now))
-
     def pop_ejections(self) -> list[Ejection]:
         """Return the targets and zones that were ejected since the last call."""
         ejections, self._ejections = self._ejections, []
@@ -121,40 +103,11 @@
         return True
 
     def apply_update(self, update: Update, now: float) -> list[KnownTarget]:
-        """Apply an update of a control host; return the targets that are new or changed.
-
-        While :attr:`has_pending_updates` is true, updates have no effect on decisions yet and must
-        not be acknowledged to the control host.
-        """
+        """Apply an update of a control host; return the targets that are new or changed."""
         if self._started_at is None:
             self._started_at = now
-        if not self._views.apply_update(update, now):
-            return []
-        self._has_pending_updates = True
-        if self._rebuild_delay(now) > 0 and not any(map(self._is_first_of_service, update.entries)):
-            return []
-        return self._rebuild(now)
-
-    def _rebuild_delay(self, now: float) -> float:
-        interval = min(
-            MAX_REBUILD_INTERVAL_SECONDS,
-            REBUILD_INTERVAL_SECONDS_PER_TARGET * self._target_index.size,
-        )
-        return self._rebuilt_at + interval - now
-
-    def _is_first_of_service(self, entry: TargetEntry) -> bool:
-        """Return whether an entry is the first ready target of its service.
-
-        Flows to the service are refused until it is applied.
-        """
-        return (
-            entry.state is LifeState.READY
-            and not self._target_index.candidates(entry.service).targets
-        )
-
-    def apply_pending(self, now: float) -> list[KnownTarget]:
-        """Apply pending updates; return the targets that are new or changed."""
-        return self._rebuild(now) if self._has_pending_updates else []
+        changed = self._views.apply_update(update, now)
+        return self._apply_changes(changed | self._views.refresh(now), now)
 
     def tick(self, now: float) -> list[KnownTarget]:
         """Expire old state; return the targets that changed."""
@@ -164,17 +117,13 @@
             else self._configuration.idle_seconds
         )
         self._flow_tracker.expire(idle, now)
-        self._views.remove_unresponsive(now)
         self._target_outliers.retain_known(lambda tag: self._target_index.entry(tag) is not None)
-        if self._has_pending_updates or self._views.validities(now) != self._view_validities:
-            return self._rebuild(now)
-        return []
-
-    def _rebuild(self, now: float) -> list[KnownTarget]:
-        self._has_pending_updates = False
-        self._rebuilt_at = now
-        self._view_validities = self._views.validities(now)
-        return self._target_index.rebuild(self._views.merge(now), now)
+        return self._apply_changes(self._views.refresh(now), now)
+
+    def _apply_changes(self, lifetimes: set[Lifetime], now: float) -> list[KnownTarget]:
+        return self._target_index.apply(
+            ((lifetime, self._views.get(lifetime)) for lifetime in lifetimes), now
+        )
 
     def decide(self, segment: TagSegment, now: float) -> Decision:
         """Return whether to forward, drop or reset a packet of a caller."""
--- a/packages/core/src/lacewingrudder_core/_tagging/target_index.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/target_index.py
@@ -1,14 +1,16 @@
-"""Index of the known targets by tag and by service."""
+"""Index of the known targets by tag and by service, kept up to date one change at a time."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
-from typing import NamedTuple
+import bisect
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple, TypeVar
 
 from .._checkins.types import LifeState, Lifetime, TargetEntry
 from .._checkins.views import KnownTarget
+from ..hashing import pair_hash
 from ..types import Endpoint, TargetName, ZoneName
-from .tags import unique_tags
+from .tags import flow_tag
 
 
 class Candidate(NamedTuple):
@@ -31,40 +33,118 @@
     :param local_targets: targets in this host's zone.
     """
 
-    targets: tuple[Candidate, ...]
-    local_targets: tuple[Candidate, ...]
+    targets: Sequence[Candidate]
+    local_targets: Sequence[Candidate]
 
 
+_KeyT = TypeVar("_KeyT", int, TargetName, Endpoint)
+
 _NO_CANDIDATES = Candidates((), ())
 
 
+class _OrderedCandidates:
+    """Candidates in an order that differs between hosts, as its seed does."""
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._keys: list[tuple[int, int]] = []
+        self.rows: list[Candidate] = []
+
+    def put(self, candidate: Candidate) -> None:
+        """Add a candidate or replace the one with its tag."""
+        position, is_known = self._find(candidate.tag)
+        if is_known:
+            self.rows[position] = candidate
+        else:
+            self._keys.insert(position, self._key(candidate.tag))
+            self.rows.insert(position, candidate)
+
+    def remove(self, tag: int) -> None:
+        """Remove the candidate with a tag, if there is one."""
+        position, is_known = self._find(tag)
+        if is_known:
+            del self._keys[position], self.rows[position]
+
+    def _find(self, tag: int) -> tuple[int, bool]:
+        key = self._key(tag)
+        position = bisect.bisect_left(self._keys, key)
+        return position, position < len(self._keys) and self._keys[position] == key
+
+    def _key(self, tag: int) -> tuple[int, int]:
+        return pair_hash(self._seed, tag), tag
+
+
+class _ServiceCandidates:
+    """Candidates of one service.
+
+    :param zone: zone of this host.
+    """
+
+    def __init__(self, zone: ZoneName, seed: int) -> None:
+        self._zone = zone
+        self._all = _OrderedCandidates(seed)
+        self._local = _OrderedCandidates(seed)
+
+    @property
+    def candidates(self) -> Candidates:
+        """The candidates in all zones and in this host's."""
+        return Candidates(self._all.rows, self._local.rows)
+
+    def put(self, candidate: Candidate) -> None:
+        """Add a candidate or replace the one with its tag."""
+        self._all.put(candidate)
+        if candidate.entry.zone == self._zone:
+            self._local.put(candidate)
+        else:
+            self._local.remove(candidate.tag)
+
+    def remove(self, tag: int) -> None:
+        """Remove the candidate with a tag, if there is one."""
+        self._all.remove(tag)
+        self._local.remove(tag)
+
+
+class _Location(NamedTuple):
+    """What a target keeps when it restarts in place."""
+
+    target: TargetName
+    endpoint: Endpoint
+    service: str
+
+
 class TargetIndex:
     """Index of the targets that this host knows.
 
-    It retains ended lifetimes, so that flows that carry their tags are reset at once.
+    It retains ended lifetimes, so that flows that carry their tags are reset at once. A lifetime
+    ended if it says so, or if a later one took over its name or address. Lifetimes whose tags
+    collide are not used, since a colliding tag doesn't identify a target.
 
     :param zone: zone of this host.
-    :param seed: determines which target this host considers first. If all hosts began with the
+    :param seed: determines the order in which this host considers targets. If all hosts had the
         same one, hosts with few flows would put them all on the same targets.
+    :param make_tag: returns the tag of a lifetime.
     """
 
-    def __init__(self, zone: ZoneName, seed: int) -> None:
+    def __init__(
+        self, zone: ZoneName, seed: int, make_tag: Callable[[Lifetime], int] = flow_tag
+    ) -> None:
         self._zone = zone
         self._seed = seed
+        self._make_tag = make_tag
+        self._known: dict[Lifetime, KnownTarget] = {}
+        self._tags: dict[Lifetime, int] = {}
+        self._by_tag: dict[int, set[Lifetime]] = {}
+        self._by_name: dict[TargetName, set[Lifetime]] = {}
+        self._by_endpoint: dict[Endpoint, set[Lifetime]] = {}
         self._targets: dict[int, KnownTarget] = {}
-        self._successors: dict[int, int] = {}
-        self._candidates: dict[str, Candidates] = {}
+        self._running: dict[_Location, int] = {}
+        self._services: dict[str, _ServiceCandidates] = {}
         self._warmed_up_at: dict[Lifetime, float] = {}
 
-    @property
-    def size(self) -> int:
-        """Number of known lifetimes, ended ones included."""
-        return len(self._targets)
-
     @property
     def is_empty(self) -> bool:
         """Whether no known target accepts new flows."""
-        return not self._candidates
+        return not self._services
 
     def entry(self, tag: int) -> TargetEntry | None:
         """Return the lifetime with a tag, or ``None`` if no lifetime or more than one has it."""
@@ -78,7 +158,10 @@
         then carries the tag of the earlier lifetime although the later one serves it. Only the
         target can distinguish such flows from those of the earlier lifetime, which it resets.
         """
-        return self._successors.get(tag, tag)
+        entry = self.entry(tag)
+        if entry is None or entry.state is not LifeState.GONE:
+            return tag
+        return self._running.get(_location(entry), tag)
 
     def has_ended(self, tag: int) -> bool:
         """Return whether the lifetime with a tag is known to have ended."""
@@ -87,49 +170,123 @@
 
     def candidates(self, service: str) -> Candidates:
         """Return the targets that may be chosen for new flows of a service."""
-        return self._candidates.get(service, _NO_CANDIDATES)
+        known = self._services.get(service)
+        return _NO_CANDIDATES if known is None else known.candidates
 
-    def rebuild(self, known: Mapping[Lifetime, KnownTarget], now: float) -> list[KnownTarget]:
-        """Rebuild the index from the known targets; return those that are new or changed.
+    def apply(
+        self, changes: Iterable[tuple[Lifetime, KnownTarget | None]], now: float
+    ) -> list[KnownTarget]:
+        """Apply changes of lifetimes; return the targets that are new or changed.
 
         A target counts as changed if its state changes, if its heartbeats stop arriving, or if they
         resume.
+
+        :param changes: lifetimes with what is known of them, ``None`` if they are no longer known.
         """
-        ended = _ended_lifetimes(known)
-        candidates: dict[str, list[Candidate]] = {}
-        changed: list[KnownTarget] = []
-        targets: dict[int, KnownTarget] = {}
-        for lifetime, tag in unique_tags(known).items():
-            target = known[lifetime]
-            if lifetime in ended:
-                target = KnownTarget(
-                    target.entry._replace(state=LifeState.GONE), has_recent_heartbeat=False
-                )
-            before = self._targets.get(tag)
-            if before is None or _reported_state(before) != _reported_state(target):
-                changed.append(target)
-            targets[tag] = target
-            if target.entry.state is LifeState.READY:
-                candidate = self._make_candidate(tag, target, now)
-                candidates.setdefault(target.entry.service, []).append(candidate)
-        self._targets = targets
-        self._successors = _successors(targets)
-        self._warmed_up_at = {life: at for life, at in self._warmed_up_at.items() if life in known}
-        self._candidates = {name: self._make_candidates(rows) for name, rows in candidates.items()}
-        return changed
-
-    def _make_candidates(self, rows: Sequence[Candidate]) -> Candidates:
-        local_targets = [row for row in rows if row.entry.zone == self._zone]
-        return Candidates(self._rotate(rows), self._rotate(local_targets))
-
-    def _rotate(self, rows: Sequence[Candidate]) -> tuple[Candidate, ...]:
-        first = self._seed % len(rows) if rows else 0
-        return (*rows[first:], *rows[:first])
-
-    def _make_candidate(self, tag: int, target: KnownTarget, now: float) -> Candidate:
-        warmed_up_at = now + target.entry.warmup_remaining_ms / 1000
-        warmed_up_at = self._warmed_up_at.setdefault(target.entry.lifetime, warmed_up_at)
-        return Candidate(tag, target.entry, target.has_recent_heartbeat, warmed_up_at)
+        affected: set[int] = set()
+        for lifetime, target in changes:
+            before = self._known.get(lifetime)
+            if before == target:
+                continue
+            if before is not None and target is not None and _has_same_keys(before, target):
+                self._known[lifetime] = target
+                affected.add(self._tags[lifetime])
+                continue
+            if before is not None:
+                affected |= self._related_tags(lifetime)
+                self._unlink(lifetime, before)
+            if target is not None:
+                self._link(lifetime, target)
+                affected |= self._related_tags(lifetime)
+            else:
+                self._warmed_up_at.pop(lifetime, None)
+        changed = [self._update_target(tag, now) for tag in sorted(affected)]
+        return [target for target in changed if target is not None]
+
+    def _link(self, lifetime: Lifetime, target: KnownTarget) -> None:
+        tag = self._make_tag(lifetime)
+        self._known[lifetime], self._tags[lifetime] = target, tag
+        self._by_tag.setdefault(tag, set()).add(lifetime)
+        self._by_name.setdefault(lifetime.target, set()).add(lifetime)
+        self._by_endpoint.setdefault(target.entry.endpoint, set()).add(lifetime)
+
+    def _unlink(self, lifetime: Lifetime, target: KnownTarget) -> None:
+        del self._known[lifetime]
+        _discard(self._by_tag, self._tags.pop(lifetime), lifetime)
+        _discard(self._by_name, lifetime.target, lifetime)
+        _discard(self._by_endpoint, target.entry.endpoint, lifetime)
+
+    def _related_tags(self, lifetime: Lifetime) -> set[int]:
+        """Return the tag of a lifetime, and of those that share its name or address."""
+        endpoint = self._known[lifetime].entry.endpoint
+        related = self._by_name[lifetime.target] | self._by_endpoint[endpoint]
+        return {self._tags[other] for other in related}
+
+    def _update_target(self, tag: int, now: float) -> KnownTarget | None:
+        """Look at the lifetimes with a tag again; return the target if it is to be reported."""
+        before, target = self._targets.get(tag), self._resolve(tag)
+        if before == target:
+            return None
+        if before is not None:
+            self._remove_target(tag, before)
+        if target is None:
+            return None
+        self._targets[tag] = target
+        if target.entry.state is not LifeState.GONE:
+            self._running[_location(target.entry)] = tag
+        if target.entry.state is LifeState.READY:
+            self._add_candidate(tag, target, now)
+        is_reported = before is None or _reported_state(before) != _reported_state(target)
+        return target if is_reported else None
+
+    def _resolve(self, tag: int) -> KnownTarget | None:
+        """Return the only lifetime with a tag, marked as gone if it ended."""
+        lifetimes = self._by_tag.get(tag, ())
+        if len(lifetimes) != 1:
+            return None
+        lifetime = next(iter(lifetimes))
+        target = self._known[lifetime]
+        if target.entry.state is LifeState.GONE or not self._is_superseded(lifetime, target):
+            return target
+        return KnownTarget(target.entry._replace(state=LifeState.GONE), has_recent_heartbeat=False)
+
+    def _is_superseded(self, lifetime: Lifetime, target: KnownTarget) -> bool:
+        """Return whether a later lifetime took over the name or the address."""
+        rivals = self._by_name[lifetime.target] | self._by_endpoint[target.entry.endpoint]
+        return any(other.started_ms > lifetime.started_ms for other in rivals)
+
+    def _remove_target(self, tag: int, target: KnownTarget) -> None:
+        del self._targets[tag]
+        location, service = _location(target.entry), target.entry.service
+        if self._running.get(location) == tag:
+            del self._running[location]
+        known = self._services.get(service)
+        if known is not None:
+            known.remove(tag)
+            if not known.candidates.targets:
+                del self._services[service]
+
+    def _add_candidate(self, tag: int, target: KnownTarget, now: float) -> None:
+        entry = target.entry
+        warmed_up_at = self._warmed_up_at.setdefault(
+            entry.lifetime, now + entry.warmup_remaining_ms / 1000
+        )
+        known = self._services.get(entry.service)
+        if known is None:
+            known = self._services[entry.service] = _ServiceCandidates(self._zone, self._seed)
+        known.put(Candidate(tag, entry, target.has_recent_heartbeat, warmed_up_at))
+
+
+def _discard(groups: dict[_KeyT, set[Lifetime]], key: _KeyT, lifetime: Lifetime) -> None:
+    """Remove a lifetime from its group, and the group once it is empty."""
+    groups[key].discard(lifetime)
+    if not groups[key]:
+        del groups[key]
+
+
+def _has_same_keys(before: KnownTarget, after: KnownTarget) -> bool:
+    """Return whether no other lifetime is affected when one replaces the other."""
+    return before.entry.endpoint == after.entry.endpoint
 
 
 def _reported_state(target: KnownTarget) -> tuple[LifeState, bool]:
@@ -137,35 +294,5 @@
     return target.entry.state, target.has_recent_heartbeat
 
 
-def _successors(targets: Mapping[int, KnownTarget]) -> dict[int, int]:
-    """Map ended lifetimes to the running one with the same name, address and service, by tag."""
-    entries = {tag: target.entry for tag, target in targets.items()}
-    running = {
-        _location(row): tag for tag, row in entries.items() if row.state is not LifeState.GONE
-    }
-    return {
-        tag: running[_location(row)]
-        for tag, row in entries.items()
-        if row.state is LifeState.GONE and _location(row) in running
-    }
-
-
-def _location(entry: TargetEntry) -> tuple[TargetName, Endpoint, str]:
-    return entry.lifetime.target, entry.endpoint, entry.service
-
-
-def _ended_lifetimes(known: Mapping[Lifetime, KnownTarget]) -> set[Lifetime]:
-    """Return the lifetimes that ended or whose name or address a later lifetime took over."""
-    by_name: dict[TargetName, int] = {}
-    by_endpoint: dict[Endpoint, int] = {}
-    for lifetime, target in known.items():
-        endpoint = target.entry.endpoint
-        by_name[lifetime.target] = max(lifetime.started_ms, by_name.get(lifetime.target, 0))
-        by_endpoint[endpoint] = max(lifetime.started_ms, by_endpoint.get(endpoint, 0))
-    return {
-        lifetime
-        for lifetime, target in known.items()
-        if target.entry.state is LifeState.GONE
-        or lifetime.started_ms < by_name[lifetime.target]
-        or lifetime.started_ms < by_endpoint[target.entry.endpoint]
-    }
+def _location(entry: TargetEntry) -> _Location:
+    return _Location(entry.lifetime.target, entry.endpoint, entry.service)
--- a/packages/core/tests/test_tagging.py
+++ b/packages/core/tests/test_tagging.py
@@ -4,10 +4,8 @@
 from types import FrameType
 
 from checkin_fakes import EDITS, SHEETS, configuration, data, entry, syn, update
-from lacewingrudder_core._checkins.core import RESEND_INTERVAL_SECONDS
-from lacewingrudder_core._tagging.core import MAX_REBUILD_INTERVAL_SECONDS
 from lacewingrudder_core._tagging.selection import MAX_COMPARED_COUNT
-from lacewingrudder_core._tagging.tags import flow_tag, unique_tags
+from lacewingrudder_core._tagging.tags import flow_tag
 from lacewingrudder_core.checkins import LifeState, Lifetime
 from lacewingrudder_core.hashing import name_hash
 from lacewingrudder_core.tagging import (
@@ -121,38 +119,19 @@
             reported.append([target.has_recent_heartbeat for target in changed])
         self.assertEqual(reported, [[False], [], [True], []])
 
-    def test_updates_of_a_large_fleet_are_applied_in_batches(self) -> None:
+    def test_each_update_of_a_large_fleet_is_applied_at_once(self) -> None:
         forwarder = make_forwarder(*(entry(number) for number in range(1, 501)))
-        for state in LifeState:
-            with self.subTest(state=state):
-                begin = 10.0 * (state + 1)
-                number = 10 * (state + 1)
-                rows = [entry(number + index, state) for index in range(4)]
-                forwarder.apply_update(update(rows[0], number=number), begin)
-                self.assertFalse(forwarder.has_pending_updates)
-                self.assertEqual(
-                    forwarder.apply_update(update(rows[1], number=number + 1), begin + 0.02), []
-                )
-                self.assertEqual(
-                    forwarder.apply_update(update(rows[2], number=number + 2), begin + 0.03), []
-                )
-                self.assertTrue(forwarder.has_pending_updates)
-                self.assertAlmostEqual(forwarder.pending_delay(begin + 0.03), 0.02, places=3)
-                forwarder.apply_pending(begin + 0.05)
-                self.assertFalse(forwarder.has_pending_updates)
-
-    def test_updates_of_a_small_fleet_are_applied_almost_at_once(self) -> None:
-        forwarder = make_forwarder(*(entry(number) for number in range(1, 21)))
-        changed = forwarder.apply_update(update(entry(1, LifeState.DRAINING), number=2), 0.003)
-        self.assertEqual(len(changed), 1)
-
-    def test_rebuild_interval_is_shorter_than_the_resend_interval_of_drains(self) -> None:
-        self.assertLess(MAX_REBUILD_INTERVAL_SECONDS, RESEND_INTERVAL_SECONDS)
-
-    def test_first_target_of_a_service_is_applied_at_once(self) -> None:
-        forwarder = make_forwarder(entry(1))
-        changed = forwarder.apply_update(update(entry(2, service="sheetroom"), number=2), 0.0)
-        self.assertEqual(len(changed), 1)
+        for number in range(1, 100):
+            draining = entry(number, LifeState.DRAINING)
+            changed = forwarder.apply_update(
+                update(draining, number=number + 1, since=number), 10.0 + number / 1000
+            )
+            self.assertEqual([target.entry for target in changed], [draining])
+            index = forwarder._target_index
+            self.assertNotIn(
+                draining.lifetime,
+                [row.entry.lifetime for row in index.candidates("proofdesk").targets],
+            )
 
     def test_ended_target_is_reported_once(self) -> None:
         forwarder = make_forwarder(entry(1))
@@ -359,7 +338,6 @@
         sys.setprofile(count_call)
         try:
             forwarder.apply_update(drain, 10.0)
-            forwarder.apply_pending(10.0)
         finally:
             sys.setprofile(None)
         return count
@@ -375,17 +353,17 @@
         self.assertNotEqual(flow_tag(Lifetime("i-1", 5)), 0)
 
     def test_colliding_tags_are_not_used(self) -> None:
-        seen: dict[int, Lifetime] = {}
+        seen: dict[int, int] = {}
         number = 0
-        while True:
-            lifetime = Lifetime(f"i-{number:x}", 0)
-            tag = flow_tag(lifetime)
-            if tag in seen:
-                break
-            seen[tag] = lifetime
+        while (tag := flow_tag(entry(number).lifetime)) not in seen:
+            seen[tag] = number
             number += 1
-        other = Lifetime("i-other", 1)
-        self.assertEqual(unique_tags([lifetime, seen[tag], other]), {other: flow_tag(other)})
+        forwarder = make_forwarder(entry(seen[tag]), entry(number), entry(number + 1))
+        self.assertEqual(forwarder.decide(data(40001, tag), 0.0), Dropped(DropReason.UNKNOWN_TAG))
+        for port in range(40000, 40010):
+            decision = forwarder.decide(syn(port), 0.0)
+            assert isinstance(decision, Forwarded)
+            self.assertEqual(decision.identity, number + 1)
 
 
 class ZonePartitionTest(unittest.TestCase):
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -101,8 +101,6 @@
         self._is_leaving = False
         self._was_reported_ready = False
         self._poll_task: asyncio.Task[None] | None = None
-        self._catch_up_timer: asyncio.TimerHandle | None = None
-        self._unconfirmed_controls: set[HostName] = set()
 
     @property
     def is_ready(self) -> bool:
@@ -154,8 +152,6 @@
     async def _close(self) -> None:
         if self._poll_task is not None:
             self._poll_task.cancel()
-        if self._catch_up_timer is not None:
-            self._catch_up_timer.cancel()
         if self._readiness_server is not None:
             await self._readiness_server.stop()
         self._packet_socket.close()
@@ -179,11 +175,6 @@
             )
 
     def _poll_controls(self) -> None:
-        """Poll all control hosts.
-
-        A poll confirms the updates received so far, so they are applied first.
-        """
-        self._entry_events.record_target_changes(self._forwarder.apply_pending(self._loop.time()))
         for control in sorted(self._controls):
             self._subscribe(control, is_poll=True)
 
@@ -210,27 +201,9 @@
             self._forwarder.apply_update(update, self._loop.time())
         )
         if update.entries:
-            self._unconfirmed_controls.add(sender)
-        if not self._forwarder.has_pending_updates:
-            self._confirm_updates()
-        elif self._catch_up_timer is None:
-            delay = self._forwarder.pending_delay(self._loop.time())
-            self._catch_up_timer = self._loop.call_later(delay, self._catch_up)
+            self._subscribe(sender, is_poll=False)
         self._report_readiness()
 
-    def _catch_up(self) -> None:
-        """Apply the pending updates, then confirm them to the control hosts that sent them."""
-        self._catch_up_timer = None
-        self._entry_events.record_target_changes(self._forwarder.apply_pending(self._loop.time()))
-        self._confirm_updates()
-        self._report_readiness()
-
-    def _confirm_updates(self) -> None:
-        """Confirm to the control hosts that their updates are applied."""
-        unconfirmed, self._unconfirmed_controls = self._unconfirmed_controls, set()
-        for control in sorted(unconfirmed):
-            self._subscribe(control, is_poll=False)
-
     def _apply_configuration(self, update: ConfigurationUpdate) -> None:
         if update.version <= self._forwarder.version:
             return
