Make the work of a control host independent of its subscribers and pending drains

Cause: each acknowledgement walked all subscribers for each pending reply, each update counted the zone's hosts anew, and each drain was published by itself.

Now a heap of acknowledged numbers tells what all subscribers have, zone counts are kept as hosts report, changes are in the order of their numbers, drains within 20 ms share an update, and at most 32 updates are sent before other messages are handled.

--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -6,14 +6,24 @@
 
 from __future__ import annotations
 
+import collections
 from typing import NamedTuple
 
 from .._notes.configurations import StoredConfiguration
 from ..core import Core
 from ..types import HostName, TargetName, ZoneName
+from .publication import Publication
 from .registry import CheckInOutcome, Registry
 from .subscribers import Subscribers
-from .types import CheckIn, ConfigurationUpdate, LifeState, Subscription, TargetEntry, Update
+from .types import (
+    CheckIn,
+    ConfigurationUpdate,
+    LifeState,
+    Position,
+    Subscription,
+    TargetEntry,
+    Update,
+)
 
 MAX_REPLY_DELAY_SECONDS = 0.6
 """How long the reply to a drain waits for acknowledgements; targets time out after a second."""
@@ -72,6 +82,10 @@
     """
 
 
+class PublicationContinued(NamedTuple):
+    """The delay of :class:`ContinuePublication` is over."""
+
+
 CheckInEvent = (
     CheckedIn
     | Deregistered
@@ -79,6 +93,7 @@
     | PeerUpdated
     | ConfigurationCommitted
     | ControlHostsChanged
+    | PublicationContinued
     | Tick
 )
 
@@ -121,7 +136,18 @@
     host: HostName
 
 
-CheckInEffect = SendUpdate | CheckInReply | Expired | SubscriberLost | SubscriberAppeared
+class ContinuePublication(NamedTuple):
+    """Handle other events that are waiting, then pass :class:`PublicationContinued`.
+
+    :param delay_seconds: minimum delay; 0 if only events that wait already come first.
+    """
+
+    delay_seconds: float
+
+
+CheckInEffect = (
+    SendUpdate | CheckInReply | Expired | SubscriberLost | SubscriberAppeared | ContinuePublication
+)
 
 
 class _PendingReply(NamedTuple):
@@ -129,14 +155,12 @@
 
     :param number: change that the subscribers have to acknowledge.
     :param reply_by: when the reply is sent at the latest.
-    :param resend_at: when the update is sent again to hosts that haven't acknowledged it.
     """
 
     token: int
     outcome: CheckInOutcome
     number: int
     reply_by: float
-    resend_at: float
 
 
 class CheckInCore(Core[CheckInEvent, CheckInEffect]):
@@ -152,10 +176,11 @@
         self._zone = zone
         self._registry = registry
         self._subscribers = Subscribers()
-        self._now = 0.0
-        self._controls = frozenset({name})
+        self._publication = Publication()
+        self._continues_at: float | None = None
+        self._controls: tuple[HostName, ...] = (name,)
         self._configuration: StoredConfiguration | None = None
-        self._pending_replies: list[_PendingReply] = []
+        self._pending_replies: collections.deque[_PendingReply] = collections.deque()
 
     @property
     def registry(self) -> Registry:
@@ -164,56 +189,62 @@
 
     def handle(self, event: CheckInEvent, now: float) -> list[CheckInEffect]:
         """Handle an event and return its effects."""
-        self._now = now
         if isinstance(event, CheckedIn):
-            call = event.call
-            outcome = self._registry.check_in(call, now)
-            is_removal = call.state is not LifeState.READY
-            return self._publish_and_reply(event.token, outcome, is_removal, now)
+            return self._handle_check_in(event, now)
         if isinstance(event, Deregistered):
             outcome = self._registry.deregister(event.target, event.started_ms, now)
-            return self._publish_and_reply(event.token, outcome, True, now)
+            return self._publish_removal(event.token, outcome, now)
         if isinstance(event, Subscribed):
             return self._handle_subscription(event.subscription, now)
         if isinstance(event, PeerUpdated):
             is_republished = self._registry.merge_remote(event.update.entries, now)
-            return self._send_due_updates(now) if is_republished else []
+            return self._publish(True, now) if is_republished else []
         if isinstance(event, ConfigurationCommitted):
             return self._handle_commit(event.configuration)
         if isinstance(event, ControlHostsChanged):
-            self._controls = event.names
+            self._controls = tuple(sorted(event.names))
             return []
+        if isinstance(event, PublicationContinued):
+            self._continues_at = None
+            return self._continue_publication(now)
         return self._handle_tick(now)
 
-    def _publish_and_reply(
-        self, token: int, outcome: CheckInOutcome, is_removal: bool, now: float
+    def _handle_check_in(self, event: CheckedIn, now: float) -> list[CheckInEffect]:
+        last_removal = self._registry.last_removal
+        outcome = self._registry.check_in(event.call, now)
+        if event.call.state is not LifeState.READY:
+            return self._publish_removal(event.token, outcome, now)
+        if outcome is CheckInOutcome.CONFLICTING:
+            return [CheckInReply(event.token, outcome, False)]
+        reply = CheckInReply(event.token, outcome, True)
+        if outcome is CheckInOutcome.RENEWED:
+            return [reply]
+        return [reply, *self._publish(self._registry.last_removal > last_removal, now)]
+
+    def _publish_removal(
+        self, token: int, outcome: CheckInOutcome, now: float
     ) -> list[CheckInEffect]:
-        """Publish the changes of a call and reply to it.
+        """Publish a drain or deregistration; the reply waits for acknowledgements.
 
-        A removal is a drain or a deregistration. Once it is confirmed, no new flow may reach the
-        target. A repeated call waits like the first one: its sender got no reply, so other hosts
-        may not know of the change yet.
+        Once it is confirmed, no new flow may reach the target. A repeated call waits like the first
+        one: its sender got no reply, so other hosts may not know of the change yet.
         """
         if outcome is CheckInOutcome.CONFLICTING:
             return [CheckInReply(token, outcome, False)]
-        if outcome is CheckInOutcome.RENEWED and not is_removal:
-            return [CheckInReply(token, outcome, True)]
-        effects = self._send_due_updates(now)
-        if not is_removal:
-            return [CheckInReply(token, outcome, True), *effects]
+        effects = self._publish(True, now)
         number = self._registry.position.number
-        pending = _PendingReply(
-            token, outcome, number, now + MAX_REPLY_DELAY_SECONDS, now + RESEND_INTERVAL_SECONDS
+        self._pending_replies.append(
+            _PendingReply(token, outcome, number, now + MAX_REPLY_DELAY_SECONDS)
         )
-        self._pending_replies.append(pending)
         return effects + self._send_due_replies(now)
 
     def _handle_subscription(self, subscription: Subscription, now: float) -> list[CheckInEffect]:
         host = subscription.host
-        is_new = self._subscribers.renew(subscription, now)
+        acknowledged = self._acknowledged_number(subscription.position)
+        is_new = self._subscribers.renew(subscription, acknowledged, now)
         effects: list[CheckInEffect] = [SubscriberAppeared(host)] if is_new else []
-        if subscription.is_poll or self._is_due(subscription, now):
-            effects.append(self._make_update(subscription, now))
+        if subscription.is_poll or self._is_due(host, now):
+            effects.append(self._make_update(host, now))
         if not subscription.is_control and subscription.version < self._version:
             effects.append(self._make_configuration_update(host))
         return effects + self._send_due_replies(now)
@@ -235,77 +266,84 @@
     def _handle_tick(self, now: float) -> list[CheckInEffect]:
         expired = self._registry.expire(now)
         effects: list[CheckInEffect] = [Expired(entry) for entry in expired]
-        effects += self._send_due_updates(now)
         effects += [SubscriberLost(host) for host in self._subscribers.remove_expired(now)]
-        return effects + self._resend_updates(now) + self._send_due_replies(now)
+        effects += self._resend_updates(now)
+        if self._subscribers.lagging(self._registry.position.number):
+            effects += self._publish(False, now)
+        return effects + self._send_due_replies(now)
 
     def _resend_updates(self, now: float) -> list[CheckInEffect]:
-        effects: list[CheckInEffect] = []
-        if any(now >= row.resend_at for row in self._pending_replies):
-            effects = [
-                self._make_update(row, now)
-                for row in self._subscribers.all()
-                if self._is_lagging(row)
-            ]
-            resend_at = now + RESEND_INTERVAL_SECONDS
-            self._pending_replies = [
-                row._replace(resend_at=resend_at) if now >= row.resend_at else row
-                for row in self._pending_replies
-            ]
-        return effects
-
-    def _send_due_updates(self, now: float) -> list[CheckInEffect]:
-        """Send updates to the subscribers that are due; a later tick serves the others."""
+        """Send the updates that replies wait for again to hosts that didn't acknowledge them."""
+        if not self._pending_replies:
+            return []
         return [
-            self._make_update(subscription, now)
-            for subscription in self._subscribers.all()
-            if self._is_due(subscription, now)
+            self._make_update(host, now)
+            for host in self._subscribers.lagging(self._pending_replies[-1].number)
+            if self._subscribers.seconds_since_sent(host, now) >= RESEND_INTERVAL_SECONDS
+        ]
+
+    def _publish(self, is_removal: bool, now: float) -> list[CheckInEffect]:
+        """Publish the changes to all subscribers, at once or when the minimum interval is over."""
+        if is_removal:
+            self._publication.request_removal(now)
+        else:
+            self._publication.request(now)
+        return self._continue_publication(now)
+
+    def _continue_publication(self, now: float) -> list[CheckInEffect]:
+        """Send updates to the next subscribers of the publication that are due."""
+        if self._publication.is_due(now):
+            self._publication.start(self._subscribers.lagging(self._registry.position.number), now)
+        effects: list[CheckInEffect] = [
+            self._make_update(host, now)
+            for host in self._publication.pop_batch()
+            if self._is_due(host, now)
         ]
+        at = self._publication.continues_at(now)
+        if at is not None and (self._continues_at is None or at < self._continues_at):
+            self._continues_at = at
+            effects.append(ContinuePublication(at - now))
+        return effects
 
-    def _is_due(self, subscription: Subscription, now: float) -> bool:
-        if not self._is_lagging(subscription):
+    def _is_due(self, host: HostName, now: float) -> bool:
+        if self._subscribers.get(host) is None:
             return False
         number = self._registry.position.number
-        return self._subscribers.is_due(subscription.host, self._registry.last_removal, number, now)
+        if self._subscribers.acknowledged(host) >= number:
+            return False
+        return self._subscribers.is_due(host, self._registry.last_removal, number, now)
 
     def _send_due_replies(self, now: float) -> list[CheckInEffect]:
         """Reply to targets whose change all subscribers have acknowledged, or whose time is up."""
         effects: list[CheckInEffect] = []
-        still_pending: list[_PendingReply] = []
-        for row in self._pending_replies:
-            lagging = self._lagging_hosts(row.number)
-            if not lagging or now >= row.reply_by:
-                is_replicated = not lagging or self._is_replicated(row.number)
-                effects.append(CheckInReply(row.token, row.outcome, is_replicated))
-            else:
-                still_pending.append(row)
-        self._pending_replies = still_pending
+        lowest = self._subscribers.lowest_acknowledged
+        while self._pending_replies:
+            row = self._pending_replies[0]
+            is_acknowledged = lowest is None or row.number <= lowest
+            if not is_acknowledged and now < row.reply_by:
+                break
+            self._pending_replies.popleft()
+            is_replicated = is_acknowledged or self._is_replicated(row.number)
+            effects.append(CheckInReply(row.token, row.outcome, is_replicated))
         return effects
 
-    def _lagging_hosts(self, number: int) -> list[HostName]:
-        return [
-            row.host for row in self._subscribers.all() if not self._has_acknowledged(row, number)
-        ]
-
     def _is_replicated(self, number: int) -> bool:
         """Return whether a change would survive the loss of this host.
 
         Another control host must have acknowledged it, unless this is the only one.
         """
-        controls = [row for row in self._subscribers.all() if row.is_control]
-        return self._controls == {self._name} or any(
-            self._has_acknowledged(row, number) for row in controls
+        return self._controls == (self._name,) or any(
+            self._subscribers.acknowledged(host) >= number for host in self._subscribers.controls
         )
 
-    def _has_acknowledged(self, subscription: Subscription, number: int) -> bool:
-        epoch, known = subscription.position
-        return epoch == self._registry.position.epoch and known >= number
-
-    def _is_lagging(self, subscription: Subscription) -> bool:
-        return not self._has_acknowledged(subscription, self._registry.position.number)
+    def _acknowledged_number(self, position: Position) -> int:
+        """Return the number of this host's last change that a subscriber applied, or -1."""
+        return position.number if position.epoch == self._registry.position.epoch else -1
 
-    def _make_update(self, subscription: Subscription, now: float) -> SendUpdate:
-        self._subscribers.record_sent(subscription.host, self._registry.position.number, now)
+    def _make_update(self, host: HostName, now: float) -> SendUpdate:
+        subscription = self._subscribers.get(host)
+        assert subscription is not None
+        self._subscribers.record_sent(host, self._registry.position.number, now)
         since, entries = self._registry.changes_since(subscription.position)
         body = Update(
             self._name,
@@ -313,10 +351,10 @@
             since,
             entries,
             self._version,
-            tuple(sorted(self._controls)),
-            self._subscribers.count_peers(subscription.host, subscription.zone, self._now),
+            self._controls,
+            self._subscribers.count_peers(host, subscription.zone, now),
         )
-        return SendUpdate(subscription.host, body)
+        return SendUpdate(host, body)
 
     def _make_configuration_update(self, host: HostName) -> SendUpdate:
         assert self._configuration is not None
--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -94,6 +94,7 @@
         if call.sequence <= self._sequences.get(lifetime, -1):
             return CheckInOutcome.OUTDATED
         self._sequences[lifetime] = call.sequence
+        self._received_at.pop(lifetime, None)
         self._received_at[lifetime] = now
         self._end_predecessors(call, now)
         if known is not None and known.state >= call.state and known.has_recent_heartbeat:
@@ -147,14 +148,9 @@
 
     def expire(self, now: float) -> list[TargetEntry]:
         """Mark targets that missed their heartbeats as unreachable; return their entries."""
-        expired = [
-            lifetime
-            for lifetime, received_at in self._received_at.items()
-            if now - received_at > self._expiry_seconds
-        ]
+        expired = self._pop_overdue(now)
         stale: list[TargetEntry] = []
         for lifetime in expired:
-            del self._received_at[lifetime]
             known = self._entries.get(lifetime)
             if (
                 known is not None
@@ -168,6 +164,17 @@
             self._remove(entry)
         return stale
 
+    def _pop_overdue(self, now: float) -> list[Lifetime]:
+        """Remove and return the lifetimes without a recent heartbeat; the oldest come first."""
+        overdue: list[Lifetime] = []
+        while self._received_at:
+            lifetime, received_at = next(iter(self._received_at.items()))
+            if now - received_at <= self._expiry_seconds:
+                break
+            del self._received_at[lifetime]
+            overdue.append(lifetime)
+        return overdue
+
     def _is_outdated(self, call: CheckIn, known: TargetEntry | None) -> bool:
         if known is not None and known.state is LifeState.GONE:
             return True
--- a/packages/core/src/lacewingrudder_core/_checkins/versioned_entries.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/versioned_entries.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import NamedTuple
 
 from .types import LifeState, Lifetime, Position, TargetEntry
@@ -17,11 +18,10 @@
 class _NumberedEntry(NamedTuple):
     number: int
     entry: TargetEntry
-    changed_at: float
 
 
 class VersionedEntries:
-    """Entries of one control host, each with the number of its last change.
+    """Entries of one control host, each with the number of its last change, in their order.
 
     :param epoch: identifies this start of the host.
     """
@@ -31,6 +31,7 @@
         self._number = 0
         self._last_removal = 0
         self._entries: dict[Lifetime, _NumberedEntry] = {}
+        self._ended_at: dict[Lifetime, float] = {}
 
     @property
     def position(self) -> Position:
@@ -54,7 +55,11 @@
     def put(self, entry: TargetEntry, now: float) -> None:
         """Store an entry under the next number, replacing the previous one of its lifetime."""
         self._number += 1
-        self._entries[entry.lifetime] = _NumberedEntry(self._number, entry, now)
+        self._entries.pop(entry.lifetime, None)
+        self._entries[entry.lifetime] = _NumberedEntry(self._number, entry)
+        self._ended_at.pop(entry.lifetime, None)
+        if entry.state is LifeState.GONE:
+            self._ended_at[entry.lifetime] = now
         if entry.state is not LifeState.READY:
             self._last_removal = self._number
 
@@ -67,16 +72,18 @@
         known = position.number if position.epoch == self._epoch else 0
         if known >= self._number:
             return known, ()
-        changed = tuple(row.entry for row in self._entries.values() if row.number > known)
-        return known, changed
+        newest_first = itertools.takewhile(
+            lambda row: row.number > known, reversed(self._entries.values())
+        )
+        return known, tuple(row.entry for row in newest_first)[::-1]
 
     def remove_ended(self, now: float) -> list[TargetEntry]:
         """Remove the entries of lifetimes that ended long ago, and return them."""
-        ended = [
-            row.entry
-            for row in self._entries.values()
-            if row.entry.state is LifeState.GONE and now - row.changed_at > ENDED_RETENTION_SECONDS
-        ]
-        for entry in ended:
-            del self._entries[entry.lifetime]
+        ended: list[TargetEntry] = []
+        while self._ended_at:
+            lifetime, ended_at = next(iter(self._ended_at.items()))
+            if now - ended_at <= ENDED_RETENTION_SECONDS:
+                break
+            del self._ended_at[lifetime]
+            ended.append(self._entries.pop(lifetime).entry)
         return ended
--- a/packages/core/src/lacewingrudder_core/checkins.py
+++ b/packages/core/src/lacewingrudder_core/checkins.py
@@ -6,10 +6,12 @@
 from ._checkins.core import CheckInEvent as CheckInEvent
 from ._checkins.core import CheckInReply as CheckInReply
 from ._checkins.core import ConfigurationCommitted as ConfigurationCommitted
+from ._checkins.core import ContinuePublication as ContinuePublication
 from ._checkins.core import ControlHostsChanged as ControlHostsChanged
 from ._checkins.core import Deregistered as Deregistered
 from ._checkins.core import Expired as Expired
 from ._checkins.core import PeerUpdated as PeerUpdated
+from ._checkins.core import PublicationContinued as PublicationContinued
 from ._checkins.core import SendUpdate as SendUpdate
 from ._checkins.core import Subscribed as Subscribed
 from ._checkins.core import SubscriberAppeared as SubscriberAppeared
--- a/packages/core/tests/test_checkins.py
+++ b/packages/core/tests/test_checkins.py
@@ -319,16 +319,16 @@
     def test_restarting_host_counts_as_known_but_not_as_ready(self) -> None:
         hosts = Subscribers()
         for host in ("a:1", "b:1", "c:1"):
-            hosts.renew(self.make_subscription(host, True), 0.0)
-        hosts.renew(self.make_subscription("a:1", True), 3.0)
-        hosts.renew(self.make_subscription("b:1", True), 3.0)
+            hosts.renew(self.make_subscription(host, True), 0, 0.0)
+        hosts.renew(self.make_subscription("a:1", True), 0, 3.0)
+        hosts.renew(self.make_subscription("b:1", True), 0, 3.0)
         self.assertEqual(hosts.remove_expired(3.0), ["c:1"])
         self.assertEqual(hosts.count_peers("a:1", "adum", 3.0), ZonePeerCounts(2, 1))
 
     def test_hosts_of_other_zones_do_not_count(self) -> None:
         hosts = Subscribers()
-        hosts.renew(self.make_subscription("a:1", True), 0.0)
-        hosts.renew(self.make_subscription("b:1", True, "suame"), 0.0)
+        hosts.renew(self.make_subscription("a:1", True), 0, 0.0)
+        hosts.renew(self.make_subscription("b:1", True, "suame"), 0, 0.0)
         self.assertEqual(hosts.count_peers("a:1", "adum", 0.0), ZonePeerCounts(0, 0))
 
 
@@ -350,5 +350,5 @@
         views = Views()
         for number in range(200):
             views.apply_update(update(entry(number + 1), control=f"c{number}:1"), 10.0 * number)
-            views.remove_unresponsive(10.0 * number)
+            views.refresh(10.0 * number)
         self.assertLess(len(views._views), 20)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -230,7 +230,9 @@
     def _apply_update(self, sender: HostName, update: Update) -> None:
         self._mark_seen(sender)
         self._peers.add(update.controls)
-        if self._views.apply_update(update, self._loop.time()):
+        before = self._views.position(sender)
+        self._views.apply_update(update, self._loop.time())
+        if self._views.position(sender) != before:
             self._handle_checkin_event(checkins.PeerUpdated(update))
             self._subscribe(sender, is_poll=False)
 
@@ -256,11 +258,16 @@
                 name, started_ms = entry.lifetime
                 detail = f"{name} born {started_ms}, last check-in {entry.sequence}"
                 self._events.record("target_silent", target=str(entry.endpoint), detail=detail)
+            case checkins.ContinuePublication(delay_seconds):
+                self._loop.call_later(delay_seconds, self._continue_publication)
             case checkins.SubscriberLost(host):
                 self._events.record("subscriber_lost", target=host)
             case checkins.SubscriberAppeared(host):
                 self._events.record("subscriber_found", target=host)
 
+    def _continue_publication(self) -> None:
+        self._handle_checkin_event(checkins.PublicationContinued())
+
     async def _tick_loop(self) -> None:
         while True:
             self._handle_checkin_event(checkins.Tick())
@@ -287,7 +294,7 @@
             voters = [voter.name for voter in self._control.core.replica.state.log.voters]
             control_hosts = self._peers.hosts_to_announce(voters, now)
             self._peers.retain({*control_hosts, *self._settings.seeds})
-            self._views.remove_unresponsive(now)
+            self._views.refresh(now)
             self._handle_checkin_event(checkins.ControlHostsChanged(control_hosts))
             for host in self._peers.others:
                 self._subscribe(host, is_poll=True)
