Hand over leadership when the leader's disk fails, and retry split elections sooner

Cause: a leader whose disk is full left its followers to time out, and with a second host just back an election often had no winner twice in a row, each time for one to two seconds. A stepped cluster whose disks fill one after another left a change unanswered for 5.2 and 5.4 s (bound: the users' 5 s).

The failing leader now asks the voter with the longest log to take over, and an election without a winner is repeated after 0.25 to 1 s; pre-votes keep that from disturbing a leader.

--- a/packages/core/src/lacewingrudder_core/_replica/election.py
+++ b/packages/core/src/lacewingrudder_core/_replica/election.py
@@ -15,6 +15,11 @@
 ELECTION_TIMEOUT_SECONDS = 1.0
 LEASE_SECONDS = 1.0
 
+MIN_ELECTION_RETRY_SECONDS = 0.25
+MAX_ELECTION_RETRY_SECONDS = 1.0
+"""Range of the delay before another election after one without a winner. A pre-vote can't disturb a
+leader, so there is no need to wait for a whole election timeout again."""
+
 
 def quorum_size(voters: tuple[ReplicaId, ...]) -> int:
     """Return the number of voters in a majority."""
@@ -62,6 +67,12 @@
         """Restart the timer with a random duration of one to two election timeouts."""
         self._deadline = now + ELECTION_TIMEOUT_SECONDS * self._rng.uniform(1.0, 2.0)
 
+    def restart_for_retry(self, now: float) -> None:
+        """Restart the timer for the case that the election that begins now has no winner."""
+        self._deadline = now + self._rng.uniform(
+            MIN_ELECTION_RETRY_SECONDS, MAX_ELECTION_RETRY_SECONDS
+        )
+
     def is_expired(self, now: float) -> bool:
         """Return whether the timer has expired."""
         return now >= self._deadline
--- a/packages/core/src/lacewingrudder_core/_replica/leadership.py
+++ b/packages/core/src/lacewingrudder_core/_replica/leadership.py
@@ -90,6 +90,16 @@
                 state.send(row.replica, LeadershipTransfer(state.header(row.replica)))
                 return
 
+    def most_advanced_voter(self, now: float) -> ReplicaId | None:
+        """Return the responsive voter with the longest log besides this host, or ``None``."""
+        rows = [
+            row
+            for row in self._progress
+            if row.replica in self._state.log.voters and not self._is_unresponsive(row.replica, now)
+        ]
+        best = max(rows, key=lambda row: row.match_index, default=None)
+        return None if best is None else best.replica
+
     def record_append_reply(self, message: AppendReply, now: float) -> None:
         """Handle a replica's answer to entries, and send it the next ones."""
         row = self._progress.get(message.header.sender.identity)
--- a/packages/core/src/lacewingrudder_core/_replica/replica.py
+++ b/packages/core/src/lacewingrudder_core/_replica/replica.py
@@ -29,6 +29,7 @@
     ReplicaEvent,
     ReplicaMessageReceived,
     RoleChanged,
+    SendToReplica,
     ShutdownRequested,
 )
 from .leadership import Leadership
@@ -177,9 +178,19 @@
             self._leadership.advance_commit_index(self._now)
 
     def _handle_persist_failure(self, event: PersistFailed) -> None:
+        """Take no further part until writes succeed again; a leader hands over its leadership.
+
+        The messages that wait for the failed write are discarded. The request to take over says
+        nothing about this host's state, so it needn't wait for it.
+        """
         self._write_error = event.reason
-        self._transition("fail")
         self._state.discard_messages()
+        if self._leadership is not None:
+            successor = self._leadership.most_advanced_voter(self._now)
+            if successor is not None:
+                message = m.LeadershipTransfer(self._state.header(successor))
+                self._state.emit_unheld(SendToReplica(successor.name, message))
+        self._transition("fail")
 
     def _propose(self, event: Propose) -> None:
         problem = self._refusal_reason()
@@ -272,13 +283,14 @@
 
     def _start_pre_vote(self) -> None:
         self._transition("timeout")
-        self._election_timer.restart(self._now)
+        self._election_timer.restart_for_retry(self._now)
         self._voting.request_pre_votes()
         self._start_election_if_won()
 
     def _start_election_if_won(self) -> None:
         if self._role == Role.PRE_CANDIDATE and self._voting.is_won:
             self._transition("win")
+            self._election_timer.restart_for_retry(self._now)
             self._voting.request_votes()
             self._become_leader_if_won()
 
--- a/packages/core/src/lacewingrudder_core/_replica/state.py
+++ b/packages/core/src/lacewingrudder_core/_replica/state.py
@@ -53,6 +53,7 @@
         self._pending_writes: collections.deque[tuple[int, int]] = collections.deque()
         self._held_effects: collections.deque[tuple[int, ReplicaEffect]] = collections.deque()
         self._queued_effects: list[ReplicaEffect] = []
+        self._unheld_effects: list[ReplicaEffect] = []
         self._needs_write = False
         self._first_unwritten: int | None = None
         self._unwritten_snapshot: LogSnapshot | None = None
@@ -123,6 +124,10 @@
         """Queue an effect; messages and changes wait until all writes so far are durable."""
         self._queued_effects.append(effect)
 
+    def emit_unheld(self, effect: ReplicaEffect) -> None:
+        """Queue an effect that reveals no state of this host, and so waits for no write."""
+        self._unheld_effects.append(effect)
+
     def send(self, receiver: ReplicaId, message: MemberMessage) -> None:
         """Queue a message to a member of the cluster."""
         self.emit(SendToReplica(receiver.name, message))
@@ -223,7 +228,7 @@
 
     def release_effects(self) -> list[ReplicaEffect]:
         """Return the effects that may be executed now; a new write, if any, comes first."""
-        released: list[ReplicaEffect] = []
+        released, self._unheld_effects = self._unheld_effects, []
         if self._needs_write:
             released.append(Persist(self._next_write()))
         for effect in self._queued_effects:
