Choose targets by their response times too, and count flows that are being opened

Cause: a host chose the target with the fewest of its own flows, and went to another zone only at three of its own requests per slot. Where several hosts share a zone, none of them reaches that before the queue is full, and a target that answers no SYN looked idle.

Now the load is multiplied by the target's recent response time relative to its service, which shows what other hosts put on it, a flow that is being opened weighs more than a request, and other zones are looked at from 2.5 on.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -16,6 +16,7 @@
     "membership",
     "spread",
     "fleet_cores",
+    "replacement",
 )
 
 
--- /dev/null
+++ b/measure/replacement_model.py
@@ -0,0 +1,323 @@
+"""A model of callers, entry hosts and targets, two of which are replaced by cold ones.
+
+Each flow carries one request. Hosts choose targets by their own counts and don't know each other's.
+"""
+
+from __future__ import annotations
+
+import abc
+import collections
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from lacewingrudder_core.checkins import LifeState, Lifetime, Position, TargetEntry, Update
+from lacewingrudder_core.tagging import (
+    Configuration,
+    Forwarded,
+    Route,
+    Split,
+    TagForwarder,
+    TagSegment,
+)
+from lacewingrudder_core.types import Endpoint, FlowKey, ZoneName
+
+SERVICE = "a"
+ROUTE_ENDPOINT = Endpoint.parse("198.18.0.1:443")
+CALLER_ADDRESS = Endpoint.parse("100.64.0.1:1").address
+FIRST_TARGET_ENDPOINT = Endpoint.parse("10.1.0.1:8080")
+CONTROL = "10.0.0.1:7720"
+
+SLOTS = 2
+QUEUE_LENGTH = 8
+PROCESSING_SECONDS = 0.033
+WARMUP_SECONDS = 2.0
+WARMUP_SLOWDOWN = 1.6
+OBJECTIVE_SECONDS = 0.15
+ONE_WAY_DELAY_SECONDS = 0.003
+SYN_RETRANSMISSION_SECONDS = (0.2, 0.6)
+SYN_TIMEOUT_SECONDS = 1.4
+MAX_RETRIES = 2
+RETRY_DELAY_SECONDS = 0.05
+DETECTION_SECONDS = 3.6
+"""When control hosts notice that targets fell silent: three heartbeats."""
+
+REPLACED_COUNT = 2
+FAILED_AT = 4.0
+REPLACED_AT = 4.5
+END_SECONDS = 12.0
+
+
+class ModelSize(NamedTuple):
+    """Numbers of entry hosts and targets, spread over the zones."""
+
+    hosts: int
+    targets: int
+    zones: int
+
+
+class Outcome(NamedTuple):
+    """Result of a request.
+
+    :param at: time of the first attempt.
+    :param seconds: response time, or ``None`` if it got no answer.
+    """
+
+    at: float
+    seconds: float | None
+
+
+class Target:
+    """A target with slots and a queue, which is slow while it warms up."""
+
+    def __init__(self, entry: TargetEntry, warmed_up_at: float) -> None:
+        self.entry = entry
+        self.warmed_up_at = warmed_up_at
+        self.is_silent = False
+        self.expected = 0
+        self.busy = 0
+        self.queue: collections.deque[Callable[[], None]] = collections.deque()
+
+    def slowdown(self, now: float) -> float:
+        """Return the factor on processing times."""
+        return WARMUP_SLOWDOWN if now < self.warmed_up_at else 1.0
+
+
+class Choice(abc.ABC):
+    """How an entry host chooses the target of a flow."""
+
+    @abc.abstractmethod
+    def choose(self, segment: TagSegment, now: float) -> Target | None:
+        """Return the target for a SYN, or ``None`` if it is refused."""
+
+    @abc.abstractmethod
+    def record_packet(self, segment: TagSegment, target: Target, now: float) -> None:
+        """Record that a later packet of the flow passed."""
+
+    @abc.abstractmethod
+    def apply_update(self, update: Update, now: float) -> None:
+        """Apply a published change of the targets."""
+
+
+class OwnCounts(Choice):
+    """The choice of the product: each host by what it sees itself."""
+
+    def __init__(self, zone: ZoneName, seed: int, targets: dict[int, Target]) -> None:
+        self._targets = targets
+        self._tags: dict[FlowKey, int] = {}
+        route = Route(ROUTE_ENDPOINT, (Split(SERVICE, 1),), False, 0, OBJECTIVE_SECONDS)
+        self._forwarder = TagForwarder(zone, seed)
+        self._forwarder.configure(Configuration(1, {ROUTE_ENDPOINT: route}, 15.0))
+
+    def choose(self, segment: TagSegment, now: float) -> Target | None:
+        """Return the target for a SYN, or ``None`` if it is refused."""
+        decision = self._forwarder.decide(segment, now)
+        if not isinstance(decision, Forwarded):
+            return None
+        self._tags[segment.flow] = decision.tag
+        return self._targets[decision.identity]
+
+    def record_packet(self, segment: TagSegment, target: Target, now: float) -> None:
+        """Record that a later packet of the flow passed."""
+        self._forwarder.decide(segment._replace(tag=self._tags[segment.flow]), now)
+        if segment.is_last:
+            del self._tags[segment.flow]
+
+    def apply_update(self, update: Update, now: float) -> None:
+        """Apply a published change of the targets."""
+        self._forwarder.apply_update(update, now)
+
+
+class AllCounts(Choice):
+    """The limit: the target that is done first, by the queues of all running targets."""
+
+    def __init__(self, targets: dict[int, Target], rng: random.Random) -> None:
+        self._targets = targets
+        self._random = rng
+
+    def choose(self, segment: TagSegment, now: float) -> Target | None:
+        """Return the target that can answer first."""
+        running = [target for target in self._targets.values() if not target.is_silent]
+        chosen = min(running, key=lambda t: self._cost(t, now))
+        chosen.expected += 1
+        return chosen
+
+    def _cost(self, target: Target, now: float) -> tuple[float, float]:
+        count = target.expected + target.busy + len(target.queue) + 1
+        return max(1.0, count / SLOTS) * target.slowdown(now), self._random.random()
+
+    def record_packet(self, segment: TagSegment, target: Target, now: float) -> None:
+        """Record that an expected request arrived."""
+        if segment.payload:
+            target.expected -= 1
+
+    def apply_update(self, update: Update, now: float) -> None:
+        """Do nothing: the targets are known."""
+
+
+class ReplacementModel:
+    """Simulates requests while two targets fall silent and two cold ones start.
+
+    :param load: request rate as a multiple of the capacity of all targets.
+    :param knows_all: whether hosts choose by the state of all targets.
+    """
+
+    def __init__(self, size: ModelSize, load: float, knows_all: bool, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._size = size
+        self._rate = load * size.targets * SLOTS / PROCESSING_SECONDS
+        self.targets = {number: self._make_target(number, 0) for number in range(size.targets)}
+        zones = [f"z{number % size.zones}" for number in range(size.hosts)]
+        self._hosts: list[Choice] = [
+            (
+                AllCounts(self.targets, self._random)
+                if knows_all
+                else OwnCounts(zone, self._random.getrandbits(64), self.targets)
+            )
+            for zone in zones
+        ]
+        self._published = 0
+        self._publish(*(target.entry for target in self.targets.values()))
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._ports = itertools.count(1)
+        self._now = 0.0
+        self.outcomes: list[Outcome] = []
+        self.placements: list[tuple[float, int]] = []
+
+    def run(self) -> None:
+        """Run the simulation; outcomes and placements are recorded."""
+        at = 0.0
+        while (at := at + self._random.expovariate(self._rate)) < END_SECONDS:
+            self._schedule(at, lambda at=at: self._open_flow(at, 0))
+        self._schedule(FAILED_AT, self._silence_targets)
+        self._schedule(REPLACED_AT, self._start_targets)
+        self._schedule(FAILED_AT + DETECTION_SECONDS, self._publish_silent_targets)
+        while self._events:
+            self._now, _, action = heapq.heappop(self._events)
+            action()
+
+    def _make_target(self, number: int, warmup_ms: int, warmed_up_at: float = 0.0) -> Target:
+        endpoint = Endpoint(FIRST_TARGET_ENDPOINT.address + number, FIRST_TARGET_ENDPOINT.port)
+        zone, lifetime = f"z{number % self._size.zones}", Lifetime(f"i-{number}", 1)
+        entry = TargetEntry(
+            lifetime, number, SERVICE, zone, endpoint, SLOTS, LifeState.READY, 1, warmup_ms, True
+        )
+        return Target(entry, warmed_up_at)
+
+    def _publish(self, *entries: TargetEntry) -> None:
+        since, self._published = self._published, self._published + len(entries)
+        update = Update(CONTROL, Position(1, self._published), since, entries, -1, (CONTROL,))
+        for host in self._hosts:
+            host.apply_update(update, 0.0 if not since else self._now)
+
+    def _silence_targets(self) -> None:
+        for number in range(REPLACED_COUNT):
+            self.targets[number].is_silent = True
+
+    def _start_targets(self) -> None:
+        first = max(self.targets) + 1
+        numbers = range(first, first + REPLACED_COUNT)
+        warmed_up_at = self._now + WARMUP_SECONDS
+        for number in numbers:
+            warmup_ms = int(WARMUP_SECONDS * 1000)
+            self.targets[number] = self._make_target(number, warmup_ms, warmed_up_at)
+        self._publish(*(self.targets[number].entry for number in numbers))
+
+    def _publish_silent_targets(self) -> None:
+        silent = [target.entry for target in self.targets.values() if target.is_silent]
+        self._publish(*(entry._replace(has_recent_heartbeat=False) for entry in silent))
+
+    def _schedule(self, when: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._order), action))
+
+    def _open_flow(self, requested_at: float, retries: int) -> None:
+        host = self._random.choice(self._hosts)
+        self._send_syn(host, next(self._ports), 0, requested_at, retries)
+
+    def _send_syn(
+        self, host: Choice, port: int, attempt: int, requested_at: float, retries: int
+    ) -> None:
+        target = host.choose(_segment(port, is_syn=True, attempt=attempt), self._now)
+        if target is None:
+            self._retry(requested_at, retries)
+            return
+        if not attempt:
+            self.placements.append((self._now, target.entry.identity))
+        if not target.is_silent:
+            at = self._now + 2 * ONE_WAY_DELAY_SECONDS
+            self._schedule(at, lambda: self._request(host, port, target, requested_at, retries))
+        elif attempt < len(SYN_RETRANSMISSION_SECONDS):
+            delay = SYN_RETRANSMISSION_SECONDS[attempt] - (0.2 if attempt else 0.0)
+            again = lambda: self._send_syn(  # noqa: E731
+                host, port, attempt + 1, requested_at, retries
+            )
+            self._schedule(self._now + delay, again)
+        else:
+            later = self._now + SYN_TIMEOUT_SECONDS - SYN_RETRANSMISSION_SECONDS[-1]
+            self._schedule(later, lambda: self._retry(requested_at, retries))
+
+    def _retry(self, requested_at: float, retries: int) -> None:
+        if retries == MAX_RETRIES:
+            self.outcomes.append(Outcome(requested_at, None))
+        else:
+            later = self._now + RETRY_DELAY_SECONDS
+            self._schedule(later, lambda: self._open_flow(requested_at, retries + 1))
+
+    def _request(
+        self, host: Choice, port: int, target: Target, requested_at: float, retries: int
+    ) -> None:
+        host.record_packet(_segment(port, payload=100), target, self._now)
+        if target.is_silent:
+            self._retry(requested_at, retries)
+            return
+        if target.busy >= SLOTS and len(target.queue) >= QUEUE_LENGTH:
+            self._end_flow(host, port, target)
+            self._retry(requested_at, retries)
+            return
+
+        def done() -> None:
+            seconds = self._now + ONE_WAY_DELAY_SECONDS - requested_at
+            self.outcomes.append(Outcome(requested_at, seconds))
+            at = self._now + 2 * ONE_WAY_DELAY_SECONDS
+            self._schedule(at, lambda: self._end_flow(host, port, target))
+
+        if target.busy < SLOTS:
+            self._process(target, done)
+        else:
+            target.queue.append(done)
+
+    def _end_flow(self, host: Choice, port: int, target: Target) -> None:
+        last = _segment(port, acknowledged=1000, is_last=True)
+        host.record_packet(last, target, self._now)
+
+    def _process(self, target: Target, done: Callable[[], None]) -> None:
+        target.busy += 1
+        seconds = PROCESSING_SECONDS * target.slowdown(self._now) * self._random.uniform(0.5, 1.5)
+
+        def finish() -> None:
+            target.busy -= 1
+            if target.queue:
+                self._process(target, target.queue.popleft())
+            done()
+
+        self._schedule(self._now + seconds, finish)
+
+
+def _segment(
+    port: int,
+    is_syn: bool = False,
+    attempt: int = 0,
+    payload: int = 0,
+    acknowledged: int = 1,
+    is_last: bool = False,
+) -> TagSegment:
+    flow = FlowKey(
+        CALLER_ADDRESS + port // 60_000,
+        1 + port % 60_000,
+        ROUTE_ENDPOINT.address,
+        ROUTE_ENDPOINT.port,
+    )
+    return TagSegment(flow, 0, is_syn, is_last, attempt, payload, 2, acknowledged)
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -13,6 +13,7 @@
 from .._checkins.views import KnownTarget, Views
 from ..latencies import LatencyHistogram
 from ..types import Endpoint, ZoneName
+from .answer_times import AnswerTimes
 from .concurrency_limit import ConcurrencyLimiter
 from .flow_tracker import AnswerStatus, FlowTracker
 from .outlier_detection import OutlierDetector
@@ -49,7 +50,8 @@
         self._views = Views()
         self._target_index = TargetIndex(zone, seed)
         self._flow_tracker = FlowTracker()
-        self._chooser = TargetChooser(zone, self._flow_tracker.load)
+        self._answer_times = AnswerTimes()
+        self._chooser = TargetChooser(zone, self._flow_tracker.load, self._answer_times)
         self._target_outliers: OutlierDetector[int] = OutlierDetector()
         self._zone_outliers: OutlierDetector[ZoneName] = OutlierDetector()
         self._ejections: list[Ejection] = []
@@ -117,6 +119,7 @@
             else self._configuration.idle_seconds
         )
         self._flow_tracker.expire(idle, now)
+        self._answer_times.expire(now)
         self._target_outliers.retain_known(lambda tag: self._target_index.entry(tag) is not None)
         return self._apply_changes(self._views.refresh(now), now)
 
@@ -226,6 +229,8 @@
         elif observation.answer_status is AnswerStatus.RETRANSMITTED:
             self._record_failure(tag, now)
         seconds, objective = observation.answer_seconds, route.objective_seconds
+        if seconds is not None:
+            self._answer_times.service(entry.service).record(tag, seconds, now)
         if seconds is not None and objective is not None:
             waiting = functools.partial(self._count_waiting, entry.service)
             self._get_limiter(entry.service).record_answer(tag, seconds, objective, waiting, now)
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ..types import ZoneName
+from .answer_times import AnswerTimes
 from .flow_tracker import TargetLoad
 from .target_index import Candidate, Candidates
 from .types import Split
@@ -16,10 +17,19 @@
 FLOW_WEIGHT = 0.15
 """Load of an open flow, in slots; most flows are idle at any moment."""
 
-REMOTE_ZONE_LOAD = 3.0
-"""Added to the load per slot of targets in other zones. A remote target is chosen only if the best
-local one has at least this load per slot, and more than the remote one's load plus this, or if the
-local one is less likely to answer."""
+OPENING_WEIGHT = 3.0
+"""Load of a flow that is being opened, in slots. It usually lasts one round trip and turns into a
+request; a target that leaves a SYN unanswered should look busier than one that works."""
+
+UNSEEN_LOAD = 1.0
+"""Load per slot that the response time multiplies besides this host's own: a target is also busy
+with the flows of hosts that this one knows nothing of."""
+
+REMOTE_ZONE_LOAD = 1.5
+"""Added to the load per slot of targets in other zones."""
+
+MAX_LOCAL_LOAD = 2.5
+"""The best local target is chosen without a look at other zones if its load per slot is lower."""
 
 MAX_COMPARED_COUNT = 16
 """Maximum number of local targets that are compared for a flow, unless each of these has a high
@@ -27,8 +37,9 @@
 (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001), and comparing all
 would take milliseconds per SYN at a host with 1,000 targets."""
 
-WARMUP_LOAD_FACTOR = 1.6
-"""Multiplies the load of a target while it warms up, since it is that many times slower then."""
+WARMUP_FACTOR = 1.6
+"""Expected response time of a target that warms up, relative to its service, until this host has
+measured it."""
 
 
 class WeightedRoundRobin:
@@ -59,11 +70,15 @@
 
     :param zone: zone of this host.
     :param load: returns the load of the target with a tag.
+    :param answer_times: response times by service.
     """
 
-    def __init__(self, zone: ZoneName, load: Callable[[int], TargetLoad]) -> None:
+    def __init__(
+        self, zone: ZoneName, load: Callable[[int], TargetLoad], answer_times: AnswerTimes
+    ) -> None:
         self._zone = zone
         self._load = load
+        self._answer_times = answer_times
         self._next_index = 0
 
     def choose(
@@ -100,18 +115,23 @@
 
         local_targets = self._next_sample(candidates.local_targets)
         best = min(local_targets, key=cost, default=None)
-        if best is not None and cost(best) < _Cost(0, REMOTE_ZONE_LOAD):
+        if best is not None and cost(best) < _Cost(0, MAX_LOCAL_LOAD):
             return best
         return min(targets, key=cost, default=None)
 
     def _load_per_slot(self, candidate: Candidate, now: float) -> float:
         flows, opening, waiting = self._load(candidate.tag)
         slots = max(1, candidate.entry.slots)
-        load = (REQUEST_WEIGHT * waiting + FLOW_WEIGHT * (flows + opening + 1)) / slots
-        if now < candidate.warmed_up_at:
-            load *= WARMUP_LOAD_FACTOR
+        own = REQUEST_WEIGHT * waiting + OPENING_WEIGHT * opening + FLOW_WEIGHT * (flows + 1)
+        load = self._relative_answer_time(candidate, now) * (UNSEEN_LOAD + own / slots)
         return load if candidate.entry.zone == self._zone else load + REMOTE_ZONE_LOAD
 
+    def _relative_answer_time(self, candidate: Candidate, now: float) -> float:
+        times = self._answer_times.service(candidate.entry.service)
+        if now < candidate.warmed_up_at and not times.has_samples(candidate.tag):
+            return WARMUP_FACTOR
+        return times.ratio(candidate.tag, now)
+
     def _next_sample(self, local_targets: Sequence[Candidate]) -> Sequence[Candidate]:
         """Return the candidates to compare: the next few in rotation."""
         if len(local_targets) <= MAX_COMPARED_COUNT:
