--- a/measure/replacement_model.py
+++ b/measure/replacement_model.py
@@ -7,6 +7,7 @@
 
 import abc
 import collections
+import functools
 import heapq
 import itertools
 import random
@@ -191,7 +192,7 @@
         """Run the simulation; outcomes and placements are recorded."""
         at = 0.0
         while (at := at + self._random.expovariate(self._rate)) < END_SECONDS:
-            self._schedule(at, lambda at=at: self._open_flow(at, 0))
+            self._schedule(at, functools.partial(self._open_flow, at, 0))
         self._schedule(FAILED_AT, self._silence_targets)
         self._schedule(REPLACED_AT, self._start_targets)
         self._schedule(FAILED_AT + DETECTION_SECONDS, self._publish_silent_targets)
