Drop messages to hosts whose names are no endpoints

Cause: hosts poll the control hosts that an update announces. A name that isn't an address and a port raised in the poll task, which ends the process; one such as a:1 would have been looked up as a host name. A message that can't be handled is now reported as message_failed by the socket, with its type.

--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/message_socket.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/message_socket.py
@@ -49,15 +49,24 @@
     def send(self, host: HostName, body: Any) -> None:
         """Send a message without acknowledgement; a lost one is not sent again from here.
 
-        Receivers of updates poll for what they miss.
+        Receivers of updates poll for what they miss. A message to a host whose name is not an
+        endpoint is dropped: another host may have announced it.
         """
-        address = self._addresses.get(host)
-        if address is None:
-            address = self._addresses[host] = address_of(host)
+        try:
+            address = self._get_or_parse_address(host)
+        except ValueError as error:
+            self._events.record("message_undeliverable", target=host, detail=str(error))
+            return
         for datagram in self._codec.encode(body):
             self.sent_bytes += len(datagram)
             self._socket.send(datagram, address)
 
+    def _get_or_parse_address(self, host: HostName) -> Address:
+        address = self._addresses.get(host)
+        if address is None:
+            address = self._addresses[host] = address_of(host)
+        return address
+
     def _handle_datagram(self, data: bytes, sender: Address) -> None:
         host = f"{sender[0]}:{sender[1]}"
         try:
@@ -67,10 +76,22 @@
             self._events.record("message_rejected", target=host, detail=str(error))
             return
         if body is not None:
+            self._deliver(host, body)
+
+    def _deliver(self, host: HostName, body: Any) -> None:
+        """Pass a message on; one that can't be handled must not affect those that follow."""
+        try:
             self._on_message(host, body)
+        except Exception as error:
+            self.rejected_message_count += 1
+            detail = f"{type(body).__name__}: {error!r}"
+            self._events.record("message_failed", target=host, detail=detail)
 
 
 def address_of(host: HostName) -> Address:
-    """Return the socket address that a host name stands for."""
-    name, _, port = host.rpartition(":")
-    return name, int(port)
+    """Return the socket address that a host name stands for.
+
+    :raises ValueError: if the name is not an IPv4 address and a port.
+    """
+    endpoint = Endpoint.parse(host)
+    return host.rpartition(":")[0], endpoint.port
