Number requests between control hosts from a random number at each start

Cause: numbers began at 1 at each start. A leader's late answer to a submission from before a restart was taken for the answer to the submission that had the same number after it: a configuration was acknowledged that had never reached the log. A late confirmation of a read could prove an older configuration as the newest in the same way.

Both tests fail with a first number of 1. Ruled out: ignoring answers from another host than the one that was asked, since it is the same leader.

--- a/packages/core/src/lacewingrudder_core/_control/core.py
+++ b/packages/core/src/lacewingrudder_core/_control/core.py
@@ -122,18 +122,25 @@
     :param name: this host.
     :param replica: this host's replica of the log.
     :param controls: names of all control hosts.
+    :param first_number: number of the first request to another control host. It should differ
+        between starts of this host, so that a late answer to a request from before a restart is
+        not taken for the answer to another one.
     """
 
     def __init__(
-        self, name: HostName, replica: ReplicaCore, controls: Iterable[HostName] = ()
+        self,
+        name: HostName,
+        replica: ReplicaCore,
+        controls: Iterable[HostName] = (),
+        first_number: int = 1,
     ) -> None:
         self._name = name
         self._replica = replica
         self._catalogue = replica.catalogue
         self._propagation = PropagationCore(replica.catalogue)
-        self._submissions = Submissions()
-        self._reads = Reads()
-        self._status_queries = StatusQueries(name, controls)
+        self._submissions = Submissions(first_number)
+        self._reads = Reads(first_number)
+        self._status_queries = StatusQueries(name, controls, first_number)
 
     @property
     def replica(self) -> ReplicaCore:
--- a/packages/core/src/lacewingrudder_core/_control/reads.py
+++ b/packages/core/src/lacewingrudder_core/_control/reads.py
@@ -49,10 +49,12 @@
 
     An operator's read is answered once the leadership is confirmed and this host has applied the
     log up to the read's index; a forwarded read is answered once the leadership is confirmed.
+
+    :param first_number: number of the first read.
     """
 
-    def __init__(self) -> None:
-        self._numbers = itertools.count(1)
+    def __init__(self, first_number: int = 1) -> None:
+        self._numbers = itertools.count(first_number)
         self._pending: dict[int, _PendingRead] = {}
 
     def start(self, token: int, own_name: HostName, leader: HostName, now: float) -> ReadStep:
--- a/packages/core/src/lacewingrudder_core/_control/submissions.py
+++ b/packages/core/src/lacewingrudder_core/_control/submissions.py
@@ -52,10 +52,13 @@
 
 
 class Submissions:
-    """Tracks submissions from their start until they are answered or time out."""
+    """Tracks submissions from their start until they are answered or time out.
 
-    def __init__(self) -> None:
-        self._numbers = itertools.count(1)
+    :param first_number: number of the first submission.
+    """
+
+    def __init__(self, first_number: int = 1) -> None:
+        self._numbers = itertools.count(first_number)
         self._pending: dict[int, _PendingSubmission] = {}
 
     def start(
--- a/packages/core/src/lacewingrudder_core/_propagation/status_queries.py
+++ b/packages/core/src/lacewingrudder_core/_propagation/status_queries.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -52,14 +53,15 @@
 
     :param name: this control host.
     :param controls: names of all control hosts.
+    :param first_number: number of the first query.
     """
 
-    def __init__(self, name: HostName, controls: Iterable[HostName]) -> None:
+    def __init__(self, name: HostName, controls: Iterable[HostName], first_number: int = 1) -> None:
         self._name = name
         self._others = tuple(sorted(set(controls) - {name}))
         self._expected_hosts: frozenset[HostName] = frozenset()
         self._pending: dict[int, _StatusQuery] = {}
-        self._last_number = 0
+        self._numbers = itertools.count(first_number)
 
     @property
     def others(self) -> tuple[HostName, ...]:
@@ -76,11 +78,9 @@
         :param token: returned in the :class:`CollectedStatus`.
         :param own: this host's own answer to the request.
         """
-        self._last_number += 1
-        self._pending[self._last_number] = _StatusQuery(
-            token, own, now + ANSWER_TIMEOUT_SECONDS, {}
-        )
-        return PeerStatusRequest(self._last_number)
+        number = next(self._numbers)
+        self._pending[number] = _StatusQuery(token, own, now + ANSWER_TIMEOUT_SECONDS, {})
+        return PeerStatusRequest(number)
 
     def record_reply(self, sender: HostName, reply: PeerStatusReply) -> None:
         """Record another control host's answer."""
--- a/packages/core/tests/test_control.py
+++ b/packages/core/tests/test_control.py
@@ -36,23 +36,36 @@
 
     def __init__(self) -> None:
         self.now = 0.0
+        self.disks = {name: DurableState(f"{name}-1") for name in NAMES}
         self.cores = {name: self._core(name) for name in NAMES}
         self.messages: collections.deque[tuple[str, str, Any]] = collections.deque()
         self.isolated: set[str] = set()
+        self.delayed_types: tuple[type[Any], ...] = ()
+        self.delayed: list[tuple[str, str, Any]] = []
         self.answers: dict[int, Any] = {}
         self.committed: dict[str, list[int]] = collections.defaultdict(list)
         self._token = 0
 
-    def _core(self, name: str) -> ControlCore:
+    def _core(self, name: str, start: int = 0) -> ControlCore:
         replica = ReplicaCore(
-            name, StaticVoters(NAMES), CHART, DurableState(f"{name}-1"), random.Random(name)
+            name, StaticVoters(NAMES), CHART, self.disks[name], random.Random(name)
         )
-        return ControlCore(name, replica)
+        return ControlCore(name, replica, first_number=1 + 1000 * start)
+
+    def restart(self, name: str) -> None:
+        """Start a host again; what the others sent to it before may still arrive."""
+        self.cores[name] = self._core(name, start=1)
+
+    def deliver_delayed(self) -> None:
+        self.delayed_types = ()
+        self.messages.extend(self.delayed)
+        self.settle()
 
     def pass_event(self, name: str, event: Any) -> None:
         for effect in self.cores[name].handle(event, self.now):
             match effect:
                 case m.Persist(write):
+                    self.disks[name] = self.disks[name].after(write)
                     self.pass_event(name, m.Persisted(write.number))
                 case m.SendToReplica(host, message):
                     self.messages.append((name, host, message))
@@ -67,6 +80,9 @@
             sender, receiver, message = self.messages.popleft()
             if self.isolated & {sender, receiver}:
                 continue
+            if isinstance(message, self.delayed_types):
+                self.delayed.append((sender, receiver, message))
+                continue
             is_forward = isinstance(message, FORWARDED)
             event_type = ForwardMessageReceived if is_forward else m.ReplicaMessageReceived
             self.pass_event(receiver, event_type(sender, message))
@@ -254,6 +270,36 @@
         self.assertIs(self.submit(self.follower, 2).tag, SubmitTag.ACCEPTED)
         self.assertIs(self.submit(self.follower, 4).tag, SubmitTag.REFUSED)
 
+    def test_late_answer_to_a_submission_before_a_restart_accepts_no_other_one(self) -> None:
+        self.controls.delayed_types = (m.ForwardReply,)
+        self.controls.request(self.follower, SubmitConfiguration(StoredConfiguration(8, b"")))
+        self.controls.settle()
+        self.assertEqual(len(self.controls.delayed), 1)
+        self.controls.restart(self.follower)
+        self.controls.run(0.5)
+        self.controls.delayed_types += (m.ForwardRequest,)
+        request = SubmitConfiguration(StoredConfiguration(9, b""))
+        token = self.controls.request(self.follower, request)
+        self.controls.settle()
+        self.controls.delayed = self.controls.delayed[:1]
+        self.controls.deliver_delayed()
+        self.assertNotIn(token, self.controls.answers)
+
+    def test_late_answer_to_a_read_before_a_restart_confirms_no_other_one(self) -> None:
+        self.submit(self.leader, 3)
+        self.controls.delayed_types = (m.ReadReply,)
+        self.controls.request(self.follower, ReadConfiguration())
+        self.controls.settle()
+        self.controls.restart(self.follower)
+        self.controls.run(3.0)
+        self.assertEqual(len(self.controls.delayed), 1)
+        self.controls.delayed_types += (m.ReadRequest,)
+        token = self.controls.request(self.follower, ReadConfiguration())
+        self.controls.settle()
+        self.controls.delayed = self.controls.delayed[:1]
+        self.controls.deliver_delayed()
+        self.assertNotIn(token, self.controls.answers)
+
     def test_isolated_leader_confirms_no_read(self) -> None:
         self.submit(self.leader, 3)
         self.controls.isolated = {self.leader}
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -32,7 +32,7 @@
 from ._storage.catalogue_store import CatalogueStore
 from ._storage.disk import FolderDisk
 from ._storage.log_store import ReplicaStore
-from .control_task import ControlTask
+from .control_task import ControlTask, make_first_number
 from .entry_task import EntryTask
 from .http import announcement_app, metrics_app, start_app
 from .metrics import ProcessMetrics
@@ -174,7 +174,7 @@
             durable,
             random.Random(secrets.randbits(64)),
         )
-        core = control.ControlCore(name, replica, self._settings.controls)
+        core = control.ControlCore(name, replica, self._settings.controls, make_first_number())
         core.handle(control.ExpectedHostsChanged(frozenset(self._settings.entries)), 0.0)
         return ControlTask(core, store, self._timeline, self._hub.send, self._hub.answer)
 
--- a/packages/daemon/src/lacewingrudder_daemon/control_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/control_task.py
@@ -5,6 +5,7 @@
 import asyncio
 import concurrent.futures
 import logging
+import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -22,9 +23,17 @@
 WRITE_RETRY_DELAY_SECONDS = 0.5
 LEADERSHIP_TRANSFER_TIMEOUT_SECONDS = 0.5
 
+REQUEST_NUMBER_BITS = 48
+"""Requests to other control hosts are numbered from a random number of this size at each start."""
+
 _log = logging.getLogger(__name__)
 
 
+def make_first_number() -> int:
+    """Return a random number for the first request of this start of a control host."""
+    return secrets.randbits(REQUEST_NUMBER_BITS)
+
+
 class ControlTask:
     """Passes events to a control core and executes the effects it returns.
 
