Answer the calls that a control host accepted before it stops

Cause: a stopping control host closed its connections at once.

Now it hands over leadership, closes its listening socket, and answers what is under way, at most until the end of its grace period; connections that were just opened have half a second to send their first request. A call whose handling raises gets 500 in place of a closed connection, and HEAD no body.

--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -31,7 +31,7 @@
 from .._storage.disk import FolderDisk
 from .._storage.log_store import ReplicaStore
 from .._storage.registry_store import RegistryStore
-from ..control_task import ControlTask
+from ..control_task import ControlTask, make_first_number
 from .control_peers import ControlPeers
 from .event_log import EventLog
 from .http import HttpHandler, HttpServer
@@ -149,7 +149,11 @@
         ]
 
     async def _leave(self) -> None:
+        """Hand over leadership, then answer the calls that were already accepted."""
+        deadline = self._stop_deadline()
         await self._control.leave()
+        if self._server is not None:
+            await self._server.drain(deadline - self._loop.time())
 
     async def _close(self) -> None:
         for task in self._tasks:
@@ -196,7 +200,7 @@
         rng = random.Random(secrets.randbits(64))
         core = ReplicaCore(self._name, self._voter_policy, chart, durable, rng)
         return ControlTask(
-            control.ControlCore(self._name, core),
+            control.ControlCore(self._name, core, first_number=make_first_number()),
             store,
             self._events,
             self._message_socket.send,
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -63,9 +63,6 @@
 unreachable gets no configuration, so a leaving host waits.
 """
 
-STOP_MARGIN_SECONDS = 0.7
-"""A leaving host stops at least this long before its grace period ends."""
-
 
 class TagEntryProcess(FleetProcess):
     """Runs an entry host: its forwarder, its sockets and its polling of control hosts.
@@ -130,10 +127,9 @@
         """Wait until the shutdown policy permits it, then report not ready.
 
         This host keeps forwarding all the while, and for :data:`SHUTDOWN_FORWARDING_SECONDS`
-        afterwards, until the fabric has stopped sending packets to it. All of this ends at least
-        :data:`STOP_MARGIN_SECONDS` before the grace period does.
+        afterwards, until the fabric has stopped sending packets to it.
         """
-        deadline = self._loop.time() + self._settings.grace_seconds - STOP_MARGIN_SECONDS
+        deadline = self._stop_deadline()
         policy = ShutdownPolicy(deadline - SHUTDOWN_FORWARDING_SECONDS)
         while not policy.may_leave(self._peers, self._is_disconnected(), self._loop.time()):
             await asyncio.sleep(INITIAL_POLL_INTERVAL_SECONDS)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
@@ -8,6 +8,7 @@
 
 import abc
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -20,6 +21,9 @@
 READ_TIMEOUT_SECONDS = 60.0
 MAX_PENDING_CONNECTIONS = 256
 
+FIRST_REQUEST_SECONDS = 0.5
+"""How long a server that stops waits for the first request on a connection that it accepted."""
+
 
 class HttpRequest(NamedTuple):
     """A complete request.
@@ -58,7 +62,7 @@
         self._handler = handler
         self._events = events
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._connections: dict[asyncio.Task[None], _Connection] = {}
 
     async def start(self, endpoint: Endpoint) -> None:
         """Start listening.
@@ -70,49 +74,101 @@
             self._accept, host, int(port), backlog=MAX_PENDING_CONNECTIONS, reuse_address=True
         )
 
+    async def drain(self, timeout_seconds: float) -> None:
+        """Stop accepting connections, and wait until the requests on the open ones are answered.
+
+        Each of these responses closes its connection. Idle connections are left to :meth:`stop`.
+        """
+        if self._server is not None:
+            # Lets the event loop accept the connections that the kernel already established.
+            await asyncio.sleep(0)
+            self._server.close()
+        for connection in self._connections.values():
+            connection.close_after_response()
+        began_at = asyncio.get_running_loop().time()
+        first_seconds = min(FIRST_REQUEST_SECONDS, timeout_seconds)
+        await self._wait_for_end(lambda row: row.is_unused, first_seconds)
+        elapsed = asyncio.get_running_loop().time() - began_at
+        await self._wait_for_end(lambda row: row.is_busy, timeout_seconds - elapsed)
+
+    async def _wait_for_end(
+        self, is_awaited: Callable[[_Connection], bool], timeout_seconds: float
+    ) -> None:
+        tasks = {task for task, row in self._connections.items() if is_awaited(row)}
+        if tasks:
+            await asyncio.wait(tasks, timeout=max(0.0, timeout_seconds))
+
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
         if self._server is not None:
             self._server.close()
-        for task in list(self._tasks):
+        for task in list(self._connections):
             task.cancel()
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
-        self._tasks.add(task)
+        connection = _Connection(reader, writer, self._handler, self._events)
+        self._connections[task] = connection
         try:
-            await _Connection(reader, writer, self._handler).serve()
+            await connection.serve()
         except asyncio.CancelledError:
             self._events.record("http_connection_ended", detail="the server is shutting down")
         except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
             self._events.record("http_connection_failed", detail=repr(error))
         finally:
-            self._tasks.discard(task)
+            del self._connections[task]
             writer.close()
 
 
 class _Connection:
+    """One connection of a server.
+
+    :ivar is_unused: whether no byte of a request has arrived yet.
+    :ivar is_busy: whether a request is being received or answered.
+    """
+
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, handler: HttpHandler
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: HttpHandler,
+        events: EventSink,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._handler = handler
+        self._events = events
         self._protocol = h11.Connection(h11.SERVER)
+        self._closes_after_response = False
+        self.is_unused = True
+        self.is_busy = False
+
+    def close_after_response(self) -> None:
+        """Close the connection after the response to the current or next request."""
+        self._closes_after_response = True
 
     async def serve(self) -> None:
         while True:
             request = await self._read_request()
             if request is None:
                 return
-            await self._respond(await self._handler.answer(request))
+            await self._respond(await self._answer(request), request.method == "HEAD")
+            self.is_busy = False
             if self._protocol.our_state is not h11.DONE:
                 return
             if self._protocol.their_state is not h11.DONE:
                 return
             self._protocol.start_next_cycle()
 
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._handler.answer(request)
+        except Exception as error:
+            detail = f"{request.method} {request.path}: {error!r}"
+            self._events.record("http_call_failed", detail=detail)
+            return HttpResponse(500)
+
     async def _read_request(self) -> HttpRequest | None:
         head: h11.Request | None = None
         body = bytearray()
@@ -121,6 +177,8 @@
             if event is h11.NEED_DATA:
                 async with asyncio.timeout(READ_TIMEOUT_SECONDS):
                     data = await self._reader.read(MAX_READ_BYTES)
+                self.is_unused = False
+                self.is_busy = self.is_busy or bool(data)
                 self._protocol.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
@@ -135,11 +193,14 @@
             else:
                 return None
 
-    async def _respond(self, response: HttpResponse) -> None:
+    async def _respond(self, response: HttpResponse, is_head: bool = False) -> None:
+        """Send a response; one to a HEAD request has no body."""
         headers = [*response.headers, ("Content-Length", str(len(response.body)))]
+        if self._closes_after_response:
+            headers.append(("Connection", "close"))
         head = h11.Response(status_code=response.status, headers=headers)
         data = self._protocol.send(head) or b""
-        if response.body:
+        if response.body and not is_head:
             data += self._protocol.send(h11.Data(data=response.body)) or b""
         data += self._protocol.send(h11.EndOfMessage()) or b""
         self._writer.write(data)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/process.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/process.py
@@ -20,6 +20,9 @@
 RELOAD_INTERVAL_SECONDS = 1.0
 """Interval at which the settings file is checked; it may change without a SIGHUP."""
 
+STOP_MARGIN_SECONDS = 0.7
+"""A leaving process stops at least this long before its grace period ends."""
+
 
 class FleetProcess(abc.ABC):
     """One process of a fleet; runs until it receives SIGTERM or SIGINT."""
@@ -68,6 +71,12 @@
     def _apply_settings(self) -> None:
         """Apply reloaded settings."""
 
+    def _stop_deadline(self) -> float:
+        """Return the time by which a process that begins to leave now must have stopped."""
+        return (
+            asyncio.get_running_loop().time() + self._settings.grace_seconds - STOP_MARGIN_SECONDS
+        )
+
     def _supervise(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Start a task that the process depends on: if it fails, the event loop stops."""
         task = asyncio.create_task(work)
--- a/packages/daemon/tests/test_fleet_http.py
+++ b/packages/daemon/tests/test_fleet_http.py
@@ -55,6 +55,138 @@
         self.assertEqual(await asyncio.wait_for(self.reader.read(), 5), b"")
         self.assertEqual(self.events.names, ["http_connection_failed"])
 
+    async def test_head_is_answered_without_a_body(self) -> None:
+        self.writer.write(b"HEAD /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        answer = await asyncio.wait_for(self.reader.read(), 5)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+        self.assertTrue(answer.endswith(b"\r\n\r\n"), answer)
+        self.assertIn(b"content-length: 8", answer.lower())
+
+
+class Failing(HttpHandler):
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        if request.path == "/fails":
+            raise LookupError("no such row")
+        return HttpResponse(200, b"fine")
+
+
+class FailingHandlerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_call_whose_handling_fails_is_answered_and_the_connection_stays(self) -> None:
+        events = Events()
+        server = HttpServer(Failing(), events)
+        await server.start(Endpoint.parse(f"127.0.0.1:{PORT}"))
+        self.addAsyncCleanup(server.stop)
+        reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+        writer.write(b"GET /fails HTTP/1.1\r\nHost: x\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        answer = await asyncio.wait_for(reader.readuntil(b"fine"), 5)
+        writer.close()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 500"), answer)
+        self.assertEqual(events.names, ["http_call_failed"])
+
+
+class Slow(HttpHandler):
+    """Answers when it is told to."""
+
+    def __init__(self) -> None:
+        self.may_answer = asyncio.Event()
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        await self.may_answer.wait()
+        return HttpResponse(200, request.path.encode())
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    """A server stops while calls were just accepted or wait for their answers."""
+
+    async def asyncSetUp(self) -> None:
+        self.handler = Slow()
+        self.server = HttpServer(self.handler, Events())
+        await self.server.start(Endpoint.parse(f"127.0.0.1:{PORT}"))
+        self.addAsyncCleanup(self.server.stop)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def drain(self, seconds: float) -> float:
+        began = asyncio.get_running_loop().time()
+        await self.server.drain(seconds)
+        await self.server.stop()
+        return asyncio.get_running_loop().time() - began
+
+    async def test_calls_under_way_are_answered_and_then_their_connections_closed(self) -> None:
+        connections = [await self.connect() for _ in range(40)]
+        for number, (_, writer) in enumerate(connections):
+            writer.write(f"GET /{number} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        await asyncio.sleep(0.1)
+        drained = asyncio.create_task(self.drain(5.0))
+        await asyncio.sleep(0.1)
+        self.handler.may_answer.set()
+        self.assertLess(await drained, 2.0)
+        for number, (reader, _) in enumerate(connections):
+            answer = await asyncio.wait_for(reader.read(), 5)
+            self.assertTrue(answer.endswith(f"\r\n\r\n/{number}".encode()), answer)
+            self.assertIn(b"connection: close", answer.lower())
+
+    async def test_calls_sent_on_connections_that_were_just_opened_are_answered(self) -> None:
+        self.handler.may_answer.set()
+        connections = [await self.connect() for _ in range(40)]
+        drained = asyncio.create_task(self.drain(5.0))
+        await asyncio.sleep(0.05)
+        for number, (_, writer) in enumerate(connections):
+            writer.write(f"GET /{number} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        for number, (reader, _) in enumerate(connections):
+            answer = await asyncio.wait_for(reader.read(), 5)
+            self.assertTrue(answer.endswith(f"\r\n\r\n/{number}".encode()), answer)
+        self.assertLess(await drained, 2.0)
+
+    async def test_call_sent_on_a_new_connection_may_take_long_to_answer(self) -> None:
+        reader, writer = await self.connect()
+        await asyncio.sleep(0.05)
+        drained = asyncio.create_task(self.drain(5.0))
+        await asyncio.sleep(0.2)
+        writer.write(b"GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(1.0)
+        self.handler.may_answer.set()
+        self.assertTrue((await asyncio.wait_for(reader.read(), 5)).endswith(b"/slow"))
+        await drained
+
+    async def test_half_a_request_is_waited_for(self) -> None:
+        self.handler.may_answer.set()
+        reader, writer = await self.connect()
+        writer.write(b"PUT /late HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\na")
+        await asyncio.sleep(0.05)
+        drained = asyncio.create_task(self.drain(5.0))
+        await asyncio.sleep(1.0)
+        writer.write(b"bc")
+        self.assertTrue((await asyncio.wait_for(reader.read(), 5)).endswith(b"/late"))
+        await drained
+
+    async def test_idle_connections_are_closed_at_once_and_unused_ones_soon(self) -> None:
+        self.handler.may_answer.set()
+        idle, unused = await self.connect(), await self.connect()
+        idle[1].write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await idle[0].readuntil(b"\r\n\r\n/")
+        self.assertLess(await self.drain(5.0), 1.5)
+        self.assertEqual(await asyncio.wait_for(idle[0].read(), 5), b"")
+        self.assertEqual(await asyncio.wait_for(unused[0].read(), 5), b"")
+
+    async def test_calls_that_get_no_answer_end_with_the_time_limit(self) -> None:
+        reader, writer = await self.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.05)
+        self.assertLess(await self.drain(0.5), 1.5)
+        self.assertEqual(await asyncio.wait_for(reader.read(), 5), b"")
+
+    async def test_no_connection_is_accepted_while_the_server_drains(self) -> None:
+        await self.connect()
+        drained = asyncio.create_task(self.drain(5.0))
+        await asyncio.sleep(0.05)
+        with self.assertRaises(OSError):
+            await asyncio.open_connection("127.0.0.1", PORT)
+        await drained
+
 
 class HandlerTest(unittest.IsolatedAsyncioTestCase):
     async def test_readiness(self) -> None:
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -45,9 +45,9 @@
         self.addCleanup(self.caller.close)
         self.sequence = 0
 
-    def check_in(self, state: str = "ready") -> None:
+    def check_in_body(self, state: str) -> dict[str, str | int]:
         self.sequence += 1
-        body = {
+        return {
             "service": "a",
             "address": f"127.0.4.1:{self.target.getsockname()[1]}",
             "zone": "z",
@@ -58,6 +58,9 @@
             "sequence": self.sequence,
             "born": 1000,
         }
+
+    def check_in(self, state: str = "ready") -> None:
+        body = self.check_in_body(state)
         wait_for_status(200, CONTROLS, CALL_PORT, "PUT", TARGET_PATH, body)
 
     def set_up_service(self) -> None:
@@ -96,6 +99,21 @@
             reset = read_packet(self.caller.recv(2048)).packet
             self.assertEqual((reset.flags, reset.destination_port), (RST, 40002))
 
+    def test_call_that_was_accepted_is_answered_though_the_control_host_is_told_to_stop(
+        self,
+    ) -> None:
+        self.set_up_service()
+        self.fleet.kill(ENTRIES[1])
+        body = json.dumps(self.check_in_body("draining")).encode()
+        head = f"PUT {TARGET_PATH} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        with socket.create_connection((CONTROLS[0], CALL_PORT), 5) as call:
+            call.sendall(head.encode() + body)
+            time.sleep(0.1)
+            self.fleet.processes[CONTROLS[0]].send_signal(signal.SIGTERM)
+            answer = b"".join(iter(lambda: call.recv(4096), b""))
+        self.assertRegex(answer, rb"^HTTP/1.1 (200|503)")
+        self.assertEqual(self.fleet.processes[CONTROLS[0]].wait(10), 0)
+
     def test_configuration_survives_a_kill_of_all_processes(self) -> None:
         self.set_up_service()
         wait_for_status(200, CONTROLS, CALL_PORT, "PUT", CONFIG_PATH, make_configuration(9, "b"))
