Tell fragments and timeline files of one start from those of another

Cause: the first message of each start of a host had the number 1, so that fragments from before a restart could complete a message from after it; the checksum rejected the mix, and the message was lost. Fragments with another total were combined as well. A rotation of the timeline file that failed, as on a full disk, left a closed file, and the next event raised in whatever task reported it.

--- a/packages/daemon/src/lacewingrudder_daemon/recorder.py
+++ b/packages/daemon/src/lacewingrudder_daemon/recorder.py
@@ -68,13 +68,20 @@
         """Append an event; errors are only logged, as a full disk must not stop the process."""
         assert self._file is not None and self._path is not None
         try:
+            if self._file.closed:
+                self._file = _open(self._path)
             self._file.write(event.to_line() + "\n")
             if self._file.tell() > self._limit:
-                self._file.close()
-                self._path.replace(self._path.with_name(self._path.name + ROTATED_SUFFIX))
-                self._file = _open(self._path)
+                self._rotate(self._path)
         except OSError as error:
-            _log.warning("cannot write a timeline event: %s", error)
+            _log.warning("cannot write a timeline event, or rotate the file: %s", error)
+
+    def _rotate(self, path: Path) -> None:
+        """Begin a new file; if that fails, the file stays closed until the next event."""
+        assert self._file is not None
+        self._file.close()
+        path.replace(path.with_name(path.name + ROTATED_SUFFIX))
+        self._file = _open(path)
 
 
 def _open(path: Path) -> TextIO:
--- a/packages/daemon/tests/test_recorder.py
+++ b/packages/daemon/tests/test_recorder.py
@@ -1,6 +1,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from lacewingrudder_core.clock import MAX_CLOCK_AHEAD_MILLISECONDS, HybridTime
 from lacewingrudder_daemon.recorder import MAX_BURST_EVENTS, TimelineWriter
@@ -48,6 +49,18 @@
         self.assertLess(max(sizes), 2_200)
         self.assertEqual(read_file(self.path).events[-1].detail, "199")
 
+    def test_events_are_written_again_after_a_rotation_failed(self) -> None:
+        timeline = self.make(limit=2_000)
+        with (
+            mock.patch.object(Path, "replace", side_effect=OSError("no space left")),
+            mock.patch.object(Path, "open", side_effect=OSError("no space left")),
+            self.assertLogs("lacewingrudder_daemon.recorder", "WARNING"),
+        ):
+            for number in range(100):
+                timeline.record("event", detail=str(number))
+        timeline.record("last")
+        self.assertEqual(read_file(self.path).events[-1].event, "last")
+
     def test_rate_limit_applies_to_each_event_name_alone(self) -> None:
         timeline = self.make()
         for _ in range(int(MAX_BURST_EVENTS) + 300):
--- a/packages/wire/src/lacewingrudder_wire/datagram_codec.py
+++ b/packages/wire/src/lacewingrudder_wire/datagram_codec.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import secrets
 import struct
 import zlib
 from collections.abc import Mapping
@@ -28,6 +29,8 @@
 MAX_PARTIAL_MESSAGES = 64
 """Maximum number of incomplete messages that are kept for reassembly."""
 
+MESSAGE_ID_BITS = 32
+
 _HEADER = struct.Struct("!4sIHH")
 _MAGIC = b"lwd1"
 _COMPRESSED = b"z"
@@ -37,6 +40,7 @@
 class _FragmentKey(NamedTuple):
     sender: Any
     message_id: int
+    total: int
 
 
 class MessageCodec:
@@ -48,7 +52,8 @@
     def __init__(self, tags: Mapping[int, type[Any]]) -> None:
         self._types = dict(tags)
         self._tags = {cls: tag for tag, cls in tags.items()}
-        self._last_message_id = 0
+        # A sender that restarts must not reuse the identifiers of fragments that may still arrive.
+        self._last_message_id = secrets.randbits(MESSAGE_ID_BITS)
         self._partial_messages: collections.OrderedDict[_FragmentKey, dict[int, bytes]]
         self._partial_messages = collections.OrderedDict()
 
@@ -59,7 +64,7 @@
             data = _COMPRESSED + zlib.compress(data, COMPRESSION_LEVEL)
         else:
             data = _UNCOMPRESSED + data
-        self._last_message_id = (self._last_message_id + 1) & 0xFFFFFFFF
+        self._last_message_id = (self._last_message_id + 1) % (1 << MESSAGE_ID_BITS)
         parts = [
             data[offset : offset + MAX_FRAGMENT_BYTES]
             for offset in range(0, len(data), MAX_FRAGMENT_BYTES)
@@ -83,16 +88,16 @@
             raise CodecError("datagram has an invalid header")
         data = datagram[_HEADER.size :]
         if total > 1:
-            reassembled = self._reassemble(_FragmentKey(sender, message_id), index, total, data)
+            reassembled = self._reassemble(_FragmentKey(sender, message_id, total), index, data)
             if reassembled is None:
                 return None
             data = reassembled
         return self._decode_message(data)
 
-    def _reassemble(self, key: _FragmentKey, index: int, total: int, data: bytes) -> bytes | None:
+    def _reassemble(self, key: _FragmentKey, index: int, data: bytes) -> bytes | None:
         parts = self._partial_messages.setdefault(key, {})
         parts[index] = data
-        if len(parts) < total:
+        if len(parts) < key.total:
             if len(self._partial_messages) > MAX_PARTIAL_MESSAGES:
                 self._partial_messages.popitem(last=False)
             return None
--- a/packages/wire/tests/test_datagram_codec.py
+++ b/packages/wire/tests/test_datagram_codec.py
@@ -1,3 +1,4 @@
+import contextlib
 import random
 import unittest
 from typing import NamedTuple
@@ -41,6 +42,24 @@
         for part in second[1:]:
             self.assertIsNone(reader.decode(part, ("10.0.0.2", 7720)))
 
+    def test_fragments_from_before_a_restart_of_the_sender_are_not_combined(self) -> None:
+        reader = codec()
+        for part in codec().encode(self.large)[:-1]:
+            self.assertIsNone(reader.decode(part, SENDER))
+        after = Note(8, self.large.text[::-1])
+        found = [reader.decode(part, SENDER) for part in reversed(codec().encode(after))]
+        self.assertEqual([row for row in found if row is not None], [after])
+
+    def test_message_that_breaks_off_is_never_taken_for_a_complete_one(self) -> None:
+        for note in (Note(1, b"x" * 5000), self.large, Note(1, b"x")):
+            for datagram in codec().encode(note)[-1:]:
+                for end in range(0, len(datagram), max(1, len(datagram) // 200)):
+                    reader = codec()
+                    for part in codec().encode(note)[:-1]:
+                        reader.decode(part, SENDER)
+                    with self.subTest(end=end), contextlib.suppress(CodecError):
+                        self.assertIsNone(reader.decode(datagram[:end], SENDER))
+
     def test_number_of_incomplete_messages_is_bounded(self) -> None:
         writer, reader = codec(), codec()
         for _ in range(500):
