Don't trust a registry file that is older than what other hosts remember

Cause: a control host that was down for longer than other control hosts publish ended lifetimes (120 s) restored targets that had left meanwhile as reachable, and entry hosts sent them new flows for three heartbeats.

The file now has the time of its write and is written at least every 30 s. From 90 s on its targets count as unreachable until they check in; a file without a time is trusted as before.

--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -68,12 +68,16 @@
         """Return all published entries."""
         return self._entries.entries()
 
-    def restore(self, entries: Iterable[TargetEntry], now: float) -> None:
+    def restore(self, entries: Iterable[TargetEntry], is_outdated: bool, now: float) -> None:
         """Restore the entries that this host published before it stopped.
 
         Targets that ended in the meantime expire.
+
+        :param is_outdated: whether other hosts may have forgotten the lifetimes that ended since.
+            Targets then count as unreachable until they check in.
         """
-        for entry in entries:
+        for stored in entries:
+            entry = stored._replace(has_recent_heartbeat=False) if is_outdated else stored
             self._entries.put(entry, now)
             self._record_newest_start(entry)
             if entry.state is LifeState.GONE:
--- a/packages/core/src/lacewingrudder_core/checkins.py
+++ b/packages/core/src/lacewingrudder_core/checkins.py
@@ -29,5 +29,6 @@
 from ._checkins.types import TargetEntry as TargetEntry
 from ._checkins.types import Update as Update
 from ._checkins.types import ZonePeerCounts as ZonePeerCounts
+from ._checkins.versioned_entries import ENDED_RETENTION_SECONDS as ENDED_RETENTION_SECONDS
 from ._checkins.views import KnownTarget as KnownTarget
 from ._checkins.views import Views as Views
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -30,7 +30,12 @@
 
 from .._storage.disk import FolderDisk
 from .._storage.log_store import ReplicaStore
-from .._storage.registry_store import RegistryStore
+from .._storage.registry_store import (
+    MILLISECONDS_PER_SECOND,
+    REWRITE_INTERVAL_SECONDS,
+    RegistryStore,
+    StoredRegistry,
+)
 from ..control_task import ControlTask, make_first_number
 from .control_peers import ControlPeers
 from .event_log import EventLog
@@ -50,8 +55,6 @@
 REGISTRY_WRITE_INTERVAL_SECONDS = 0.3
 """Interval at which the whole registry is written to disk if it has changed."""
 
-MILLISECONDS_PER_SECOND = 1000
-
 CONTROL_MESSAGES = ENTRY_MESSAGES | REPLICA_TAGS
 _FORWARD_MESSAGES = (r.ForwardRequest, r.ForwardReply, r.ReadRequest, r.ReadReply)
 _CHECKIN_MESSAGES = (Subscription, Update, checkins.ConfigurationUpdate)
@@ -168,10 +171,11 @@
         self._peers.add(self._settings.seeds)
 
     def _restore_registry(self) -> Registry:
-        epoch = int(time.time() * MILLISECONDS_PER_SECOND)
+        epoch = _wall_milliseconds()
         registry = Registry(epoch, self._settings.heartbeat_seconds)
         try:
-            registry.restore(self._store.read(), time.monotonic())
+            stored = self._store.read()
+            registry.restore(stored.entries, stored.is_outdated(epoch), time.monotonic())
         except (OSError, CodecError) as error:
             self._events.record("registry_unreadable", detail=str(error))
         return registry
@@ -280,15 +284,18 @@
     async def _persist_registry_loop(self) -> None:
         """Write the registry whenever it changed; a slow disk delays only the next write."""
         written = self._checkins.registry.position
+        rewrite_at = self._loop.time()
         while True:
             await asyncio.sleep(REGISTRY_WRITE_INTERVAL_SECONDS)
             position = self._checkins.registry.position
-            if position == written:
+            if position == written and self._loop.time() < rewrite_at:
                 continue
             entries = tuple(self._checkins.registry.entries())
+            stored = StoredRegistry(entries, _wall_milliseconds())
             try:
-                await self._loop.run_in_executor(self._disk_executor, self._store.write, entries)
+                await self._loop.run_in_executor(self._disk_executor, self._store.write, stored)
                 written = position
+                rewrite_at = self._loop.time() + REWRITE_INTERVAL_SECONDS
             except OSError as error:
                 self._events.record("registry_not_kept", detail=str(error))
 
@@ -308,3 +315,7 @@
         position = self._views.position(host)
         subscription = Subscription(self._name, self._settings.zone, True, position, -1, is_poll)
         self._message_socket.send(host, subscription)
+
+
+def _wall_milliseconds() -> int:
+    return int(time.time() * MILLISECONDS_PER_SECOND)
--- a/packages/daemon/src/lacewingrudder_daemon/_storage/registry_store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/registry_store.py
@@ -9,18 +9,37 @@
 import zlib
 from typing import NamedTuple
 
-from lacewingrudder_core.checkins import TargetEntry
+from lacewingrudder_core.checkins import ENDED_RETENTION_SECONDS, TargetEntry
 from lacewingrudder_wire.exceptions import CodecError
 from lacewingrudder_wire.values import decode_value, encode_value
 
 from .disk import Disk
 
 REGISTRY_NAME = "registry"
+MILLISECONDS_PER_SECOND = 1000
+
+REWRITE_INTERVAL_SECONDS = 30.0
+"""A file is written again after this long even if nothing changed, so that its age tells how long
+its host was down."""
+
+MAX_AGE_SECONDS = ENDED_RETENTION_SECONDS - REWRITE_INTERVAL_SECONDS
+"""Up to this age of the file, other control hosts still publish all lifetimes that ended since."""
 _CRC_BYTES = 4
 
 
-class _Entries(NamedTuple):
+class StoredRegistry(NamedTuple):
+    """The content of the file.
+
+    :param written_ms: wall-clock time of the write in milliseconds, 0 if it is not known.
+    """
+
     entries: tuple[TargetEntry, ...]
+    written_ms: int = 0
+
+    def is_outdated(self, now_ms: int) -> bool:
+        """Return whether other hosts may have forgotten lifetimes that ended after the write."""
+        age_seconds = abs(now_ms - self.written_ms) / MILLISECONDS_PER_SECOND
+        return bool(self.written_ms) and age_seconds > MAX_AGE_SECONDS
 
 
 class RegistryStore:
@@ -32,26 +51,26 @@
     def __init__(self, disk: Disk) -> None:
         self._disk = disk
 
-    def read(self) -> tuple[TargetEntry, ...]:
-        """Return the entries of the last write; empty if there is no file.
+    def read(self) -> StoredRegistry:
+        """Return what was written last; without entries if there is no file.
 
         :raises OSError: if the disk fails.
         :raises CodecError: if the file is corrupt.
         """
         data = self._disk.read(REGISTRY_NAME)
         if data is None:
-            return ()
+            return StoredRegistry(())
         body = data[_CRC_BYTES:]
         if zlib.crc32(body).to_bytes(_CRC_BYTES, "big") != data[:_CRC_BYTES]:
             raise CodecError("checksum mismatch in the registry file")
-        entries: tuple[TargetEntry, ...] = decode_value(_Entries, body).entries
-        return entries
+        stored: StoredRegistry = decode_value(StoredRegistry, body)
+        return stored
 
-    def write(self, entries: tuple[TargetEntry, ...]) -> None:
+    def write(self, stored: StoredRegistry) -> None:
         """Replace the file; the entries are durable when this returns.
 
         :raises OSError: if the disk is full or fails.
         """
-        body = encode_value(_Entries(entries))
+        body = encode_value(stored)
         crc = zlib.crc32(body).to_bytes(_CRC_BYTES, "big")
         self._disk.replace(REGISTRY_NAME, crc + body)
