Tell control hosts of targets that leave SYNs unanswered

Entry hosts report SYNs that got no answer in 60 ms. Three of them from two hosts make the control host ask the hosts of the target's zone; if none saw it answer what was sent later, it is published as unreachable until its next heartbeat. At most a third of a service, and not for 10 s after a false alarm.

The test for loss without silent targets passes at 0.025 and 0.1.

--- a/measure/replacement.py
+++ b/measure/replacement.py
@@ -1,8 +1,8 @@
 """Measures how new flows are placed while two targets are replaced by cold ones.
 
 Prints, for each second, the share of requests answered within the objective, by the product's
-choice and by one that knows all counts, and the share of flows that the new targets get in their
-first second.
+choice, by it without reports of silent targets, and by one that knows all counts. Also prints the
+share of flows that the new targets get in their first second.
 """
 
 from __future__ import annotations
@@ -13,6 +13,8 @@
     OBJECTIVE_SECONDS,
     REPLACED_AT,
     REPLACED_COUNT,
+    REPLACEMENT,
+    Conditions,
     ModelSize,
     ReplacementModel,
 )
@@ -47,9 +49,11 @@
     return sum(rows) / len(rows)
 
 
-def run(size: ModelSize, load: float, knows_all: bool) -> list[ReplacementModel]:
+def run(
+    size: ModelSize, load: float, knows_all: bool, conditions: Conditions = REPLACEMENT
+) -> list[ReplacementModel]:
     """Run the model with all seeds."""
-    models = [ReplacementModel(size, load, knows_all, seed) for seed in SEEDS]
+    models = [ReplacementModel(size, load, knows_all, seed, conditions) for seed in SEEDS]
     for model in models:
         model.run()
     return models
@@ -61,9 +65,11 @@
         for load in LOADS:
             name = f"{size.hosts}_hosts_{size.targets}_targets_load_{load}"
             own, best = run(size, load, False), run(size, load, True)
+            alone = run(size, load, False, Conditions(is_reporting=False))
             print(f"replacement_share_of_new_{name}={share_of_new(own):.3f}")
             print(f"baseline_all_counts_share_of_new_{name}={share_of_new(best):.3f}")
-            for label, models in (("", own), ("baseline_all_counts_", best)):
+            rows = (("", own), ("baseline_no_reports_", alone), ("baseline_all_counts_", best))
+            for label, models in rows:
                 shares = shares_in_time(models)
                 values = " ".join(
                     f"{shares[second]:.3f}" for second in range(FIRST_SECOND, LAST_SECOND)
--- a/measure/replacement_model.py
+++ b/measure/replacement_model.py
@@ -1,6 +1,7 @@
-"""A model of callers, entry hosts and targets, two of which are replaced by cold ones.
+"""A model of callers, entry hosts, a control host and targets, two of which are replaced.
 
-Each flow carries one request. Hosts choose targets by their own counts and don't know each other's.
+Each flow carries one request. Hosts choose targets by their own counts and don't know each other's;
+what they learn from the control host comes from the product's core.
 """
 
 from __future__ import annotations
@@ -14,8 +15,17 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from lacewingrudder_core.checkins import LifeState, Lifetime, Position, TargetEntry, Update
+from lacewingrudder_core.checkins import (
+    LifeState,
+    Lifetime,
+    Position,
+    SilenceQuery,
+    SilenceReport,
+    TargetEntry,
+    Update,
+)
 from lacewingrudder_core.tagging import (
+    SYN_ANSWER_TIMEOUT_SECONDS,
     Configuration,
     Forwarded,
     Route,
@@ -25,11 +35,12 @@
 )
 from lacewingrudder_core.types import Endpoint, FlowKey, ZoneName
 
+from .control_model import CONTROL, HEARTBEAT_SECONDS, ControlModel, Subscriber
+
 SERVICE = "a"
 ROUTE_ENDPOINT = Endpoint.parse("198.18.0.1:443")
 CALLER_ADDRESS = Endpoint.parse("100.64.0.1:1").address
 FIRST_TARGET_ENDPOINT = Endpoint.parse("10.1.0.1:8080")
-CONTROL = "10.0.0.1:7720"
 
 SLOTS = 2
 QUEUE_LENGTH = 8
@@ -42,8 +53,6 @@
 SYN_TIMEOUT_SECONDS = 1.4
 MAX_RETRIES = 2
 RETRY_DELAY_SECONDS = 0.05
-DETECTION_SECONDS = 3.6
-"""When control hosts notice that targets fell silent: three heartbeats."""
 
 REPLACED_COUNT = 2
 FAILED_AT = 4.0
@@ -59,6 +68,22 @@
     zones: int
 
 
+class Conditions(NamedTuple):
+    """What happens in a run.
+
+    :param replaces_targets: whether two targets are replaced.
+    :param is_reporting: whether hosts report silent targets.
+    :param loss: share of the SYNs that are lost on the way.
+    """
+
+    replaces_targets: bool = True
+    is_reporting: bool = True
+    loss: float = 0.0
+
+
+REPLACEMENT = Conditions()
+
+
 class Outcome(NamedTuple):
     """Result of a request.
 
@@ -86,7 +111,7 @@
         return WARMUP_SLOWDOWN if now < self.warmed_up_at else 1.0
 
 
-class Choice(abc.ABC):
+class Choice(Subscriber):
     """How an entry host chooses the target of a flow."""
 
     @abc.abstractmethod
@@ -98,14 +123,15 @@
         """Record that a later packet of the flow passed."""
 
     @abc.abstractmethod
-    def apply_update(self, update: Update, now: float) -> None:
-        """Apply a published change of the targets."""
+    def pop_reports(self, now: float) -> list[SilenceReport]:
+        """Return the reports of targets that left a SYN unanswered."""
 
 
 class OwnCounts(Choice):
-    """The choice of the product: each host by what it sees itself."""
+    """The choice of the product: each host by what it sees itself, and by what others report."""
 
     def __init__(self, zone: ZoneName, seed: int, targets: dict[int, Target]) -> None:
+        super().__init__(zone)
         self._targets = targets
         self._tags: dict[FlowKey, int] = {}
         route = Route(ROUTE_ENDPOINT, (Split(SERVICE, 1),), False, 0, OBJECTIVE_SECONDS)
@@ -130,11 +156,26 @@
         """Apply a published change of the targets."""
         self._forwarder.apply_update(update, now)
 
+    @property
+    def position(self) -> Position:
+        """Position up to which updates are applied."""
+        return self._forwarder.views.position(CONTROL)
+
+    def pop_reports(self, now: float) -> list[SilenceReport]:
+        """Return the reports of targets that left a SYN unanswered."""
+        return self._forwarder.pop_silent_targets(now)
+
+    def has_answered(self, query: SilenceQuery, now: float) -> bool:
+        """Return whether a target answered what was sent after the silence began."""
+        return self._forwarder.has_answered(query, now)
+
 
 class AllCounts(Choice):
     """The limit: the target that is done first, by the queues of all running targets."""
 
-    def __init__(self, targets: dict[int, Target], rng: random.Random) -> None:
+    def __init__(self, zone: ZoneName, targets: dict[int, Target], rng: random.Random) -> None:
+        super().__init__(zone)
+        self._position = Position(0, 0)
         self._targets = targets
         self._random = rng
 
@@ -155,7 +196,21 @@
             target.expected -= 1
 
     def apply_update(self, update: Update, now: float) -> None:
-        """Do nothing: the targets are known."""
+        """Only confirm the update: the targets are known."""
+        self._position = update.position
+
+    @property
+    def position(self) -> Position:
+        """Position up to which updates are applied."""
+        return self._position
+
+    def pop_reports(self, now: float) -> list[SilenceReport]:
+        """Return no reports: silent targets are known."""
+        return []
+
+    def has_answered(self, query: SilenceQuery, now: float) -> bool:
+        """Return ``False``: there are no reports to refute."""
+        return False
 
 
 class ReplacementModel:
@@ -165,7 +220,15 @@
     :param knows_all: whether hosts choose by the state of all targets.
     """
 
-    def __init__(self, size: ModelSize, load: float, knows_all: bool, seed: int) -> None:
+    def __init__(
+        self,
+        size: ModelSize,
+        load: float,
+        knows_all: bool,
+        seed: int,
+        conditions: Conditions = REPLACEMENT,
+    ) -> None:
+        self._conditions = conditions
         self._random = random.Random(seed)
         self._size = size
         self._rate = load * size.targets * SLOTS / PROCESSING_SECONDS
@@ -173,14 +236,13 @@
         zones = [f"z{number % size.zones}" for number in range(size.hosts)]
         self._hosts: list[Choice] = [
             (
-                AllCounts(self.targets, self._random)
+                AllCounts(zone, self.targets, self._random)
                 if knows_all
                 else OwnCounts(zone, self._random.getrandbits(64), self.targets)
             )
             for zone in zones
         ]
-        self._published = 0
-        self._publish(*(target.entry for target in self.targets.values()))
+        self._control = ControlModel(self._hosts, self._schedule, lambda: self._now)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._ports = itertools.count(1)
@@ -190,12 +252,15 @@
 
     def run(self) -> None:
         """Run the simulation; outcomes and placements are recorded."""
+        self._control.run_until(END_SECONDS)
+        for target in list(self.targets.values()):
+            self._send_heartbeats(target, self._random.uniform(0, HEARTBEAT_SECONDS))
         at = 0.0
         while (at := at + self._random.expovariate(self._rate)) < END_SECONDS:
             self._schedule(at, functools.partial(self._open_flow, at, 0))
-        self._schedule(FAILED_AT, self._silence_targets)
-        self._schedule(REPLACED_AT, self._start_targets)
-        self._schedule(FAILED_AT + DETECTION_SECONDS, self._publish_silent_targets)
+        if self._conditions.replaces_targets:
+            self._schedule(FAILED_AT, self._silence_targets)
+            self._schedule(REPLACED_AT, self._start_targets)
         while self._events:
             self._now, _, action = heapq.heappop(self._events)
             action()
@@ -208,11 +273,19 @@
         )
         return Target(entry, warmed_up_at)
 
-    def _publish(self, *entries: TargetEntry) -> None:
-        since, self._published = self._published, self._published + len(entries)
-        update = Update(CONTROL, Position(1, self._published), since, entries, -1, (CONTROL,))
-        for host in self._hosts:
-            host.apply_update(update, 0.0 if not since else self._now)
+    def _send_heartbeats(self, target: Target, seconds_to_next: float = HEARTBEAT_SECONDS) -> None:
+        if target.is_silent:
+            return
+        self._control.check_in(target.entry)
+        at = self._now + seconds_to_next
+        if at < END_SECONDS:
+            self._schedule(at, functools.partial(self._send_heartbeats, target))
+
+    def _report_silence(self, number: int) -> None:
+        if not self._conditions.is_reporting:
+            return
+        for report in self._hosts[number].pop_reports(self._now):
+            self._control.receive_report(number, report)
 
     def _silence_targets(self) -> None:
         for number in range(REPLACED_COUNT):
@@ -225,18 +298,16 @@
         for number in numbers:
             warmup_ms = int(WARMUP_SECONDS * 1000)
             self.targets[number] = self._make_target(number, warmup_ms, warmed_up_at)
-        self._publish(*(self.targets[number].entry for number in numbers))
-
-    def _publish_silent_targets(self) -> None:
-        silent = [target.entry for target in self.targets.values() if target.is_silent]
-        self._publish(*(entry._replace(has_recent_heartbeat=False) for entry in silent))
+            self._send_heartbeats(self.targets[number])
 
     def _schedule(self, when: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (when, next(self._order), action))
 
     def _open_flow(self, requested_at: float, retries: int) -> None:
-        host = self._random.choice(self._hosts)
-        self._send_syn(host, next(self._ports), 0, requested_at, retries)
+        number = self._random.randrange(len(self._hosts))
+        self._send_syn(self._hosts[number], next(self._ports), 0, requested_at, retries)
+        at = self._now + SYN_ANSWER_TIMEOUT_SECONDS
+        self._schedule(at, functools.partial(self._report_silence, number))
 
     def _send_syn(
         self, host: Choice, port: int, attempt: int, requested_at: float, retries: int
@@ -247,7 +318,8 @@
             return
         if not attempt:
             self.placements.append((self._now, target.entry.identity))
-        if not target.is_silent:
+        is_lost = self._random.random() < self._conditions.loss
+        if not target.is_silent and not is_lost:
             at = self._now + 2 * ONE_WAY_DELAY_SECONDS
             self._schedule(at, lambda: self._request(host, port, target, requested_at, retries))
         elif attempt < len(SYN_RETRANSMISSION_SECONDS):
--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -14,12 +14,16 @@
 from ..types import HostName, TargetName, ZoneName
 from .publication import Publication
 from .registry import CheckInOutcome, Registry
+from .silence_reports import QUERY_TIMEOUT_SECONDS, SilenceReports
 from .subscribers import Subscribers
 from .types import (
     CheckIn,
     ConfigurationUpdate,
     LifeState,
+    Lifetime,
     Position,
+    SilenceQuery,
+    SilenceReport,
     Subscription,
     TargetEntry,
     Update,
@@ -63,6 +67,25 @@
     update: Update
 
 
+class SilenceReported(NamedTuple):
+    """An entry host reported that a target leaves SYNs unanswered."""
+
+    host: HostName
+    report: SilenceReport
+
+
+class SilenceRefuted(NamedTuple):
+    """An entry host said that a target answered one of its callers."""
+
+    lifetime: Lifetime
+
+
+class SilenceQueryEnded(NamedTuple):
+    """The time of :class:`AwaitRefutation` is over."""
+
+    lifetime: Lifetime
+
+
 class ConfigurationCommitted(NamedTuple):
     """A configuration was committed and applied on this host."""
 
@@ -91,6 +114,9 @@
     | Deregistered
     | Subscribed
     | PeerUpdated
+    | SilenceReported
+    | SilenceRefuted
+    | SilenceQueryEnded
     | ConfigurationCommitted
     | ControlHostsChanged
     | PublicationContinued
@@ -99,10 +125,10 @@
 
 
 class SendUpdate(NamedTuple):
-    """Send an update or configuration to a subscriber, or a subscription to a control host."""
+    """Send a message to a subscriber, or a subscription to a control host."""
 
     host: HostName
-    body: Update | ConfigurationUpdate | Subscription
+    body: Update | ConfigurationUpdate | Subscription | SilenceQuery
 
 
 class CheckInReply(NamedTuple):
@@ -124,6 +150,19 @@
     entry: TargetEntry
 
 
+class AwaitRefutation(NamedTuple):
+    """Pass :class:`SilenceQueryEnded` after a delay."""
+
+    lifetime: Lifetime
+    delay_seconds: float
+
+
+class ReportedSilent(NamedTuple):
+    """Several entry hosts reported a target that still has recent heartbeats."""
+
+    entry: TargetEntry
+
+
 class SubscriberLost(NamedTuple):
     """A subscription expired because its host stopped renewing it."""
 
@@ -146,7 +185,14 @@
 
 
 CheckInEffect = (
-    SendUpdate | CheckInReply | Expired | SubscriberLost | SubscriberAppeared | ContinuePublication
+    SendUpdate
+    | CheckInReply
+    | Expired
+    | AwaitRefutation
+    | ReportedSilent
+    | SubscriberLost
+    | SubscriberAppeared
+    | ContinuePublication
 )
 
 
@@ -181,6 +227,7 @@
         self._controls: tuple[HostName, ...] = (name,)
         self._configuration: StoredConfiguration | None = None
         self._pending_replies: collections.deque[_PendingReply] = collections.deque()
+        self._silence_reports = SilenceReports()
 
     @property
     def registry(self) -> Registry:
@@ -199,6 +246,8 @@
         if isinstance(event, PeerUpdated):
             is_republished = self._registry.merge_remote(event.update.entries, now)
             return self._publish(True, now) if is_republished else []
+        if isinstance(event, SilenceReported | SilenceRefuted | SilenceQueryEnded):
+            return self._handle_silence(event, now)
         if isinstance(event, ConfigurationCommitted):
             return self._handle_commit(event.configuration)
         if isinstance(event, ControlHostsChanged):
@@ -212,6 +261,8 @@
     def _handle_check_in(self, event: CheckedIn, now: float) -> list[CheckInEffect]:
         last_removal = self._registry.last_removal
         outcome = self._registry.check_in(event.call, now)
+        if outcome not in (CheckInOutcome.OUTDATED, CheckInOutcome.CONFLICTING):
+            self._silence_reports.refute(event.call.lifetime)
         if event.call.state is not LifeState.READY:
             return self._publish_removal(event.token, outcome, now)
         if outcome is CheckInOutcome.CONFLICTING:
@@ -249,6 +300,36 @@
             effects.append(self._make_configuration_update(host))
         return effects + self._send_due_replies(now)
 
+    def _handle_silence(
+        self, event: SilenceReported | SilenceRefuted | SilenceQueryEnded, now: float
+    ) -> list[CheckInEffect]:
+        if isinstance(event, SilenceReported):
+            return self._handle_silence_report(event, now)
+        if isinstance(event, SilenceRefuted):
+            self._silence_reports.refute(event.lifetime)
+            return []
+        if not self._silence_reports.end_query(event.lifetime):
+            return []
+        entry = self._registry.mark_silent(event.lifetime, now)
+        return [] if entry is None else [ReportedSilent(entry), *self._publish(True, now)]
+
+    def _handle_silence_report(self, event: SilenceReported, now: float) -> list[CheckInEffect]:
+        lifetime = event.report.lifetime
+        target, heard_at = self._registry.get(lifetime), self._registry.heard_at(lifetime)
+        if target is None or target.state is not LifeState.READY or heard_at is None:
+            return []
+        self._silence_reports.record(event.host, event.report, target, now)
+        seconds = self._silence_reports.start_query(lifetime, heard_at, now)
+        if seconds is None:
+            return []
+        query = SilenceQuery(lifetime, seconds)
+        asked: list[CheckInEffect] = [
+            SendUpdate(subscription.host, query)
+            for subscription in self._subscribers.all()
+            if not subscription.is_control and subscription.zone == target.zone
+        ]
+        return [*asked, AwaitRefutation(lifetime, QUERY_TIMEOUT_SECONDS)]
+
     def _handle_commit(self, configuration: StoredConfiguration) -> list[CheckInEffect]:
         """Send a configuration to the subscribed entry hosts in this host's zone.
 
@@ -265,6 +346,7 @@
 
     def _handle_tick(self, now: float) -> list[CheckInEffect]:
         expired = self._registry.expire(now)
+        self._silence_reports.expire(now)
         effects: list[CheckInEffect] = [Expired(entry) for entry in expired]
         effects += [SubscriberLost(host) for host in self._subscribers.remove_expired(now)]
         effects += self._resend_updates(now)
--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -15,6 +15,14 @@
 MAX_MISSED_HEARTBEATS = 3
 """Consecutive heartbeats that a target may miss before it counts as unreachable."""
 
+MAX_REPORTED_SHARE = 1 / 3
+"""Share of a service's targets that may count as unreachable because of reports alone, though at
+least one: wrong reports must not take away most of a service."""
+
+FALSE_ALARM_BACKOFF_SECONDS = 10.0
+"""How long reports are ignored after one that a heartbeat refuted: the network seems to lose
+packets."""
+
 
 class CheckInOutcome(enum.StrEnum):
     """Result of a check-in or deregistration.
@@ -47,6 +55,8 @@
         self._expiry_seconds = MAX_MISSED_HEARTBEATS * heartbeat_seconds
         self._received_at: dict[Lifetime, float] = {}
         self._sequences: dict[Lifetime, int] = {}
+        self._reported_at: dict[Lifetime, float] = {}
+        self._trusts_reports_from = float("-inf")
         self._newest_start_ms: dict[TargetName, int] = {}
         self._lifetime_by_endpoint: dict[Endpoint, Lifetime] = {}
 
@@ -57,7 +67,7 @@
 
     @property
     def last_removal(self) -> int:
-        """Number of the last published removal: a drain or the end of a lifetime."""
+        """Number of the last published removal; see :attr:`VersionedEntries.last_removal`."""
         return self._entries.last_removal
 
     def changes_since(self, position: Position) -> tuple[int, tuple[TargetEntry, ...]]:
@@ -98,6 +108,8 @@
         if call.sequence <= self._sequences.get(lifetime, -1):
             return CheckInOutcome.OUTDATED
         self._sequences[lifetime] = call.sequence
+        if self._reported_at.pop(lifetime, None) is not None:
+            self._trusts_reports_from = now + FALSE_ALARM_BACKOFF_SECONDS
         self._received_at.pop(lifetime, None)
         self._received_at[lifetime] = now
         self._end_predecessors(call, now)
@@ -150,6 +162,48 @@
             is_republished = True
         return is_republished
 
+    def heard_at(self, lifetime: Lifetime) -> float | None:
+        """Return the time of a target's last heartbeat, or ``None`` if it is unreachable."""
+        return self._received_at.get(lifetime)
+
+    def get(self, lifetime: Lifetime) -> TargetEntry | None:
+        """Return the entry of a lifetime, or ``None``."""
+        return self._entries.get(lifetime)
+
+    def mark_silent(self, lifetime: Lifetime, now: float) -> TargetEntry | None:
+        """Mark a target that entry hosts report as unreachable until its next heartbeat.
+
+        :return: its entry, or ``None`` if it isn't marked since too many of its service are, or
+            since an earlier report was wrong.
+        """
+        known = self._entries.get(lifetime)
+        if known is None or known.state is not LifeState.READY:
+            return None
+        if lifetime not in self._received_at:
+            return None
+        if now < self._trusts_reports_from or not self._may_mark(known.service, now):
+            return None
+        del self._received_at[lifetime]
+        self._reported_at[lifetime] = now
+        last = self._sequences.get(lifetime, known.sequence)
+        entry = known._replace(has_recent_heartbeat=False, sequence=last)
+        self._entries.put(entry, now, is_removal=True)
+        return entry
+
+    def _may_mark(self, service: str, now: float) -> bool:
+        self._reported_at = {
+            lifetime: at
+            for lifetime, at in self._reported_at.items()
+            if now - at <= self._expiry_seconds
+        }
+        ready = [
+            entry.lifetime
+            for entry in self._entries.entries()
+            if entry.service == service and entry.state is LifeState.READY
+        ]
+        reported = sum(lifetime in self._reported_at for lifetime in ready)
+        return reported + 1 <= max(1, int(MAX_REPORTED_SHARE * len(ready)))
+
     def expire(self, now: float) -> list[TargetEntry]:
         """Mark targets that missed their heartbeats as unreachable; return their entries."""
         expired = self._pop_overdue(now)
@@ -211,6 +265,7 @@
     def _remove(self, entry: TargetEntry) -> None:
         lifetime = entry.lifetime
         self._sequences.pop(lifetime, None)
+        self._reported_at.pop(lifetime, None)
         if self._newest_start_ms.get(lifetime.target) == lifetime.started_ms:
             del self._newest_start_ms[lifetime.target]
         if self._lifetime_by_endpoint.get(entry.endpoint) == lifetime:
--- a/packages/core/src/lacewingrudder_core/_checkins/types.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/types.py
@@ -128,6 +128,35 @@
     peers: ZonePeerCounts = ZonePeerCounts(0, 0)
 
 
+class SilenceReport(NamedTuple):
+    """Tells control hosts that a target left the SYN of a new flow unanswered.
+
+    :param zone: zone of the reporting entry host.
+    :param unanswered_seconds: time since the SYN.
+    """
+
+    lifetime: Lifetime
+    zone: ZoneName
+    unanswered_seconds: float
+
+
+class SilenceQuery(NamedTuple):
+    """Asks an entry host whether a reported target answered one of its callers meanwhile.
+
+    :param seconds: time since a SYN that the target left unanswered. Only answers to what was sent
+        to it after that count.
+    """
+
+    lifetime: Lifetime
+    seconds: float
+
+
+class TargetAnswered(NamedTuple):
+    """The answer to :class:`SilenceQuery` of an entry host whose callers got answers."""
+
+    lifetime: Lifetime
+
+
 class ConfigurationUpdate(NamedTuple):
     """The newest committed configuration, for a subscriber that has an older one."""
 
--- a/packages/core/src/lacewingrudder_core/_checkins/versioned_entries.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/versioned_entries.py
@@ -40,7 +40,10 @@
 
     @property
     def last_removal(self) -> int:
-        """Number of the last removal: a drain or the end of a lifetime, sent without delay."""
+        """Number of the last removal, which is sent without delay.
+
+        Removals are drains, ends of lifetimes, and targets that entry hosts report as silent.
+        """
         return self._last_removal
 
     def get(self, lifetime: Lifetime) -> TargetEntry | None:
@@ -52,15 +55,18 @@
         """Return all entries."""
         return [row.entry for row in self._entries.values()]
 
-    def put(self, entry: TargetEntry, now: float) -> None:
-        """Store an entry under the next number, replacing the previous one of its lifetime."""
+    def put(self, entry: TargetEntry, now: float, is_removal: bool = False) -> None:
+        """Store an entry under the next number, replacing the previous one of its lifetime.
+
+        :param is_removal: whether it counts as a removal although its state is ready.
+        """
         self._number += 1
         self._entries.pop(entry.lifetime, None)
         self._entries[entry.lifetime] = _NumberedEntry(self._number, entry)
         self._ended_at.pop(entry.lifetime, None)
         if entry.state is LifeState.GONE:
             self._ended_at[entry.lifetime] = now
-        if entry.state is not LifeState.READY:
+        if is_removal or entry.state is not LifeState.READY:
             self._last_removal = self._number
 
     def changes_since(self, position: Position) -> tuple[int, tuple[TargetEntry, ...]]:
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -9,7 +9,7 @@
 
 import functools
 
-from .._checkins.types import Lifetime, Update
+from .._checkins.types import LifeState, Lifetime, SilenceQuery, SilenceReport, Update
 from .._checkins.views import KnownTarget, Views
 from ..latencies import LatencyHistogram
 from ..types import Endpoint, ZoneName
@@ -18,6 +18,8 @@
 from .flow_tracker import AnswerStatus, FlowTracker
 from .outlier_detection import OutlierDetector
 from .selection import TargetChooser, WeightedRoundRobin
+from .silence_detector import SilenceDetector
+from .tags import flow_tag
 from .target_index import Candidate, TargetIndex
 from .types import (
     DEFAULT_IDLE_TIMEOUT_SECONDS,
@@ -55,6 +57,7 @@
         self._target_outliers: OutlierDetector[int] = OutlierDetector()
         self._zone_outliers: OutlierDetector[ZoneName] = OutlierDetector()
         self._ejections: list[Ejection] = []
+        self._silence = SilenceDetector()
         self._configuration: Configuration | None = None
         self._splits: dict[Endpoint, WeightedRoundRobin] = {}
         self._limiters: dict[str, ConcurrencyLimiter] = {}
@@ -93,6 +96,25 @@
         ejections, self._ejections = self._ejections, []
         return ejections
 
+    @property
+    def next_silence_check(self) -> float | None:
+        """When to call :meth:`pop_silent_targets`; ``None`` while no SYN awaits an answer."""
+        return self._silence.next_check_at
+
+    def pop_silent_targets(self, now: float) -> list[SilenceReport]:
+        """Return reports for control hosts about targets that leave SYNs unanswered."""
+        rows = self._silence.pop_silent(self._flow_tracker.is_opening, now)
+        found = ((self._target_index.entry(row.tag), row) for row in rows)
+        return [
+            SilenceReport(entry.lifetime, self._zone, row.unanswered_seconds)
+            for entry, row in found
+            if entry is not None and entry.state is LifeState.READY
+        ]
+
+    def has_answered(self, query: SilenceQuery, now: float) -> bool:
+        """Return whether a target answered what was sent to it after the silence began."""
+        return self._silence.has_answered(flow_tag(query.lifetime), query.seconds, now)
+
     def configure(self, configuration: Configuration) -> bool:
         """Put a configuration in force if its version is higher than that of the current one.
 
@@ -120,9 +142,13 @@
         )
         self._flow_tracker.expire(idle, now)
         self._answer_times.expire(now)
-        self._target_outliers.retain_known(lambda tag: self._target_index.entry(tag) is not None)
+        self._target_outliers.retain_known(self._is_known)
+        self._silence.retain_known(self._is_known)
         return self._apply_changes(self._views.refresh(now), now)
 
+    def _is_known(self, tag: int) -> bool:
+        return self._target_index.entry(tag) is not None
+
     def _apply_changes(self, lifetimes: set[Lifetime], now: float) -> list[KnownTarget]:
         return self._target_index.apply(
             ((lifetime, self._views.get(lifetime)) for lifetime in lifetimes), now
@@ -160,6 +186,7 @@
                 return Dropped(DropReason.NOT_READY)
             return Reset(ResetReason.NO_TARGET)
         self._flow_tracker.record_syn(segment.flow, service, target.tag, now)
+        self._silence.record_syn(segment.flow, target.tag, now)
         return Forwarded(target.entry.endpoint, target.entry.identity, target.tag)
 
     def _get_limiter(self, service: str) -> ConcurrencyLimiter:
@@ -220,6 +247,7 @@
         opening = self._flow_tracker.remove_opening(segment.flow)
         if opening is not None:
             self._open_seconds.observe(now - opening.opened_at)
+            self._silence.record_answer(tag, opening.opened_at)
             self._record_answer(tag, entry.zone)
         if tag != segment.tag:
             segment = segment._replace(tag=tag)
@@ -230,6 +258,7 @@
             self._record_failure(tag, now)
         seconds, objective = observation.answer_seconds, route.objective_seconds
         if seconds is not None:
+            self._silence.record_answer(tag, now - seconds)
             self._answer_times.service(entry.service).record(tag, seconds, now)
         if seconds is not None and objective is not None:
             waiting = functools.partial(self._count_waiting, entry.service)
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
@@ -122,6 +122,11 @@
         """Return the record of a flow that hasn't opened yet, or ``None``."""
         return self._openings.get(flow)
 
+    def is_opening(self, flow: FlowKey, tag: int) -> bool:
+        """Return whether a flow hasn't opened yet and one of its SYNs was sent to a target."""
+        opening = self._openings.get(flow)
+        return opening is not None and tag in opening.tried_tags
+
     def record_syn(self, flow: FlowKey, service: str, tag: int, now: float) -> None:
         """Record that a SYN was sent to a target."""
         self._remove(flow)
--- a/packages/core/src/lacewingrudder_core/checkins.py
+++ b/packages/core/src/lacewingrudder_core/checkins.py
@@ -1,5 +1,6 @@
 """Registration of targets by check-in, and its publication to other hosts."""
 
+from ._checkins.core import AwaitRefutation as AwaitRefutation
 from ._checkins.core import CheckedIn as CheckedIn
 from ._checkins.core import CheckInCore as CheckInCore
 from ._checkins.core import CheckInEffect as CheckInEffect
@@ -12,7 +13,11 @@
 from ._checkins.core import Expired as Expired
 from ._checkins.core import PeerUpdated as PeerUpdated
 from ._checkins.core import PublicationContinued as PublicationContinued
+from ._checkins.core import ReportedSilent as ReportedSilent
 from ._checkins.core import SendUpdate as SendUpdate
+from ._checkins.core import SilenceQueryEnded as SilenceQueryEnded
+from ._checkins.core import SilenceRefuted as SilenceRefuted
+from ._checkins.core import SilenceReported as SilenceReported
 from ._checkins.core import Subscribed as Subscribed
 from ._checkins.core import SubscriberAppeared as SubscriberAppeared
 from ._checkins.core import SubscriberLost as SubscriberLost
@@ -25,7 +30,10 @@
 from ._checkins.types import LifeState as LifeState
 from ._checkins.types import Lifetime as Lifetime
 from ._checkins.types import Position as Position
+from ._checkins.types import SilenceQuery as SilenceQuery
+from ._checkins.types import SilenceReport as SilenceReport
 from ._checkins.types import Subscription as Subscription
+from ._checkins.types import TargetAnswered as TargetAnswered
 from ._checkins.types import TargetEntry as TargetEntry
 from ._checkins.types import Update as Update
 from ._checkins.types import ZonePeerCounts as ZonePeerCounts
--- a/packages/core/src/lacewingrudder_core/tagging.py
+++ b/packages/core/src/lacewingrudder_core/tagging.py
@@ -2,6 +2,7 @@
 
 from ._tagging.core import TagForwarder as TagForwarder
 from ._tagging.outlier_detection import EJECTION_FAILURE_COUNT as EJECTION_FAILURE_COUNT
+from ._tagging.silence_detector import SYN_ANSWER_TIMEOUT_SECONDS as SYN_ANSWER_TIMEOUT_SECONDS
 from ._tagging.tags import flow_tag as flow_tag
 from ._tagging.types import DEFAULT_IDLE_TIMEOUT_SECONDS as DEFAULT_IDLE_TIMEOUT_SECONDS
 from ._tagging.types import Configuration as Configuration
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -18,7 +18,10 @@
     CheckInCore,
     CheckInReply,
     Registry,
+    SilenceReport,
     Subscription,
+    TargetAnswered,
+    TargetEntry,
     Update,
     Views,
 )
@@ -57,7 +60,7 @@
 
 CONTROL_MESSAGES = ENTRY_MESSAGES | REPLICA_TAGS
 _FORWARD_MESSAGES = (r.ForwardRequest, r.ForwardReply, r.ReadRequest, r.ReadReply)
-_CHECKIN_MESSAGES = (Subscription, Update, checkins.ConfigurationUpdate)
+_CHECKIN_MESSAGES = tuple(ENTRY_MESSAGES.values())
 
 
 class RegistrarProcess(FleetProcess):
@@ -234,6 +237,10 @@
             self._handle_checkin_event(checkins.Subscribed(body._replace(host=sender)))
         elif isinstance(body, Update):
             self._apply_update(sender, body)
+        elif isinstance(body, SilenceReport):
+            self._handle_checkin_event(checkins.SilenceReported(sender, body))
+        elif isinstance(body, TargetAnswered):
+            self._handle_checkin_event(checkins.SilenceRefuted(body.lifetime))
 
     def _apply_update(self, sender: HostName, update: Update) -> None:
         self._mark_seen(sender)
@@ -263,9 +270,12 @@
                     )
                 self._requests.resolve(token, effect)
             case checkins.Expired(entry):
-                name, started_ms = entry.lifetime
-                detail = f"{name} born {started_ms}, last check-in {entry.sequence}"
-                self._events.record("target_silent", target=str(entry.endpoint), detail=detail)
+                self._record_silence("target_silent", entry)
+            case checkins.AwaitRefutation(lifetime, delay_seconds):
+                event = checkins.SilenceQueryEnded(lifetime)
+                self._loop.call_later(delay_seconds, self._handle_checkin_event, event)
+            case checkins.ReportedSilent(entry):
+                self._record_silence("target_reported_silent", entry)
             case checkins.ContinuePublication(delay_seconds):
                 self._loop.call_later(delay_seconds, self._continue_publication)
             case checkins.SubscriberLost(host):
@@ -273,6 +283,11 @@
             case checkins.SubscriberAppeared(host):
                 self._events.record("subscriber_found", target=host)
 
+    def _record_silence(self, event: str, entry: TargetEntry) -> None:
+        name, started_ms = entry.lifetime
+        detail = f"{name} born {started_ms}, last check-in {entry.sequence}"
+        self._events.record(event, target=str(entry.endpoint), detail=detail)
+
     def _continue_publication(self) -> None:
         self._handle_checkin_event(checkins.PublicationContinued())
 
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -9,7 +9,9 @@
 from lacewingrudder_core.checkins import (
     ConfigurationUpdate,
     ShutdownPolicy,
+    SilenceQuery,
     Subscription,
+    TargetAnswered,
     Update,
     ZonePeerCounts,
 )
@@ -98,6 +100,7 @@
         self._is_leaving = False
         self._was_reported_ready = False
         self._poll_task: asyncio.Task[None] | None = None
+        self._silence_check: asyncio.TimerHandle | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -148,6 +151,8 @@
     async def _close(self) -> None:
         if self._poll_task is not None:
             self._poll_task.cancel()
+        if self._silence_check is not None:
+            self._silence_check.cancel()
         if self._readiness_server is not None:
             await self._readiness_server.stop()
         self._packet_socket.close()
@@ -188,6 +193,12 @@
             self._apply_update(sender, body)
         elif isinstance(body, ConfigurationUpdate):
             self._apply_configuration(body)
+        elif isinstance(body, SilenceQuery):
+            self._answer_silence_query(sender, body)
+
+    def _answer_silence_query(self, sender: HostName, query: SilenceQuery) -> None:
+        if self._forwarder.has_answered(query, self._loop.time()):
+            self._message_socket.send(sender, TargetAnswered(query.lifetime))
 
     def _apply_update(self, sender: HostName, update: Update) -> None:
         self._announced_controls = set(update.controls)
@@ -223,6 +234,7 @@
             datagram = self._adapter.encode_for_target(data, decision.identity, decision.tag)
             self._packet_socket.send(datagram, self._get_or_parse_address(decision.endpoint))
             if segment.is_syn:
+                self._schedule_silence_check()
                 self._entry_events.record_placement(segment, decision, self._forwarder.version)
         elif isinstance(decision, Dropped):
             self._entry_events.record_drop_or_reset(
@@ -237,6 +249,23 @@
                 event, decision.reason, segment, self._forwarder.version
             )
 
+    def _schedule_silence_check(self) -> None:
+        at = self._forwarder.next_silence_check
+        if at is not None and self._silence_check is None:
+            self._silence_check = self._loop.call_at(at, self._report_silent_targets)
+
+    def _report_silent_targets(self) -> None:
+        """Report targets that leave SYNs unanswered to all control hosts.
+
+        Which of them receives the heartbeats of a target is not known here.
+        """
+        self._silence_check = None
+        for report in self._forwarder.pop_silent_targets(self._loop.time()):
+            self._entry_events.record_silence(report.lifetime)
+            for control in sorted(self._controls):
+                self._message_socket.send(control, report)
+        self._schedule_silence_check()
+
     def _collect_metrics(self) -> MetricsSnapshot:
         from .metrics import MetricsSnapshot
 
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from lacewingrudder_core.checkins import KnownTarget, LifeState, ZonePeerCounts
+from lacewingrudder_core.checkins import KnownTarget, LifeState, Lifetime, ZonePeerCounts
 from lacewingrudder_core.tagging import (
     EJECTION_FAILURE_COUNT,
     Ejection,
@@ -47,6 +47,11 @@
             detail=f"{reason}, tag {segment.tag:08x}",
         )
 
+    def record_silence(self, lifetime: Lifetime) -> None:
+        """Report that a target left a SYN unanswered."""
+        name, started_ms = lifetime
+        self._sink.record("target_unanswering", detail=f"{name} born {started_ms}")
+
     def record_target_changes(self, targets: Iterable[KnownTarget]) -> None:
         """Report target lifetimes that are new, changed state, or miss their heartbeats."""
         for entry, has_recent_heartbeat in targets:
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/messages.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/messages.py
@@ -10,4 +10,7 @@
     1: checkins.Subscription,
     2: checkins.Update,
     3: checkins.ConfigurationUpdate,
+    4: checkins.SilenceReport,
+    5: checkins.SilenceQuery,
+    6: checkins.TargetAnswered,
 }
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -90,6 +90,21 @@
         self.send(ENTRIES[1], make_packet(40001, ACK, tag, b"x"))
         self.assertEqual(self.receive_at_target(), (identity, tag))
 
+    def test_target_that_answers_no_syn_is_reported_as_silent_before_its_heartbeats_are_missed(
+        self,
+    ) -> None:
+        self.set_up_service()
+        for port, entry in enumerate((*ENTRIES, *ENTRIES), 40001):
+            self.send(entry, make_packet(port, SYN))
+            time.sleep(0.1)
+        deadline = time.monotonic() + 1.0
+        logs = ""
+        while "target_reported_silent" not in logs and time.monotonic() < deadline:
+            time.sleep(0.05)
+            logs = "".join(self.fleet.log(control) for control in CONTROLS)
+        self.assertIn("target_reported_silent", logs)
+        self.assertNotIn("message_rejected", logs)
+
     def test_draining_target_gets_no_new_flow_and_callers_are_reset_at_once(self) -> None:
         self.set_up_service()
         time.sleep(DISCOVERY_TIMEOUT_SECONDS)
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -3,11 +3,12 @@
 import unittest
 
 from measure.replacement import run, share_of_new, shares_in_time
-from measure.replacement_model import REPLACED_COUNT, ModelSize
+from measure.replacement_model import OBJECTIVE_SECONDS, REPLACED_COUNT, Conditions, ModelSize
 
 SMALL = ModelSize(9, 7, 4)
 LARGE = ModelSize(70, 60, 4)
 MAX_DISTANCE_FROM_LIMIT = 0.05
+MAX_LOSS_BY_REPORTS = 0.01
 FAILURE_SECOND = 4
 LAST_SECOND = 9
 
@@ -36,6 +37,21 @@
         for load in (0.5, 0.7):
             self.check(SMALL, load, FAILURE_SECOND, FAILURE_SECOND)
 
+    def test_reports_cost_nothing_while_packets_are_lost_and_no_target_is_silent(self) -> None:
+        for loss in (0.025, 0.1):
+            shares = []
+            for is_reporting in (False, True):
+                models = run(SMALL, 0.8, False, Conditions(False, is_reporting, loss))
+                rows = [
+                    row for model in models for row in model.outcomes if row.at >= FAILURE_SECOND
+                ]
+                in_time = [
+                    row.seconds is not None and row.seconds <= OBJECTIVE_SECONDS for row in rows
+                ]
+                shares.append(sum(in_time) / len(in_time))
+            with self.subTest(loss=loss, shares=shares):
+                self.assertGreater(shares[1], shares[0] - MAX_LOSS_BY_REPORTS)
+
     def test_new_targets_get_no_more_than_their_share(self) -> None:
         models = run(SMALL, 0.7, knows_all=False)
         self.assertLess(share_of_new(models), REPLACED_COUNT / SMALL.targets)
