--- a/packages/core/tests/test_replica_faults.py
+++ b/packages/core/tests/test_replica_faults.py
@@ -1,4 +1,5 @@
 import itertools
+import random
 import unittest
 from unittest import mock
 
@@ -7,11 +8,12 @@
 from lacewingrudder_core._replica.bootstrap import ClusterBootstrap
 from lacewingrudder_core._replica.election import LEASE_SECONDS, quorum_size
 from lacewingrudder_core._replica.leadership import Leadership
-from lacewingrudder_core._replica.log import LogEntry, LogSnapshot, ReplicaId
+from lacewingrudder_core._replica.log import LogEntry, LogSnapshot, ReplicaId, split_snapshot
+from lacewingrudder_core._replica.log_receiver import LogReceiver
 from lacewingrudder_core._replica.replica import NO_QUORUM
 from lacewingrudder_core._replica.state import ReplicaState
 from lacewingrudder_core._replica.voter_policy import StaticVoters
-from lacewingrudder_core.notes import Catalogue, SubmitReply, SubmitTag
+from lacewingrudder_core.notes import Catalogue, NoteReceipt, SubmitReply, SubmitTag
 from lacewingrudder_core.replica import (
     DurableState,
     Persist,
@@ -312,6 +314,28 @@
             installed = [e for e in state.release_effects() if isinstance(e, SnapshotInstalled)]
             self.assertEqual(len(installed), shown)
 
+    def test_snapshot_is_installed_only_from_all_parts_of_one_snapshot(self) -> None:
+        """Parts are lost, repeated and reordered, and a newer snapshot replaces one on its way."""
+        receipts = tuple(NoteReceipt(number, "d" * 64, number) for number in range(4000))
+        leader = m.Header("cluster", ReplicaId("b", "b"), "a", 1)
+        for seed in range(200):
+            rng = random.Random(seed)
+            state = ReplicaState(ReplicaId("a", "a"), DurableState("a", "cluster", 1))
+            receiver = LogReceiver(state)
+            snapshots = [
+                LogSnapshot(index, 1, (), Catalogue(index, receipts=receipts[: 1500 + 500 * index]))
+                for index in (3, 5)
+            ]
+            parts = [part for snapshot in snapshots for part in split_snapshot(snapshot)]
+            for step in range(60):
+                chosen = rng.choice(parts if step > 20 else parts[: len(parts) // 2])
+                receiver.add_snapshot_part(m.SnapshotRequest(leader, float(step), chosen))
+                if state.snapshot.last_index:
+                    self.assertIn(state.snapshot, snapshots)
+            for part in split_snapshot(snapshots[1]):
+                receiver.add_snapshot_part(m.SnapshotRequest(leader, 99.0, part))
+            self.assertEqual(state.snapshot, snapshots[1])
+
 
 class ReconfigurationTest(unittest.TestCase):
     def setUp(self) -> None:
--- a/packages/daemon/src/lacewingrudder_daemon/_storage/disk.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/disk.py
@@ -57,9 +57,12 @@
         self._lock = os.open(folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError as error:
+        except BlockingIOError as error:
             os.close(self._lock)
             raise OSError(f"{folder} is in use by another process") from error
+        except OSError as error:
+            os.close(self._lock)
+            raise OSError(f"{folder} can't be locked: {error}") from error
 
     def read(self, name: str) -> bytes | None:
         """Return a file's contents, or ``None`` if it does not exist."""
--- a/packages/daemon/tests/test_fleet_http.py
+++ b/packages/daemon/tests/test_fleet_http.py
@@ -1,6 +1,7 @@
 import asyncio
 import unittest
 
+import h11
 from lacewingrudder_core.latencies import LatencyHistogram
 from lacewingrudder_core.types import Endpoint
 from lacewingrudder_daemon._fleet.http import HttpHandler, HttpRequest, HttpResponse, HttpServer
@@ -20,14 +21,19 @@
 
 
 class Echo(HttpHandler):
+    def __init__(self) -> None:
+        self.requests: list[HttpRequest] = []
+
     async def answer(self, request: HttpRequest) -> HttpResponse:
+        self.requests.append(request)
         return HttpResponse(200, f"{request.method} {request.path} ".encode() + request.body)
 
 
 class HttpServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.events = Events()
-        self.server = HttpServer(Echo(), self.events)
+        self.handler = Echo()
+        self.server = HttpServer(self.handler, self.events)
         await self.server.start(Endpoint.parse(f"127.0.0.1:{PORT}"))
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", PORT)
 
@@ -55,6 +61,37 @@
         self.assertEqual(await asyncio.wait_for(self.reader.read(), 5), b"")
         self.assertEqual(self.events.names, ["http_connection_failed"])
 
+    async def test_request_that_breaks_off_reaches_no_handler(self) -> None:
+        for framing in (
+            b"Content-Length: 9\r\n\r\n{}",
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}",
+        ):
+            with self.subTest(framing=framing):
+                reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+                writer.write(b"PUT / HTTP/1.1\r\nHost: x\r\n" + framing)
+                writer.write_eof()
+                self.assertEqual(await asyncio.wait_for(reader.read(), 5), b"")
+                writer.close()
+        self.assertEqual(self.handler.requests, [])
+        self.assertEqual(self.events.names, ["http_connection_failed"] * 2)
+
+    async def test_response_that_breaks_off_is_shorter_than_it_says(self) -> None:
+        put = b"PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc"
+        self.writer.write(put)
+        answer = await asyncio.wait_for(self.reader.read(), 5)
+        for length in range(1, len(answer)):
+            protocol = h11.Connection(h11.CLIENT)
+            protocol.send(h11.Request(method="PUT", target="/", headers=[("Host", "x")]))
+            protocol.send(h11.EndOfMessage())
+            protocol.receive_data(answer[:length])
+            received = []
+            while (event := protocol.next_event()) is not h11.NEED_DATA:
+                received.append(type(event))
+            self.assertNotIn(h11.EndOfMessage, received, answer[:length])
+            protocol.receive_data(b"")
+            with self.assertRaises(h11.RemoteProtocolError):
+                protocol.next_event()
+
     async def test_head_is_answered_without_a_body(self) -> None:
         self.writer.write(b"HEAD /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
         answer = await asyncio.wait_for(self.reader.read(), 5)
--- a/packages/daemon/tests/test_store.py
+++ b/packages/daemon/tests/test_store.py
@@ -1,8 +1,10 @@
 import contextlib
+import errno
 import random
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from fake_disk import FakeDisk
 from lacewingrudder_core._replica.log import LogEntry, LogSnapshot, ReplicaId
@@ -149,6 +151,14 @@
         disk.close()
         FolderDisk(self.folder).close()
 
+    def test_failure_to_lock_names_its_cause(self) -> None:
+        failure = OSError(errno.ENOLCK, "No locks available")
+        with (
+            mock.patch("fcntl.flock", side_effect=failure),
+            self.assertRaisesRegex(OSError, "No locks available"),
+        ):
+            FolderDisk(self.folder)
+
     def test_leftover_file_of_an_interrupted_replace_is_ignored(self) -> None:
         disk = FolderDisk(self.folder)
         (self.folder / "file.new").write_bytes(b"left over")
--- a/packages/wire/src/lacewingrudder_wire/client.py
+++ b/packages/wire/src/lacewingrudder_wire/client.py
@@ -12,7 +12,13 @@
 from typing import Any
 
 from lacewingrudder_core.clock import HybridTime
-from lacewingrudder_core.messages import OperatorReply, OperatorRequest, Status, StatusRequest
+from lacewingrudder_core.messages import (
+    OperatorReply,
+    OperatorRequest,
+    ReadConfiguration,
+    Status,
+    StatusRequest,
+)
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
 from lacewingrudder_core.types import Endpoint
 from websockets.asyncio.client import connect
@@ -108,7 +114,7 @@
                 return await self._send(endpoint)
         except (OSError, TimeoutError, WebSocketException, CodecError) as error:
             self._problems.append(f"{endpoint}: {error or type(error).__name__}")
-            is_submission = not isinstance(self._body, StatusRequest)
+            is_submission = not isinstance(self._body, ReadConfiguration | StatusRequest)
             self._may_be_accepted |= self._was_sent and is_submission
         return None
 
--- a/packages/wire/tests/test_client.py
+++ b/packages/wire/tests/test_client.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 from lacewingrudder_core.clock import HybridTime
-from lacewingrudder_core.messages import OperatorReply, Status, StatusRequest, SubmitOrder
+from lacewingrudder_core.messages import (
+    OperatorReply,
+    ReadConfiguration,
+    Status,
+    StatusRequest,
+    SubmitOrder,
+)
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
 from lacewingrudder_core.types import Endpoint, OrderAction, TargetOrder, parse_address
 from lacewingrudder_wire.client import STATUS_TIMEOUT_SECONDS, request
@@ -84,6 +90,11 @@
             self.submit_order(self.start_control_hosts(None, SubmitTag.REFUSED)), SubmitTag.UNKNOWN
         )
 
+    def test_read_without_an_answer_has_changed_nothing(self) -> None:
+        hosts = self.start_control_hosts(None)
+        answer: Any = request([host.endpoint for host in hosts], ReadConfiguration())
+        self.assertEqual(answer.reply.tag, SubmitTag.REFUSED)
+
     def test_unknown_outcome_is_resolved_by_the_next_host(self) -> None:
         hosts = self.start_control_hosts(SubmitTag.UNKNOWN, SubmitTag.ACCEPTED)
         self.assertEqual(self.submit_order(hosts), SubmitTag.ACCEPTED)
