Reject messages with endpoints that can't be sent to

Cause: the codec checked types, not ranges. A peer's update with a target at port 0 or an address beyond 32 bits was taken in; each flow that was then placed there raised in the packet path, and a control host that wrote the endpoint into an event would have ended with its tick task. A subscription with a version below -1 raised before any configuration was committed.

--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -296,7 +296,8 @@
         effects: list[CheckInEffect] = [SubscriberAppeared(host)] if is_new else []
         if subscription.is_poll or self._is_due(host, now):
             effects.append(self._make_update(host, now))
-        if not subscription.is_control and subscription.version < self._version:
+        is_outdated = subscription.version < self._version and self._configuration is not None
+        if not subscription.is_control and is_outdated:
             effects.append(self._make_configuration_update(host))
         return effects + self._send_due_replies(now)
 
--- a/packages/daemon/tests/test_malformed_input.py
+++ b/packages/daemon/tests/test_malformed_input.py
@@ -1,23 +1,35 @@
 """Malformed input: a control host and an entry host survive it and go on serving."""
 
+import random
 import unittest
+from collections.abc import Callable
+from typing import Any
 from unittest.mock import Mock
 
+from lacewingrudder_core import checkins
 from lacewingrudder_core.checkins import (
     ConfigurationUpdate,
     LifeState,
     Lifetime,
     Position,
+    SilenceQuery,
+    SilenceReport,
+    Subscription,
     TargetEntry,
     Update,
+    ZonePeerCounts,
 )
-from lacewingrudder_core.types import Endpoint
+from lacewingrudder_core.tagging import Configuration, Route, Split, TagSegment, flow_tag
+from lacewingrudder_core.types import Endpoint, FlowKey
 from lacewingrudder_daemon._fleet.control import CONTROL_MESSAGES
 from lacewingrudder_daemon._fleet.entry import TagEntryProcess
 from lacewingrudder_daemon._fleet.message_socket import MessageSocket
 from lacewingrudder_wire.datagram_codec import MessageCodec
+from lacewingrudder_wire.exceptions import CodecError
 
 CONTROL = "10.0.0.1:7720"
+ENTRY = "10.1.0.10:7720"
+ROUTE = Endpoint.parse("198.18.0.1:443")
 UNUSABLE_NAMES = ("", "x", "10.0.0.9", "10.0.0.9:0", "10.0.0.9:70000", "a b:1", "10.0.0.9:seven")
 
 
@@ -45,6 +57,137 @@
         self.assertEqual(events.record.call_args.args, ("message_failed",))
 
 
+class OddMessages:
+    """Messages whose fields have the right types and, here and there, odd values."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+
+    def _odd_number(self) -> int:
+        return self._random.choice(
+            (-(2**63), -1, 0, 1, 3, 65535, 65536, 2**32 - 1, 2**32, 2**63, 2**64 - 1)
+        )
+
+    def _odd_seconds(self) -> float:
+        return self._random.choice((-1.0, 0.0, 0.06, 1e300, float("inf"), float("nan")))
+
+    def _number(self, usual: int) -> int:
+        return self._odd_number() if self._random.random() < 0.15 else usual
+
+    def _text(self, usual: str) -> str:
+        is_odd = self._random.random() < 0.15
+        return self._random.choice(("", "a", "\0", *UNUSABLE_NAMES)) if is_odd else usual
+
+    def _lifetime(self) -> Lifetime:
+        return Lifetime(self._text("i-1"), self._number(1000))
+
+    def _entry(self) -> TargetEntry:
+        number = self._number
+        endpoint = Endpoint(number(0x0A800001), number(8080))
+        state = self._random.choice(list(LifeState))
+        service, zone = self._text("s"), self._text("adum")
+        return TargetEntry(
+            self._lifetime(), number(1), service, zone, endpoint, number(2), state, number(1),
+            number(0), self._random.random() < 0.7,
+        )  # fmt: skip
+
+    def _position(self) -> Position:
+        return Position(self._number(1), self._number(1))
+
+    def update(self) -> Update:
+        entries = tuple(self._entry() for _ in range(self._random.randrange(5)))
+        controls = tuple(self._text(CONTROL) for _ in range(self._random.randrange(4)))
+        peers = ZonePeerCounts(self._number(0), self._number(0))
+        version, since = self._number(-1), self._number(0)
+        sender = self._text(CONTROL)
+        return Update(sender, self._position(), since, entries, version, controls, peers)
+
+    def subscription(self) -> Subscription:
+        is_control, is_poll = self._random.random() < 0.5, self._random.random() < 0.5
+        host, zone = self._text(ENTRY), self._text("adum")
+        version = self._number(-1)
+        return Subscription(host, zone, is_control, self._position(), version, is_poll, True)
+
+    def report(self) -> SilenceReport:
+        return SilenceReport(self._lifetime(), self._text("adum"), self._odd_seconds())
+
+    def query(self) -> SilenceQuery:
+        return SilenceQuery(self._lifetime(), self._odd_seconds())
+
+
+def packets(step: int) -> list[TagSegment]:
+    flow = FlowKey(0x64400007, 40000 + step, ROUTE.address, ROUTE.port)
+    tag = flow_tag(Lifetime("i-1", 1000))
+    return [
+        TagSegment(flow, 0, True, False, 0, 0, 1, 0),
+        TagSegment(flow, tag, False, False, 0, 100, 2, 1),
+    ]
+
+
+class OddValuesTest(unittest.IsolatedAsyncioTestCase):
+    """Only handling a message may fail, which its socket reports; what comes after it may not."""
+
+    async def test_entry_host_goes_on_after_odd_messages(self) -> None:
+        codec = MessageCodec(CONTROL_MESSAGES)
+        for seed in range(300):
+            odd, now = OddMessages(seed), [100.0]
+            process = make_entry_process(lambda now=now: now[0])
+            for step in range(6):
+                now[0] += 0.3
+                for body in (odd.update(), odd.query()):
+                    for datagram in codec.encode(body):
+                        process._message_socket._handle_datagram(datagram, ("10.0.0.1", 7720))
+                for packet in packets(step):
+                    process._handle_packet(packet, ("100.64.0.7", 40000))  # type: ignore[arg-type]
+                process._poll_controls()
+                process._report_silent_targets()
+                process._forwarder.tick(now[0])
+
+    async def test_control_host_goes_on_after_odd_messages(self) -> None:
+        codec = MessageCodec(CONTROL_MESSAGES)
+        for seed in range(300):
+            odd = OddMessages(seed)
+            core = checkins.CheckInCore(CONTROL, "adum", checkins.Registry(7, 1.2))
+            for step in range(12):
+                now = 100.0 + 0.4 * step
+                for event in (
+                    checkins.PeerUpdated(self.pass_on(codec, odd.update())),
+                    checkins.Subscribed(self.pass_on(codec, odd.subscription())),
+                    checkins.SilenceReported(ENTRY, self.pass_on(codec, odd.report())),
+                    checkins.PublicationContinued(),
+                    checkins.Tick(),
+                ):
+                    if getattr(event, "update", event) is None:
+                        continue
+                    for effect in core.handle(event, now):
+                        if isinstance(effect, checkins.SendUpdate):
+                            self.assertTrue(codec.encode(effect.body))
+
+    @staticmethod
+    def pass_on(codec: MessageCodec, body: Any) -> Any:
+        """Return a message as its receiver decodes it; ``None`` if it is rejected."""
+        decoded = None
+        try:
+            for datagram in codec.encode(body):
+                decoded = codec.decode(datagram, ("10.0.0.9", 7720))
+        except CodecError:
+            return None
+        return decoded
+
+
+def make_entry_process(now: Callable[[], float]) -> TagEntryProcess:
+    endpoint = Endpoint.parse("10.1.0.1:7720")
+    settings = Mock(zone="adum", seeds=(CONTROL,), messages=endpoint, metrics=None)
+    adapter = Mock(decode=lambda data: data)
+    process = TagEntryProcess(settings, Mock(), Mock(), Mock(), adapter, Mock())
+    process._loop = Mock(time=now)
+    process._message_socket._socket = Mock()
+    process._packet_socket = Mock()
+    route = Route(ROUTE, (Split("s", 1),), False, 8, 0.15)
+    process._forwarder.configure(Configuration(1, {ROUTE: route}, 15.0))
+    return process
+
+
 class EntryHostTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         endpoint = Endpoint.parse("10.1.0.1:7720")
--- a/packages/wire/src/lacewingrudder_wire/values.py
+++ b/packages/wire/src/lacewingrudder_wire/values.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import cbor2
+from lacewingrudder_core.types import Endpoint
 
 from .exceptions import CodecError
 
@@ -69,6 +70,8 @@
         return _sequence_decoder(typing.get_args(annotation)[0])
     if isinstance(annotation, type) and issubclass(annotation, enum.Enum):
         return annotation
+    if annotation is Endpoint:
+        return _endpoint_decoder()
     if hasattr(annotation, "_fields"):
         return _record_decoder(annotation)
     return _scalar_decoder(annotation)
@@ -107,6 +110,19 @@
     return decode_record
 
 
+def _endpoint_decoder() -> _Decoder:
+    inner = _record_decoder(Endpoint)
+
+    def decode_endpoint(value: Any) -> Endpoint:
+        """Decode an endpoint; one out of range could not be sent to or written out."""
+        endpoint: Endpoint = inner(value)
+        if not 0 <= endpoint.address < 1 << 32 or not 0 < endpoint.port < 1 << 16:
+            raise CodecError("expected an IPv4 address and a port from 1 to 65535")
+        return endpoint
+
+    return decode_endpoint
+
+
 def _scalar_decoder(cls: type[Any]) -> _Decoder:
     def decode_scalar(value: Any) -> Any:
         if cls is float and type(value) is int:
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -42,3 +42,9 @@
         for value in wrong:
             with self.subTest(value), self.assertRaises(CodecError):
                 decode(cbor2.dumps(value))
+
+    def test_endpoints_out_of_range_are_rejected(self) -> None:
+        for bad in ((-1, 80), (1 << 32, 80), (1, 0), (1, -1), (1, 1 << 16), (1 << 64, 1)):
+            member = MEMBER._replace(data=Endpoint(*bad))
+            with self.subTest(bad), self.assertRaises(CodecError):
+                decode(encode(Envelope(TIME, PING._replace(member=member))))
