Don't count requests of flows that moved to other hosts as waiting

Cause: a host counts a request as waiting until it sees its acknowledgement.

A request now counts for four latency objectives at most.

--- a/measure/replacement_model.py
+++ b/measure/replacement_model.py
@@ -32,6 +32,7 @@
     Split,
     TagForwarder,
     TagSegment,
+    flow_tag,
 )
 from lacewingrudder_core.types import Endpoint, FlowKey, ZoneName
 
@@ -68,17 +69,39 @@
     zones: int
 
 
+class Outage(NamedTuple):
+    """A time in which no entry host runs; then they return one after another.
+
+    Packets are spread over the hosts that run, so that flows move when one returns.
+
+    :param ends: when the first host returns.
+    :param interval: time from the return of a host to that of the next.
+    """
+
+    begins: float
+    ends: float
+    interval: float = 0.0
+
+    def count_running(self, hosts: int, now: float) -> int:
+        """Return how many hosts run at some time."""
+        if not self.begins <= now < self.ends + hosts * self.interval:
+            return hosts
+        return 0 if now < self.ends else 1 + int((now - self.ends) / self.interval)
+
+
 class Conditions(NamedTuple):
     """What happens in a run.
 
     :param replaces_targets: whether two targets are replaced.
     :param is_reporting: whether hosts report silent targets.
     :param loss: share of the SYNs that are lost on the way.
+    :param outage: when all entry hosts are down.
     """
 
     replaces_targets: bool = True
     is_reporting: bool = True
     loss: float = 0.0
+    outage: Outage = Outage(0.0, 0.0)
 
 
 REPLACEMENT = Conditions()
@@ -133,7 +156,6 @@
     def __init__(self, zone: ZoneName, seed: int, targets: dict[int, Target]) -> None:
         super().__init__(zone)
         self._targets = targets
-        self._tags: dict[FlowKey, int] = {}
         route = Route(ROUTE_ENDPOINT, (Split(SERVICE, 1),), False, 0, OBJECTIVE_SECONDS)
         self._forwarder = TagForwarder(zone, seed)
         self._forwarder.configure(Configuration(1, {ROUTE_ENDPOINT: route}, 15.0))
@@ -143,14 +165,12 @@
         decision = self._forwarder.decide(segment, now)
         if not isinstance(decision, Forwarded):
             return None
-        self._tags[segment.flow] = decision.tag
         return self._targets[decision.identity]
 
     def record_packet(self, segment: TagSegment, target: Target, now: float) -> None:
         """Record that a later packet of the flow passed."""
-        self._forwarder.decide(segment._replace(tag=self._tags[segment.flow]), now)
-        if segment.is_last:
-            del self._tags[segment.flow]
+        tag = flow_tag(target.entry.lifetime)
+        self._forwarder.decide(segment._replace(tag=tag), now)
 
     def apply_update(self, update: Update, now: float) -> None:
         """Apply a published change of the targets."""
@@ -213,6 +233,18 @@
         return False
 
 
+class _Flow(NamedTuple):
+    """A caller's flow, for one attempt at a request.
+
+    :param number: decides which host receives its packets.
+    """
+
+    number: int
+    port: int
+    requested_at: float
+    retries: int
+
+
 class ReplacementModel:
     """Simulates requests while two targets fall silent and two cold ones start.
 
@@ -249,6 +281,7 @@
         self._now = 0.0
         self.outcomes: list[Outcome] = []
         self.placements: list[tuple[float, int]] = []
+        self.refusals: list[float] = []
 
     def run(self) -> None:
         """Run the simulation; outcomes and placements are recorded."""
@@ -303,68 +336,81 @@
     def _schedule(self, when: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (when, next(self._order), action))
 
+    def _get_host(self, number: int) -> Choice | None:
+        """Return the host that receives the packets of a flow now, if any runs."""
+        running = self._conditions.outage.count_running(len(self._hosts), self._now)
+        return self._hosts[number % running] if running else None
+
     def _open_flow(self, requested_at: float, retries: int) -> None:
         number = self._random.randrange(len(self._hosts))
-        self._send_syn(self._hosts[number], next(self._ports), 0, requested_at, retries)
+        self._send_syn(_Flow(number, next(self._ports), requested_at, retries), 0)
         at = self._now + SYN_ANSWER_TIMEOUT_SECONDS
         self._schedule(at, functools.partial(self._report_silence, number))
 
-    def _send_syn(
-        self, host: Choice, port: int, attempt: int, requested_at: float, retries: int
-    ) -> None:
-        target = host.choose(_segment(port, is_syn=True, attempt=attempt), self._now)
+    def _send_syn(self, flow: _Flow, attempt: int) -> None:
+        host = self._get_host(flow.number)
+        if host is None:
+            self._repeat_syn(flow, attempt)
+            return
+        target = host.choose(_segment(flow.port, is_syn=True, attempt=attempt), self._now)
         if target is None:
-            self._retry(requested_at, retries)
+            self.refusals.append(self._now)
+            self._retry(flow)
             return
         if not attempt:
             self.placements.append((self._now, target.entry.identity))
         is_lost = self._random.random() < self._conditions.loss
         if not target.is_silent and not is_lost:
             at = self._now + 2 * ONE_WAY_DELAY_SECONDS
-            self._schedule(at, lambda: self._request(host, port, target, requested_at, retries))
-        elif attempt < len(SYN_RETRANSMISSION_SECONDS):
+            self._schedule(at, functools.partial(self._request, flow, target))
+        else:
+            self._repeat_syn(flow, attempt)
+
+    def _repeat_syn(self, flow: _Flow, attempt: int) -> None:
+        if attempt < len(SYN_RETRANSMISSION_SECONDS):
             delay = SYN_RETRANSMISSION_SECONDS[attempt] - (0.2 if attempt else 0.0)
-            again = lambda: self._send_syn(  # noqa: E731
-                host, port, attempt + 1, requested_at, retries
-            )
+            again = functools.partial(self._send_syn, flow, attempt + 1)
             self._schedule(self._now + delay, again)
         else:
             later = self._now + SYN_TIMEOUT_SECONDS - SYN_RETRANSMISSION_SECONDS[-1]
-            self._schedule(later, lambda: self._retry(requested_at, retries))
+            self._schedule(later, functools.partial(self._retry, flow))
 
-    def _retry(self, requested_at: float, retries: int) -> None:
-        if retries == MAX_RETRIES:
-            self.outcomes.append(Outcome(requested_at, None))
+    def _retry(self, flow: _Flow) -> None:
+        if flow.retries == MAX_RETRIES:
+            self.outcomes.append(Outcome(flow.requested_at, None))
         else:
-            later = self._now + RETRY_DELAY_SECONDS
-            self._schedule(later, lambda: self._open_flow(requested_at, retries + 1))
+            again = functools.partial(self._open_flow, flow.requested_at, flow.retries + 1)
+            self._schedule(self._now + RETRY_DELAY_SECONDS, again)
 
-    def _request(
-        self, host: Choice, port: int, target: Target, requested_at: float, retries: int
-    ) -> None:
-        host.record_packet(_segment(port, payload=100), target, self._now)
+    def _request(self, flow: _Flow, target: Target) -> None:
+        self._pass_packet(flow, target, _segment(flow.port, payload=100))
         if target.is_silent:
-            self._retry(requested_at, retries)
+            self._retry(flow)
             return
         if target.busy >= SLOTS and len(target.queue) >= QUEUE_LENGTH:
-            self._end_flow(host, port, target)
-            self._retry(requested_at, retries)
+            self._end_flow(flow, target)
+            self._retry(flow)
             return
 
         def done() -> None:
-            seconds = self._now + ONE_WAY_DELAY_SECONDS - requested_at
-            self.outcomes.append(Outcome(requested_at, seconds))
+            seconds = self._now + ONE_WAY_DELAY_SECONDS - flow.requested_at
+            self.outcomes.append(Outcome(flow.requested_at, seconds))
             at = self._now + 2 * ONE_WAY_DELAY_SECONDS
-            self._schedule(at, lambda: self._end_flow(host, port, target))
+            self._schedule(at, functools.partial(self._end_flow, flow, target))
 
         if target.busy < SLOTS:
             self._process(target, done)
         else:
             target.queue.append(done)
 
-    def _end_flow(self, host: Choice, port: int, target: Target) -> None:
-        last = _segment(port, acknowledged=1000, is_last=True)
-        host.record_packet(last, target, self._now)
+    def _end_flow(self, flow: _Flow, target: Target) -> None:
+        last = _segment(flow.port, acknowledged=1000, is_last=True)
+        self._pass_packet(flow, target, last)
+
+    def _pass_packet(self, flow: _Flow, target: Target, segment: TagSegment) -> None:
+        host = self._get_host(flow.number)
+        if host is not None:
+            host.record_packet(segment, target, self._now)
 
     def _process(self, target: Target, done: Callable[[], None]) -> None:
         target.busy += 1
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -39,6 +39,9 @@
 """A host that received its first update less than this ago may not know all targets yet: they check
 in every 1.2 s."""
 
+MAX_WAITING_OBJECTIVES = 4.0
+"""How long a request counts as load of its target, as a multiple of its latency objective."""
+
 
 class TagForwarder:
     """Decides where each packet of a caller goes.
@@ -168,6 +171,7 @@
         return self._forward_packet(segment, route, now)
 
     def _open_flow(self, segment: TagSegment, route: Route, now: float) -> Decision:
+        self._flow_tracker.forget_abandoned_requests(now)
         opening = self._flow_tracker.get_opening(segment.flow)
         if opening is None or not segment.attempt:
             self._flow_tracker.remove_opening(segment.flow)
@@ -251,12 +255,14 @@
             self._record_answer(tag, entry.zone)
         if tag != segment.tag:
             segment = segment._replace(tag=tag)
-        observation = self._flow_tracker.record_packet(segment, now)
+        objective = route.objective_seconds
+        max_waiting = None if objective is None else MAX_WAITING_OBJECTIVES * objective
+        observation = self._flow_tracker.record_packet(segment, now, max_waiting)
         if observation.answer_status is AnswerStatus.ANSWERED:
             self._record_answer(tag, entry.zone)
         elif observation.answer_status is AnswerStatus.RETRANSMITTED:
             self._record_failure(tag, now)
-        seconds, objective = observation.answer_seconds, route.objective_seconds
+        seconds = observation.answer_seconds
         if seconds is not None:
             self._silence.record_answer(tag, now - seconds)
             self._answer_times.service(entry.service).record(tag, seconds, now)
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import heapq
 from typing import NamedTuple
 
 from ..latencies import LatencyHistogram
@@ -38,9 +39,16 @@
 
 
 class _Flow:
+    """A flow of which this host has seen a packet after the SYN.
+
+    :ivar is_waiting: whether its request awaits an answer.
+    :ivar is_counted: whether that request counts as load of the target.
+    """
+
     __slots__ = (
         "acknowledged",
         "requested_at",
+        "is_counted",
         "is_retransmitted",
         "is_waiting",
         "seen_at",
@@ -53,11 +61,20 @@
         self.seen_at = now
         self.sequence = -1
         self.acknowledged = -1
+        self.is_counted = False
         self.is_waiting = False
         self.is_retransmitted = False
         self.requested_at = now
 
 
+class _CountedRequest(NamedTuple):
+    """A request that counts as load until some time; ordered by that time."""
+
+    until: float
+    requested_at: float
+    flow: FlowKey
+
+
 class AnswerStatus(enum.Enum):
     """What a packet shows of its target: an answer, a retransmitted request, or neither."""
 
@@ -83,7 +100,8 @@
 
     :param flows: number of open flows.
     :param opening: number of SYNs sent to it by flows that haven't opened yet.
-    :param waiting: number of requests that await an answer.
+    :param waiting: number of requests that await an answer; without those that have waited for so
+        long that their flows have probably moved to another host.
     """
 
     flows: int
@@ -97,6 +115,7 @@
     def __init__(self) -> None:
         self._flows: collections.OrderedDict[FlowKey, _Flow] = collections.OrderedDict()
         self._openings: dict[FlowKey, OpeningFlow] = {}
+        self._counted: list[_CountedRequest] = []
         self._open_counts: collections.Counter[int] = collections.Counter()
         self._waiting_counts: collections.Counter[int] = collections.Counter()
         self._opening_counts: collections.Counter[int] = collections.Counter()
@@ -144,8 +163,14 @@
                 self._opening_counts[tag] -= 1
         return opening
 
-    def record_packet(self, segment: TagSegment, now: float) -> Observation:
-        """Process a packet of an open flow; return what it reveals about its target."""
+    def record_packet(
+        self, segment: TagSegment, now: float, max_waiting_seconds: float | None = None
+    ) -> Observation:
+        """Process a packet of an open flow; return what it reveals about its target.
+
+        :param max_waiting_seconds: how long a request of the flow counts as load of its target at
+            most, see :meth:`forget_abandoned_requests`; ``None`` for no limit.
+        """
         flow = self._flows.get(segment.flow)
         if flow is None or flow.tag != segment.tag:
             self._remove(segment.flow)
@@ -156,10 +181,25 @@
         flow.seen_at = now
         self._flows.move_to_end(segment.flow)
         observation = self._observe(flow, segment, now)
+        if flow.is_waiting and flow.requested_at == now and max_waiting_seconds is not None:
+            request = _CountedRequest(now + max_waiting_seconds, now, segment.flow)
+            heapq.heappush(self._counted, request)
         if segment.is_last:
             self._remove(segment.flow)
         return observation
 
+    def forget_abandoned_requests(self, now: float) -> None:
+        """Stop to count requests that have waited for too long as load of their targets.
+
+        Their flows have probably moved to other hosts, as happens whenever the set of hosts
+        changes, or their callers left without a word.
+        """
+        while self._counted and self._counted[0].until <= now:
+            request = heapq.heappop(self._counted)
+            flow = self._flows.get(request.flow)
+            if flow is not None and flow.requested_at == request.requested_at:
+                self._set_counted(flow, False)
+
     def expire(self, idle_seconds: float, now: float) -> None:
         """Drop idle flows, and flows that stayed unanswered for too long."""
         while self._flows:
@@ -207,7 +247,12 @@
     def _set_waiting(self, flow: _Flow, is_waiting: bool) -> None:
         if flow.is_waiting != is_waiting:
             flow.is_waiting = is_waiting
-            self._waiting_counts[flow.tag] += 1 if is_waiting else -1
+            self._set_counted(flow, is_waiting)
+
+    def _set_counted(self, flow: _Flow, is_counted: bool) -> None:
+        if flow.is_counted != is_counted:
+            flow.is_counted = is_counted
+            self._waiting_counts[flow.tag] += 1 if is_counted else -1
 
     def _remove(self, key: FlowKey) -> None:
         flow = self._flows.pop(key, None)
--- /dev/null
+++ b/tests/test_outage.py
@@ -0,0 +1,53 @@
+"""All entry hosts are down for a while and return one after another, so that open flows move."""
+
+import unittest
+
+from measure.replacement import run
+from measure.replacement_model import (
+    END_SECONDS,
+    OBJECTIVE_SECONDS,
+    Conditions,
+    ModelSize,
+    Outage,
+    ReplacementModel,
+)
+
+OUTAGE = Outage(3.0, 4.4, 0.03)
+MAX_DISTANCE_FROM_LIMIT = 0.05
+BACKLOG_SECONDS = 1.0
+"""Time to serve what waited meanwhile, at a load of about a half."""
+
+
+class OutageTest(unittest.TestCase):
+    """The load after an outage is what the targets can serve, so nobody may be refused for long."""
+
+    def check(self, size: ModelSize, load: float) -> None:
+        conditions = Conditions(replaces_targets=False, outage=OUTAGE)
+        served_from = OUTAGE.ends + size.hosts * OUTAGE.interval + BACKLOG_SECONDS
+        own, best = run(size, load, False, conditions), run(size, load, True, conditions)
+        refused = [at for model in own for at in model.refusals if at >= served_from]
+        self.assertEqual(len(refused), 0, size)
+        second = served_from
+        while second + 1.0 <= END_SECONDS:
+            with self.subTest(size=size, load=load, second=second):
+                limit = self.share_in_time(best, second)
+                self.assertGreaterEqual(
+                    self.share_in_time(own, second), limit - MAX_DISTANCE_FROM_LIMIT
+                )
+            second += 1.0
+
+    @staticmethod
+    def share_in_time(models: list[ReplacementModel], second: float) -> float:
+        rows = [row for model in models for row in model.outcomes if 0 <= row.at - second < 1]
+        in_time = [row.seconds is not None and row.seconds <= OBJECTIVE_SECONDS for row in rows]
+        return sum(in_time) / len(in_time)
+
+    def test_few_hosts(self) -> None:
+        self.check(ModelSize(13, 7, 4), 0.45)
+
+    def test_many_hosts_with_few_flows_each(self) -> None:
+        self.check(ModelSize(70, 60, 4), 0.45)
+
+
+if __name__ == "__main__":
+    unittest.main()
