--- a/packages/daemon/tests/test_malformed_input.py
+++ b/packages/daemon/tests/test_malformed_input.py
@@ -2,10 +2,17 @@
 
 import random
 import unittest
-from collections.abc import Callable
 from typing import Any
 from unittest.mock import Mock
 
+from entry_fakes import (
+    CONTROL,
+    SERVICE,
+    configure,
+    make_entry_process,
+    receive_packet,
+    target_entry,
+)
 from lacewingrudder_core import checkins
 from lacewingrudder_core.checkins import (
     ConfigurationUpdate,
@@ -19,26 +26,16 @@
     Update,
     ZonePeerCounts,
 )
-from lacewingrudder_core.tagging import Configuration, Route, Split, TagSegment, flow_tag
-from lacewingrudder_core.types import Endpoint, FlowKey
+from lacewingrudder_core.types import Endpoint
 from lacewingrudder_daemon._fleet.control import CONTROL_MESSAGES
-from lacewingrudder_daemon._fleet.entry import TagEntryProcess
 from lacewingrudder_daemon._fleet.message_socket import MessageSocket
 from lacewingrudder_wire.datagram_codec import MessageCodec
 from lacewingrudder_wire.exceptions import CodecError
 
-CONTROL = "10.0.0.1:7720"
 ENTRY = "10.1.0.10:7720"
-ROUTE = Endpoint.parse("198.18.0.1:443")
 UNUSABLE_NAMES = ("", "x", "10.0.0.9", "10.0.0.9:0", "10.0.0.9:70000", "a b:1", "10.0.0.9:seven")
 
 
-def entry(number: int) -> TargetEntry:
-    endpoint = Endpoint(0x0A800000 + number, 8080)
-    lifetime = Lifetime(f"i-{number:x}", 1000)
-    return TargetEntry(lifetime, number, "s", "adum", endpoint, 2, LifeState.READY, 1, 0, True)
-
-
 class MessageSocketTest(unittest.TestCase):
     def test_messages_to_unusable_host_names_are_dropped_and_reported(self) -> None:
         events = Mock()
@@ -85,7 +82,7 @@
         number = self._number
         endpoint = Endpoint(number(0x0A800001), number(8080))
         state = self._random.choice(list(LifeState))
-        service, zone = self._text("s"), self._text("adum")
+        service, zone = self._text(SERVICE), self._text("adum")
         return TargetEntry(
             self._lifetime(), number(1), service, zone, endpoint, number(2), state, number(1),
             number(0), self._random.random() < 0.7,
@@ -115,15 +112,6 @@
         return SilenceQuery(self._lifetime(), self._odd_seconds())
 
 
-def packets(step: int) -> list[TagSegment]:
-    flow = FlowKey(0x64400007, 40000 + step, ROUTE.address, ROUTE.port)
-    tag = flow_tag(Lifetime("i-1", 1000))
-    return [
-        TagSegment(flow, 0, True, False, 0, 0, 1, 0),
-        TagSegment(flow, tag, False, False, 0, 100, 2, 1),
-    ]
-
-
 class OddValuesTest(unittest.IsolatedAsyncioTestCase):
     """Only handling a message may fail, which its socket reports; what comes after it may not."""
 
@@ -132,13 +120,14 @@
         for seed in range(300):
             odd, now = OddMessages(seed), [100.0]
             process = make_entry_process(lambda now=now: now[0])
+            configure(process)
             for step in range(6):
                 now[0] += 0.3
                 for body in (odd.update(), odd.query()):
                     for datagram in codec.encode(body):
                         process._message_socket._handle_datagram(datagram, ("10.0.0.1", 7720))
-                for packet in packets(step):
-                    process._handle_packet(packet, ("100.64.0.7", 40000))  # type: ignore[arg-type]
+                receive_packet(process, 40000 + step)
+                receive_packet(process, 40000 + step, number=1)
                 process._poll_controls()
                 process._report_silent_targets()
                 process._forwarder.tick(now[0])
@@ -175,32 +164,14 @@
         return decoded
 
 
-def make_entry_process(now: Callable[[], float]) -> TagEntryProcess:
-    endpoint = Endpoint.parse("10.1.0.1:7720")
-    settings = Mock(zone="adum", seeds=(CONTROL,), messages=endpoint, metrics=None)
-    adapter = Mock(decode=lambda data: data)
-    process = TagEntryProcess(settings, Mock(), Mock(), Mock(), adapter, Mock())
-    process._loop = Mock(time=now)
-    process._message_socket._socket = Mock()
-    process._packet_socket = Mock()
-    route = Route(ROUTE, (Split("s", 1),), False, 8, 0.15)
-    process._forwarder.configure(Configuration(1, {ROUTE: route}, 15.0))
-    return process
-
-
 class EntryHostTest(unittest.IsolatedAsyncioTestCase):
-    def setUp(self) -> None:
-        endpoint = Endpoint.parse("10.1.0.1:7720")
-        settings = Mock(zone="adum", seeds=(CONTROL,), messages=endpoint, metrics=None)
-        self.process = TagEntryProcess(settings, Mock(), Mock(), Mock(), Mock(), Mock())
-        self.process._loop = Mock(time=Mock(return_value=100.0))
-
     async def test_polls_go_on_after_an_update_with_unusable_control_hosts(self) -> None:
+        process = make_entry_process(lambda: 100.0)
         controls = (CONTROL, *UNUSABLE_NAMES)
-        update = Update(CONTROL, Position(1, 1), 0, (entry(1),), -1, controls)
-        self.process._handle_message(CONTROL, update)
-        self.process._poll_controls()
-        self.assertEqual(self.process._forwarder.views.position(CONTROL), Position(1, 1))
+        update = Update(CONTROL, Position(1, 1), 0, (target_entry(1),), -1, controls)
+        process._handle_message(CONTROL, update)
+        process._poll_controls()
+        self.assertEqual(process._forwarder.views.position(CONTROL), Position(1, 1))
 
 
 if __name__ == "__main__":
