Tell entry hosts that start of the targets that other control hosts had

Cause: after a failure of all hosts, the first control host that runs knows only the targets that check in with it.

A control host that starts is polled at once in any case. Files that are too old are not used for it.

--- a/packages/core/src/lacewingrudder_core/_checkins/types.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/types.py
@@ -164,6 +164,15 @@
     """
 
 
+class FormerTargets(NamedTuple):
+    """Tells an entry host that has just started which targets other control hosts had.
+
+    The sender has just started, too, and knows this from before. The others may still be starting.
+    """
+
+    entries: tuple[TargetEntry, ...]
+
+
 class ConfigurationUpdate(NamedTuple):
     """The newest committed configuration, for a subscriber that has an older one."""
 
--- a/packages/core/src/lacewingrudder_core/_checkins/views.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/views.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from ..types import HostName
@@ -122,6 +123,15 @@
         view.position = update.position
         return changed
 
+    def apply_former(self, control: HostName, entries: Iterable[TargetEntry], now: float) -> None:
+        """Add entries from before the last start of a control host, valid for a while.
+
+        They count from the next refresh on.
+        """
+        view = self._views.setdefault(control, _View())
+        view.previous_entries = {row.lifetime: row for row in entries} | view.previous_entries
+        view.previous_valid_until = now + VIEW_VALIDITY_SECONDS
+
     def refresh(self, now: float) -> set[Lifetime]:
         """Update which views are valid; return the lifetimes in those whose validity changed.
 
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -9,10 +9,17 @@
 
 import functools
 
-from .._checkins.types import LifeState, Lifetime, SilenceQuery, SilenceReport, Update
+from .._checkins.types import (
+    FormerTargets,
+    LifeState,
+    Lifetime,
+    SilenceQuery,
+    SilenceReport,
+    Update,
+)
 from .._checkins.views import KnownTarget, Views
 from ..latencies import LatencyHistogram
-from ..types import Endpoint, ZoneName
+from ..types import Endpoint, HostName, ZoneName
 from .answer_times import AnswerTimes
 from .concurrency_limit import ConcurrencyLimiter
 from .flow_tracker import AnswerStatus, FlowTracker
@@ -136,6 +143,14 @@
         changed = self._views.apply_update(update, now)
         return self._apply_changes(changed | self._views.refresh(now), now)
 
+    def apply_former(
+        self, control: HostName, targets: FormerTargets, now: float
+    ) -> list[KnownTarget]:
+        """Add targets from before the start of a control host; return those that changed."""
+        self._views.apply_former(control, targets.entries, now)
+        changed = {entry.lifetime for entry in targets.entries}
+        return self._apply_changes(changed | self._views.refresh(now), now)
+
     def tick(self, now: float) -> list[KnownTarget]:
         """Expire old state; return the targets that changed."""
         idle = (
--- a/packages/core/src/lacewingrudder_core/checkins.py
+++ b/packages/core/src/lacewingrudder_core/checkins.py
@@ -29,6 +29,7 @@
 from ._checkins.types import CheckIn as CheckIn
 from ._checkins.types import ConfigurationUpdate as ConfigurationUpdate
 from ._checkins.types import ControlStarted as ControlStarted
+from ._checkins.types import FormerTargets as FormerTargets
 from ._checkins.types import LifeState as LifeState
 from ._checkins.types import Lifetime as Lifetime
 from ._checkins.types import Position as Position
@@ -40,5 +41,6 @@
 from ._checkins.types import Update as Update
 from ._checkins.types import ZonePeerCounts as ZonePeerCounts
 from ._checkins.versioned_entries import ENDED_RETENTION_SECONDS as ENDED_RETENTION_SECONDS
+from ._checkins.views import VIEW_VALIDITY_SECONDS as VIEW_VALIDITY_SECONDS
 from ._checkins.views import KnownTarget as KnownTarget
 from ._checkins.views import Views as Views
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -15,9 +15,11 @@
 from lacewingrudder_core.chart import StateChart
 from lacewingrudder_core.checkins import (
     RESTART_GRACE_SECONDS,
+    VIEW_VALIDITY_SECONDS,
     CheckIn,
     CheckInCore,
     CheckInReply,
+    FormerTargets,
     Registry,
     SilenceReport,
     Subscription,
@@ -59,6 +61,9 @@
 REGISTRY_WRITE_INTERVAL_SECONDS = 0.3
 """Interval at which the whole registry is written to disk if it has changed."""
 
+PEER_WRITE_INTERVAL_SECONDS = 3.0
+"""Minimum interval between writes because of targets that check in with other control hosts."""
+
 START_NOTICE_DELAYS_SECONDS = (0.0, 0.1, 0.3, 0.7)
 """When former subscribers are told that a control host runs; they may be starting, too."""
 
@@ -94,6 +99,10 @@
         stored = self._read_registry()
         self._checkins = CheckInCore(self._name, settings.zone, self._restore_registry(stored))
         self._former_entry_hosts = frozenset(stored.entry_hosts)
+        is_outdated = stored.is_outdated(_wall_milliseconds())
+        self._former_targets = FormerTargets(() if is_outdated else stored.peer_entries)
+        self._former_valid_until = time.monotonic() + VIEW_VALIDITY_SECONDS
+        self._peer_change_count = 0
         self._disk_executor = concurrent.futures.ThreadPoolExecutor(1, "registry")
         self._views = Views()
         self._server: HttpServer | None = None
@@ -251,6 +260,8 @@
             if body.is_control:
                 self._mark_seen(sender)
             self._handle_checkin_event(checkins.Subscribed(body._replace(host=sender)))
+            if not body.is_control and body.version < 0:
+                self._send_former_targets(sender)
         elif isinstance(body, Update):
             self._apply_update(sender, body)
         elif isinstance(body, SilenceReport):
@@ -258,12 +269,29 @@
         elif isinstance(body, TargetAnswered):
             self._handle_checkin_event(checkins.SilenceRefuted(body.lifetime))
 
+    def _send_former_targets(self, host: HostName) -> None:
+        """Tell an entry host without a configuration of the targets of other control hosts."""
+        if self._former_targets.entries and time.monotonic() < self._former_valid_until:
+            self._message_socket.send(host, self._former_targets)
+
+    def _find_peer_entries(self) -> tuple[TargetEntry, ...]:
+        """Return the reachable targets that checked in with other control hosts only."""
+        merged = self._views.merge(self._loop.time())
+        return tuple(
+            entry
+            for entry, has_recent_heartbeat in merged.values()
+            if has_recent_heartbeat
+            and entry.state is checkins.LifeState.READY
+            and self._checkins.registry.get(entry.lifetime) is None
+        )
+
     def _apply_update(self, sender: HostName, update: Update) -> None:
         self._mark_seen(sender)
         self._peers.add(update.controls)
         before = self._views.position(sender)
         self._views.apply_update(update, self._loop.time())
         if self._views.position(sender) != before:
+            self._peer_change_count += 1
             self._handle_checkin_event(checkins.PeerUpdated(update))
             self._subscribe(sender, is_poll=False)
 
@@ -313,20 +341,30 @@
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
 
     async def _persist_registry_loop(self) -> None:
-        """Write the registry whenever it changed; a slow disk delays only the next write."""
+        """Write the registry whenever it changed; a slow disk delays only the next write.
+
+        Changes at other control hosts are written together, since there are many.
+        """
         written: object = None
         forget_former_at = self._loop.time() + RESTART_GRACE_SECONDS
-        rewrite_at = self._loop.time()
+        rewrite_at = peers_written_at = self._loop.time()
+        peer_change_count = 0
+        peer_entries = self._former_targets.entries
         while True:
             await asyncio.sleep(REGISTRY_WRITE_INTERVAL_SECONDS)
             if self._loop.time() >= forget_former_at:
                 self._former_entry_hosts = frozenset()
             entry_hosts = tuple(sorted(self._former_entry_hosts.union(self._checkins.entry_hosts)))
-            content = self._checkins.registry.position, entry_hosts
+            is_due = self._loop.time() >= peers_written_at + PEER_WRITE_INTERVAL_SECONDS
+            if self._peer_change_count != peer_change_count and is_due:
+                peer_change_count = self._peer_change_count
+                peers_written_at = self._loop.time()
+                peer_entries = self._find_peer_entries()
+            content = self._checkins.registry.position, entry_hosts, peer_entries
             if content == written and self._loop.time() < rewrite_at:
                 continue
             entries = tuple(self._checkins.registry.entries())
-            stored = StoredRegistry(entries, _wall_milliseconds(), entry_hosts)
+            stored = StoredRegistry(entries, _wall_milliseconds(), entry_hosts, peer_entries)
             try:
                 await self._loop.run_in_executor(self._disk_executor, self._store.write, stored)
                 written = content
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -9,6 +9,7 @@
 from lacewingrudder_core.checkins import (
     ConfigurationUpdate,
     ControlStarted,
+    FormerTargets,
     ShutdownPolicy,
     SilenceQuery,
     Subscription,
@@ -198,12 +199,15 @@
             self._answer_silence_query(sender, body)
         elif isinstance(body, ControlStarted):
             self._handle_control_start(sender)
+        elif isinstance(body, FormerTargets):
+            self._entry_events.record_target_changes(
+                self._forwarder.apply_former(sender, body, self._loop.time())
+            )
 
     def _handle_control_start(self, control: HostName) -> None:
-        """Add a control host; without a configuration yet, poll it at once."""
+        """Poll a control host at once: it may be the only one that runs, or knows more targets."""
         self._controls.add(control)
-        if self._forwarder.version < 0:
-            self._subscribe(control, is_poll=True)
+        self._subscribe(control, is_poll=True)
 
     def _answer_silence_query(self, sender: HostName, query: SilenceQuery) -> None:
         if self._forwarder.has_answered(query, self._loop.time()):
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/messages.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/messages.py
@@ -14,4 +14,5 @@
     5: checkins.SilenceQuery,
     6: checkins.TargetAnswered,
     7: checkins.ControlStarted,
+    8: checkins.FormerTargets,
 }
--- a/packages/daemon/src/lacewingrudder_daemon/_storage/registry_store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/registry_store.py
@@ -33,11 +33,13 @@
 
     :param written_ms: wall-clock time of the write in milliseconds, 0 if it is not known.
     :param entry_hosts: the entry hosts that subscribed to the control host.
+    :param peer_entries: reachable targets that checked in with other control hosts only.
     """
 
     entries: tuple[TargetEntry, ...]
     written_ms: int = 0
     entry_hosts: tuple[HostName, ...] = ()
+    peer_entries: tuple[TargetEntry, ...] = ()
 
     def is_outdated(self, now_ms: int) -> bool:
         """Return whether other hosts may have forgotten lifetimes that ended after the write."""
--- a/packages/daemon/tests/test_control_start.py
+++ b/packages/daemon/tests/test_control_start.py
@@ -1,18 +1,30 @@
-"""A control host tells its former subscribers when it runs again."""
+"""What a control host tells entry hosts when it runs again."""
 
 import asyncio
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
-from lacewingrudder_core.checkins import ControlStarted, Position, Subscription
+from entry_fakes import target_entry
+from lacewingrudder_core.checkins import (
+    ControlStarted,
+    FormerTargets,
+    LifeState,
+    Position,
+    Subscription,
+    Update,
+)
 from lacewingrudder_core.types import Endpoint
 from lacewingrudder_daemon._fleet import control
 from lacewingrudder_daemon._fleet.control import RegistrarProcess
+from lacewingrudder_daemon._storage.registry_store import RegistryStore, StoredRegistry
+from lacewingrudder_daemon.storage import FolderDisk
 from lacewingrudder_wire.resources import load_state_chart
 
+PEER = "10.0.0.2:7720"
 ENTRIES = ("10.1.0.1:7720", "10.1.0.2:7720")
 WAIT_SECONDS = 5 * control.REGISTRY_WRITE_INTERVAL_SECONDS
 
@@ -60,6 +72,45 @@
         self.assertEqual(set(self.notices()), {ENTRIES[1]})
         await self.stop(process)
 
+    def apply_peer_update(self, process: RegistrarProcess, number: int, *states: LifeState) -> None:
+        entries = tuple(target_entry(row, state) for row, state in enumerate(states, 1))
+        update = Update(PEER, Position(1, number), number - 1, entries, -1, (PEER,))
+        process._handle_message(PEER, update)
+
+    def poll(self, process: RegistrarProcess, version: int) -> list[FormerTargets]:
+        self.sent.clear()
+        subscription = Subscription(ENTRIES[0], "adum", False, Position(0, 0), version, True)
+        process._handle_message(ENTRIES[0], subscription)
+        return [body for _, body in self.sent if isinstance(body, FormerTargets)]
+
+    async def test_targets_of_other_control_hosts_are_told_to_hosts_that_start_as_well(
+        self,
+    ) -> None:
+        process = await self.start()
+        self.apply_peer_update(process, 1, LifeState.READY, LifeState.DRAINING, LifeState.GONE)
+        with patch.object(control, "PEER_WRITE_INTERVAL_SECONDS", 0.0):
+            await asyncio.sleep(WAIT_SECONDS)
+        self.assertEqual(self.poll(process, -1), [])
+        await self.stop(process)
+        process = await self.start()
+        self.assertEqual(self.poll(process, -1), [FormerTargets((target_entry(1),))])
+        self.assertEqual(self.poll(process, 3), [])
+        process._former_valid_until = time.monotonic()
+        self.assertEqual(self.poll(process, -1), [])
+        await asyncio.sleep(WAIT_SECONDS)
+        await self.stop(process)
+        process = await self.start()
+        self.assertEqual(self.poll(process, -1), [FormerTargets((target_entry(1),))])
+        await self.stop(process)
+
+    async def test_targets_in_an_outdated_file_are_told_to_nobody(self) -> None:
+        store = RegistryStore(disk := FolderDisk(self.folder))
+        store.write(StoredRegistry((), 1, (), (target_entry(1),)))
+        disk.close()
+        process = await self.start()
+        self.assertEqual(self.poll(process, -1), [])
+        await self.stop(process)
+
     async def test_subscribers_are_kept_over_two_crashes_in_a_row(self) -> None:
         process = await self.start()
         self.subscribe(process, ENTRIES[0])
--- a/packages/daemon/tests/test_fleet_entry.py
+++ b/packages/daemon/tests/test_fleet_entry.py
@@ -12,6 +12,7 @@
 )
 from lacewingrudder_core.checkins import (
     ControlStarted,
+    FormerTargets,
     LifeState,
     Position,
     SilenceQuery,
@@ -115,6 +116,42 @@
         self.assertEqual(self.sent, [(CONTROL, TargetAnswered(lifetime(1)))])
 
 
+class FormerTargetsTest(unittest.IsolatedAsyncioTestCase):
+    """All hosts start: the first control host knows one target itself, and others from before."""
+
+    async def asyncSetUp(self) -> None:
+        self.now = 100.0
+        self.process = make_entry_process(lambda: self.now)
+        update = Update(CONTROL, Position(5, 1), 0, (target_entry(1),), -1, (CONTROL,))
+        self.process._handle_message(CONTROL, update)
+        former = FormerTargets(tuple(target_entry(number) for number in (2, 3)))
+        self.process._handle_message(CONTROL, former)
+        configure(self.process)
+
+    def count_placed(self) -> set[int]:
+        self.process._adapter.encode_for_target = Mock()  # type: ignore[method-assign]
+        for port in range(40001, 40031):
+            receive_packet(self.process, port)
+        calls = self.process._adapter.encode_for_target.call_args_list
+        return {call.args[1] for call in calls}
+
+    async def test_flows_are_spread_over_all_of_them(self) -> None:
+        self.assertEqual(self.count_placed(), {1, 2, 3})
+
+    async def test_end_that_another_control_host_knows_of_counts(self) -> None:
+        ended = target_entry(2, LifeState.GONE)
+        update = Update(OTHER_CONTROL, Position(9, 1), 0, (ended,), -1, (CONTROL,))
+        self.process._handle_message(OTHER_CONTROL, update)
+        self.assertEqual(self.count_placed(), {1, 3})
+
+    async def test_they_get_no_flows_if_nobody_hears_of_them_for_a_while(self) -> None:
+        for step in range(1, 4):
+            self.now = 100.0 + 2.0 * step
+            update = Update(CONTROL, Position(5, 1), 1, (), -1, (CONTROL,))
+            self.process._handle_message(CONTROL, update)
+        self.assertEqual(self.count_placed(), {1})
+
+
 class ControlStartTest(unittest.IsolatedAsyncioTestCase):
     """A control host that isn't a seed tells an entry host that it runs."""
 
@@ -127,12 +164,12 @@
         self.process._handle_message(OTHER_CONTROL, ControlStarted())
         self.assertEqual(self.polled, [OTHER_CONTROL])
 
-    async def test_host_with_a_configuration_polls_it_with_the_others(self) -> None:
+    async def test_host_that_knows_some_targets_asks_it_for_more_at_once(self) -> None:
         configure(self.process)
         self.process._handle_message(OTHER_CONTROL, ControlStarted())
-        self.assertEqual(self.polled, [])
+        self.assertEqual(self.polled, [OTHER_CONTROL])
         self.process._poll_controls()
-        self.assertEqual(self.polled, [CONTROL, OTHER_CONTROL])
+        self.assertEqual(self.polled[1:], [CONTROL, OTHER_CONTROL])
 
 
 if __name__ == "__main__":
