A control host that shuts down leaves the voters before it exits

Cause: a host that is told to stop handed over its leadership but stayed one of four voters until it had been silent for 3 s; a disk lost meanwhile left two of four.

Change: a host that stops asks the leader to do without it and exits once that is answered; the leader removes it where the majority gets smaller. With an odd number of voters a learner is admitted before an unresponsive voter of another name is removed. A line control_leaving says how it ended.

Ruled out: a shorter time of silence, which a lost disk may still fall into.

--- a/packages/core/src/lacewingrudder_core/_replica/events.py
+++ b/packages/core/src/lacewingrudder_core/_replica/events.py
@@ -57,7 +57,10 @@
 
 
 class ShutdownRequested(NamedTuple):
-    """This host is about to stop; a leader asks an up-to-date voter to take over."""
+    """This host is about to stop; repeated until it may exit.
+
+    A leader asks an up-to-date voter to take over; another host asks the leader to do without it.
+    """
 
 
 ReplicaEvent = (
--- a/packages/core/src/lacewingrudder_core/_replica/leadership.py
+++ b/packages/core/src/lacewingrudder_core/_replica/leadership.py
@@ -7,7 +7,14 @@
 from .election import HEARTBEAT_INTERVAL_SECONDS, LEASE_SECONDS
 from .events import Propose, ReadConfirmed
 from .log import ReplicaId
-from .messages import AppendReply, AppendRequest, LeadershipTransfer, SnapshotReply, SnapshotRequest
+from .messages import (
+    AppendReply,
+    AppendRequest,
+    LeadershipTransfer,
+    LeaveReply,
+    SnapshotReply,
+    SnapshotRequest,
+)
 from .progress import Progress, ProgressTable
 from .state import ReplicaState
 from .voter_policy import VoterPolicy
@@ -86,14 +93,33 @@
         if replica not in self._state.log.voters and self._policy.admits(replica.name):
             self._progress.add_learner(replica, now)
 
-    def transfer_leadership(self) -> None:
+    def transfer_leadership(self, now: float) -> None:
         """Ask a voter whose log is up to date to take over the leadership, if there is one."""
         state = self._state
         for row in self._progress:
-            if row.replica in state.log.voters and row.match_index == state.log.last_index:
+            is_candidate = row.replica in state.log.voters and not self._is_leaving(row, now)
+            if is_candidate and row.match_index == state.log.last_index:
                 state.send(row.replica, LeadershipTransfer(state.header(row.replica)))
                 return
 
+    def handle_leave_request(self, replica: ReplicaId, now: float) -> None:
+        """Remove a replica that shuts down from the voters, if the policy permits it.
+
+        The replica repeats its request until it gets the answer. From then on it is not tracked
+        any more if it is no voter: it is admitted again only if it asks to join again.
+        """
+        state = self._state
+        row = self._progress.get(replica.identity)
+        if row is not None:
+            row.leave_requested_at = now
+        if replica in state.log.voters and self._can_change_voters:
+            self._check_voters(now)
+        if not self._can_change_voters:
+            return
+        if replica not in state.log.voters:
+            self._progress.remove(replica.identity)
+        state.send(replica, LeaveReply(state.header(replica)))
+
     def most_advanced_voter(self, now: float) -> ReplicaId | None:
         """Return the responsive voter with the longest log besides this host, or ``None``."""
         rows = [
@@ -207,9 +233,8 @@
         A learner has caught up if it has all entries that were committed at the last check. It
         needn't have the newest ones, since those may come faster than its answers.
         """
-        state = self._state
-        log = state.log
-        if log.voters_index > state.commit_index or state.commit_index < self._term_start_index:
+        log = self._state.log
+        if not self._can_change_voters:
             return None
         for row in self._progress.learners(log.voters):
             has_caught_up = row.match_index >= self._checked_commit_index
@@ -225,6 +250,21 @@
             lambda voter: self._is_unresponsive(voter, now, VOTER_REMOVAL_TIMEOUT_SECONDS),
         )
 
-    def _is_unresponsive(self, voter: ReplicaId, now: float, limit: float = LEASE_SECONDS) -> bool:
-        row = self._progress.get(voter.identity)
-        return row is not None and now - row.last_contact > limit
+    @property
+    def _can_change_voters(self) -> bool:
+        """Whether the last change of the voters and an entry of this term are committed."""
+        state = self._state
+        return state.commit_index >= max(state.log.voters_index, self._term_start_index)
+
+    def _is_unresponsive(
+        self, replica: ReplicaId, now: float, limit: float = LEASE_SECONDS
+    ) -> bool:
+        """Return whether a replica has not answered for a while, or shuts down."""
+        row = self._progress.get(replica.identity)
+        if row is None:
+            return False
+        return self._is_leaving(row, now) or now - row.last_contact > limit
+
+    @staticmethod
+    def _is_leaving(row: Progress, now: float) -> bool:
+        return now - row.leave_requested_at <= LEASE_SECONDS
--- a/packages/core/src/lacewingrudder_core/_replica/messages.py
+++ b/packages/core/src/lacewingrudder_core/_replica/messages.py
@@ -119,6 +119,18 @@
     header: Header
 
 
+class LeaveRequest(NamedTuple):
+    """A replica that shuts down asks the leader to remove it from the voters, if others remain."""
+
+    header: Header
+
+
+class LeaveReply(NamedTuple):
+    """The answer to :class:`LeaveRequest`, once the removal is committed or if there is none."""
+
+    header: Header
+
+
 class JoinRequest(NamedTuple):
     """Sent by a learner or a host without a leader, to bootstrap a cluster or to join one.
 
@@ -198,6 +210,8 @@
     | SnapshotRequest
     | SnapshotReply
     | LeadershipTransfer
+    | LeaveRequest
+    | LeaveReply
 )
 BootstrapMessage = JoinRequest | JoinReply | BootstrapCluster
 ReplicaMessage = MemberMessage | BootstrapMessage
--- a/packages/core/src/lacewingrudder_core/_replica/progress.py
+++ b/packages/core/src/lacewingrudder_core/_replica/progress.py
@@ -15,6 +15,7 @@
 
     :param next_index: index of the next entry to send.
     :param now: initial value of the time of last contact.
+    :ivar leave_requested_at: when the replica last said that it shuts down.
     """
 
     def __init__(self, replica: ReplicaId, next_index: int, now: float) -> None:
@@ -22,6 +23,7 @@
         self.match_index = 0
         self.next_index = next_index
         self.last_contact = now
+        self.leave_requested_at = float("-inf")
         self._snapshot_index = 0
         self._parts: tuple[LogSnapshotPart, ...] = ()
         self._part_number = 0
@@ -87,6 +89,10 @@
         """Start tracking a replica that has to catch up from the start of the log."""
         self._replicas.setdefault(replica.identity, Progress(replica, 1, now))
 
+    def remove(self, identity: str) -> None:
+        """Stop tracking a replica, if it is tracked."""
+        self._replicas.pop(identity, None)
+
     def drop_unresponsive_learners(self, voters: tuple[ReplicaId, ...], now: float) -> None:
         """Stop tracking the non-voters without contact for :data:`LEARNER_TIMEOUT_SECONDS`."""
         for identity, progress in list(self._replicas.items()):
--- a/packages/core/src/lacewingrudder_core/_replica/replica.py
+++ b/packages/core/src/lacewingrudder_core/_replica/replica.py
@@ -42,6 +42,9 @@
 
 MAX_PENDING_PROPOSALS = 64
 NO_QUORUM = "no quorum"
+REJOIN_DELAY_SECONDS = 10.0
+"""How long a host that was told to shut down asks no leader to admit it again."""
+
 LEADERSHIP_LOST = "leadership changed before the outcome was known; send it again"
 
 
@@ -76,6 +79,8 @@
         self._last_leader_contact = float("-inf")
         self._write_error = ""
         self._role = self._recovered_role()
+        self._rejoins_from = float("-inf")
+        self._may_exit = False
         self._now = 0.0
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
             m.PreVoteRequest: self._handle_pre_vote_request,
@@ -87,6 +92,8 @@
             m.SnapshotRequest: self._handle_snapshot_request,
             m.SnapshotReply: self._handle_snapshot_reply,
             m.LeadershipTransfer: self._handle_leadership_transfer,
+            m.LeaveRequest: self._handle_leave_request,
+            m.LeaveReply: self._handle_leave_reply,
         }
 
     @property
@@ -104,6 +111,14 @@
         """The catalogue after all committed entries."""
         return self._state.catalogue
 
+    @property
+    def may_exit(self) -> bool:
+        """Whether a leader has answered that it needs this host, which shuts down, no longer.
+
+        True as well for a host that is no member of a cluster or can't write to its disk.
+        """
+        return self._may_exit or self._role in (Role.BLANK, Role.IMPAIRED)
+
     def leader(self, now: float) -> HostName:
         """Return the leader this host knows, or an empty string.
 
@@ -141,7 +156,7 @@
         elif isinstance(event, ReplicaMessageReceived):
             self._handle_message(event)
         elif isinstance(event, ShutdownRequested):
-            self._transfer_leadership()
+            self._shut_down()
         else:
             self._tick()
 
@@ -220,7 +235,8 @@
         if self._leadership is not None:
             self._leadership.tick(now)
             return
-        if not self._has_leader_contact(now) or self._role == Role.LEARNER:
+        has_to_join = not self._has_leader_contact(now) or self._role == Role.LEARNER
+        if has_to_join and now >= self._rejoins_from:
             self._transition_if_joined(self._bootstrap.tick(now))
         if self._role in (Role.BLANK, Role.LEARNER):
             return
@@ -294,9 +310,20 @@
             self._voting.request_votes()
             self._become_leader_if_won()
 
-    def _transfer_leadership(self) -> None:
+    def _shut_down(self) -> None:
+        """Transfer the leadership, or ask the leader to do without this host."""
+        self._rejoins_from = self._now + REJOIN_DELAY_SECONDS
+        if self._leadership is not None:
+            self._leadership.transfer_leadership(self._now)
+        elif self._leader is not None and self._has_leader_contact(self._now):
+            self._state.send(self._leader, m.LeaveRequest(self._state.header(self._leader)))
+
+    def _handle_leave_request(self, message: m.LeaveRequest) -> None:
         if self._leadership is not None:
-            self._leadership.transfer_leadership()
+            self._leadership.handle_leave_request(message.header.sender, self._now)
+
+    def _handle_leave_reply(self, message: m.LeaveReply) -> None:
+        self._may_exit = True
 
     def _handle_leadership_transfer(self, message: m.LeadershipTransfer) -> None:
         if self._role == Role.FOLLOWER and message.header.term == self._state.term:
--- a/packages/core/src/lacewingrudder_core/_replica/voter_policy.py
+++ b/packages/core/src/lacewingrudder_core/_replica/voter_policy.py
@@ -111,10 +111,10 @@
 class DiscoveredVoters(VoterPolicy):
     """Control hosts that discover each other through seeds, without a complete list.
 
-    Control hosts become voters, up to :data:`MAX_VOTERS`. An unresponsive voter is removed when a
-    learner waits to be admitted. It is also removed without a learner if the number of voters is
-    even and at least four, because the majority then gets smaller. A host that was removed and
-    answers again is admitted like any other.
+    Control hosts become voters, up to :data:`MAX_VOTERS`. An unresponsive voter is removed if the
+    number of voters is even and at least four, because the majority then gets smaller. If the
+    number is odd, the majority would stay as large, so a learner is admitted first. A host that was
+    removed and answers again is admitted like any other.
 
     :param seeds: the first control hosts to contact.
     :param founds: whether this is the first start of the system, in which the seeds bootstrap a
@@ -154,7 +154,7 @@
 
         A voter is removed only if the number of voters is even and at least four.
         """
-        if len(voters) < 4 or len(voters) % 2:
+        if not _has_spare_voter(voters):
             return None
         return _without_first_unresponsive(voters, is_unresponsive)
 
@@ -164,21 +164,27 @@
         learner: ReplicaId,
         is_unresponsive: Callable[[ReplicaId], bool],
     ) -> tuple[ReplicaId, ...] | None:
-        """Return the voters without an unresponsive one, or with the learner if there is none.
+        """Return the voters with the learner, or first without an unresponsive one.
 
-        A voter of the learner's name is removed first; while it answers, the learner is not
-        admitted. Unresponsive voters of other names are removed only if there are at least three
-        voters.
+        A voter of the learner's name is removed first, since its disk is lost; while it answers,
+        the learner is not admitted. An unresponsive voter of another name may come back with its
+        disk. It is removed first only if that makes the majority smaller, or makes room.
         """
         same_name = next((voter for voter in voters if voter.name == learner.name), None)
         if same_name is not None:
             return _removed(voters, same_name) if is_unresponsive(same_name) else None
-        remaining = (
-            _without_first_unresponsive(voters, is_unresponsive) if len(voters) > 2 else None
-        )
+        has_room = len(voters) < MAX_VOTERS
+        remaining = None
+        if not has_room or _has_spare_voter(voters):
+            remaining = _without_first_unresponsive(voters, is_unresponsive)
         if remaining is not None:
             return remaining
-        return _added(voters, learner) if len(voters) < MAX_VOTERS else None
+        return _added(voters, learner) if has_room else None
+
+
+def _has_spare_voter(voters: tuple[ReplicaId, ...]) -> bool:
+    """Return whether the majority of one voter less is smaller, and more than a single voter."""
+    return len(voters) >= 4 and len(voters) % 2 == 0
 
 
 def _without_first_unresponsive(
--- a/packages/core/src/lacewingrudder_core/replica.py
+++ b/packages/core/src/lacewingrudder_core/replica.py
@@ -27,6 +27,8 @@
 from ._replica.messages import JoinReply as JoinReply
 from ._replica.messages import JoinRequest as JoinRequest
 from ._replica.messages import LeadershipTransfer as LeadershipTransfer
+from ._replica.messages import LeaveReply as LeaveReply
+from ._replica.messages import LeaveRequest as LeaveRequest
 from ._replica.messages import PreVoteReply as PreVoteReply
 from ._replica.messages import PreVoteRequest as PreVoteRequest
 from ._replica.messages import ReadReply as ReadReply
--- a/packages/core/tests/test_voter_changes.py
+++ b/packages/core/tests/test_voter_changes.py
@@ -69,6 +69,90 @@
         self.cluster.check_convergence()
 
 
+class PlannedStopTest(unittest.TestCase):
+    """Voters that shut down for good, and disks that are lost soon after."""
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(4, seeds=3)
+        self.cluster.elect()
+        self.cluster.run(CATCH_UP_SECONDS)
+        self.assertEqual(self.voter_count(), 4)
+
+    def voter_count(self) -> int:
+        return len(self.cluster.elect().core.state.log.voters)
+
+    def stop(self, host: Host, seconds: float = 1.0) -> None:
+        """Ask a host to shut down until it may exit, as the daemon does."""
+        end = self.cluster.now + seconds
+        while not host.core.may_exit and self.cluster.now < end:
+            self.cluster.pass_event(host, m.ShutdownRequested())
+            self.cluster.tick(REQUEST_INTERVAL_SECONDS)
+            self.cluster.settle()
+        host.crash(len(host.writes))
+
+    def remove(self, host: Host) -> None:
+        self.stop(host)
+        del self.cluster.hosts[host.name]
+
+    def followers(self) -> list[Host]:
+        leader = self.cluster.elect()
+        return [host for host in self.cluster.hosts.values() if host is not leader]
+
+    def check_disk_loss(self) -> None:
+        """Lose the disk of a follower and check that the cluster recovers."""
+        lost = self.followers()[0]
+        self.assertTrue(self.cluster.can_lose_disk(lost))
+        self.cluster.lose_disk(lost)
+        self.cluster.run(RECOVERY_SECONDS)
+        self.cluster.check_convergence()
+
+    # Guards against a cluster without a quorum after a planned replacement and one lost disk.
+    def test_disk_lost_right_after_a_follower_left_for_good(self) -> None:
+        self.remove(self.followers()[0])
+        self.check_disk_loss()
+
+    # Guards against the same if the host that left was the leader.
+    def test_disk_lost_right_after_the_leader_left_for_good(self) -> None:
+        self.remove(self.cluster.elect())
+        self.check_disk_loss()
+
+    # Guards against a host that waits for its time limit though it may exit.
+    def test_host_that_leaves_may_exit_soon(self) -> None:
+        began = self.cluster.now
+        self.stop(self.followers()[0])
+        self.assertLess(self.cluster.now - began, 0.5)
+        self.stop(self.cluster.elect())
+        self.assertLess(self.cluster.now - began, 1.5)
+
+    # Guards against a smaller quorum that one lost disk can end: three voters stay three.
+    def test_second_host_that_leaves_stays_a_voter(self) -> None:
+        first, second = self.followers()[:2]
+        self.stop(first)
+        self.assertEqual(self.voter_count(), 3)
+        self.stop(second)
+        self.assertEqual(self.voter_count(), 3)
+        self.assertTrue(second.core.state.is_voter)
+
+    # Guards against a host that is never admitted again after a planned restart.
+    def test_hosts_that_restart_in_turn_are_admitted_again(self) -> None:
+        for name in self.cluster.names * 2:
+            host = self.cluster.hosts[name]
+            self.stop(host)
+            self.cluster.run(1.0)
+            host.start()
+            self.cluster.run(CATCH_UP_SECONDS)
+            self.assertEqual(self.voter_count(), 4)
+        self.cluster.check_convergence()
+
+    # Guards against a removed host that is admitted again while it still shuts down.
+    def test_host_that_left_is_not_admitted_before_it_exits(self) -> None:
+        leaving = self.followers()[0]
+        for _ in range(60):
+            self.cluster.pass_event(leaving, m.ShutdownRequested())
+            self.cluster.run(0.1)
+        self.assertEqual(self.voter_count(), 3)
+
+
 class LaggingLearnerTest(unittest.TestCase):
     """A leader whose commit index has always moved on when a learner's answer arrives."""
 
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -67,6 +67,8 @@
     r.SnapshotRequest,
     r.SnapshotReply,
     r.LeadershipTransfer,
+    r.LeaveRequest,
+    r.LeaveReply,
     r.JoinRequest,
     r.JoinReply,
     r.BootstrapCluster,
--- a/packages/daemon/src/lacewingrudder_daemon/control_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/control_task.py
@@ -13,7 +13,7 @@
 from lacewingrudder_core import replica
 from lacewingrudder_core.notes import Catalogue
 from lacewingrudder_core.propagation import SendPeerStatus, SendToHost
-from lacewingrudder_core.replica import Role, Write
+from lacewingrudder_core.replica import Write
 from lacewingrudder_core.types import HostName
 
 from ._storage.log_store import ReplicaStore
@@ -21,7 +21,7 @@
 
 TICK_INTERVAL_SECONDS = 0.05
 WRITE_RETRY_DELAY_SECONDS = 0.5
-LEADERSHIP_TRANSFER_TIMEOUT_SECONDS = 0.5
+LEAVE_TIMEOUT_SECONDS = 1.0
 
 REQUEST_NUMBER_BITS = 48
 """Requests to other control hosts are numbered from a random number of this size at each start."""
@@ -89,15 +89,21 @@
             writer.cancel()
 
     async def leave(self) -> None:
-        """Transfer leadership before a graceful shutdown, if this host is the leader.
+        """Hand over this host's part in the cluster before a graceful shutdown.
 
-        Waits at most :data:`LEADERSHIP_TRANSFER_TIMEOUT_SECONDS` until another host is the leader.
+        A leader transfers its leadership; then the leader is asked to remove this host from the
+        voters if the others need fewer for a quorum without it. Waits at most
+        :data:`LEAVE_TIMEOUT_SECONDS` for the answer.
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + LEADERSHIP_TRANSFER_TIMEOUT_SECONDS
-        self.handle(replica.ShutdownRequested())
-        while self._core.replica.role == Role.LEADER and loop.time() < deadline:
+        deadline = loop.time() + LEAVE_TIMEOUT_SECONDS
+        while not self._core.replica.may_exit and loop.time() < deadline:
+            self.handle(replica.ShutdownRequested())
             await asyncio.sleep(TICK_INTERVAL_SECONDS)
+        state = self._core.replica.state
+        answer = "answered" if self._core.replica.may_exit else "no leader answered"
+        part = "a voter" if state.is_voter else "no voter"
+        self._events.record("control_leaving", detail=f"{answer}, {part}, term {state.term}")
 
     def close(self) -> None:
         """Stop the disk thread and close the store."""
--- a/packages/wire/src/lacewingrudder_wire/replica_tags.py
+++ b/packages/wire/src/lacewingrudder_wire/replica_tags.py
@@ -23,4 +23,6 @@
     53: r.LeadershipTransfer,
     54: r.ReadRequest,
     55: r.ReadReply,
+    56: r.LeaveRequest,
+    57: r.LeaveReply,
 }
--- a/packages/wire/tests/test_replica_codec.py
+++ b/packages/wire/tests/test_replica_codec.py
@@ -51,6 +51,8 @@
             r.SnapshotRequest(HEADER, 0.5, part),
             r.SnapshotReply(HEADER, 0.5, 3, 1),
             r.LeadershipTransfer(HEADER),
+            r.LeaveRequest(HEADER),
+            r.LeaveReply(HEADER),
             r.JoinRequest(VOTER, ""),
             r.JoinReply(VOTER, "cluster", "echo"),
             r.BootstrapCluster("cluster", (VOTER,)),
