An entry for a service that is not in use ends no target

Cause: the registry and each entry host took any later start at the same name or address for proof that the earlier target had ended, whatever its service.

Change: entry hosts let a later entry end an earlier one only if its service is in use, or if it is a restart of the same name and service. The registry ends an earlier lifetime only at such a restart; a target whose address another has is believed once it repeats its check-in; who is unheard for 120 s ends if it drained or was replaced. LifetimeIndex finds what shares a name or an address.

The session of the address that goes to another service now has that service in its configuration, as the harness adds the second route of the default one; what it checks is unchanged.

--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -13,11 +13,12 @@
 from ..core import Core
 from ..types import HostName, TargetName, ZoneName
 from .publication import Publication
-from .registry import CheckInOutcome, Registry
+from .registry import Registry
 from .silence_reports import QUERY_TIMEOUT_SECONDS, SilenceReports
 from .subscribers import Subscribers
 from .types import (
     CheckIn,
+    CheckInOutcome,
     ConfigurationUpdate,
     LifeState,
     Lifetime,
--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -5,11 +5,11 @@
 
 from __future__ import annotations
 
-import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..types import Endpoint, TargetName
-from .types import CheckIn, LifeState, Lifetime, Position, TargetEntry
+from .lifetime_index import LifetimeIndex
+from .types import CheckIn, CheckInOutcome, LifeState, Lifetime, Position, TargetEntry
 from .versioned_entries import VersionedEntries
 
 MAX_MISSED_HEARTBEATS = 3
@@ -24,19 +24,13 @@
 packets."""
 
 
-class CheckInOutcome(enum.StrEnum):
-    """Result of a check-in or deregistration.
+MIN_REPEAT_HEARTBEATS = 0.5
+"""Heartbeats between two check-ins that show that their target still runs: calls that were delayed
+arrive together."""
 
-    An outdated call has no effect: its lifetime is unknown, ended or superseded, the same or a
-    later call of it arrived before, or a call to deregister may be one of an earlier lifetime.
-    """
-
-    REGISTERED = "registered"
-    RENEWED = "renewed"
-    DRAINING = "draining"
-    ENDED = "ended"
-    OUTDATED = "late"
-    CONFLICTING = "foreign"
+MAX_SILENCE_SECONDS = 120.0
+"""How long a target that no control host hears may be unreachable before it is taken for ended, if
+it drains or a later one at its address checks in: twice the age at which flows may be dropped."""
 
 
 class Registry:
@@ -46,19 +40,32 @@
     lifetimes that other control hosts received, since these must survive the host that confirmed
     them.
 
+    A later lifetime of a target ends the earlier one if it is of the same service: the target has
+    restarted. Another one at the same address ends none, as it may come from a writer that is no
+    target; hosts that know which services are in use decide what to believe.
+
     :param epoch: identifies this start of the host.
     :param heartbeat_seconds: interval at which targets check in.
+    :param is_heard_elsewhere: whether another control host receives the heartbeats of a lifetime.
     """
 
-    def __init__(self, epoch: int, heartbeat_seconds: float) -> None:
+    def __init__(
+        self,
+        epoch: int,
+        heartbeat_seconds: float,
+        is_heard_elsewhere: Callable[[Lifetime], bool] = lambda _: False,
+    ) -> None:
         self._entries = VersionedEntries(epoch)
+        self._lifetimes = LifetimeIndex()
+        self._is_heard_elsewhere = is_heard_elsewhere
         self._expiry_seconds = MAX_MISSED_HEARTBEATS * heartbeat_seconds
+        self._min_repeat_seconds = MIN_REPEAT_HEARTBEATS * heartbeat_seconds
         self._received_at: dict[Lifetime, float] = {}
         self._sequences: dict[Lifetime, int] = {}
         self._reported_at: dict[Lifetime, float] = {}
         self._trusts_reports_from = float("-inf")
-        self._newest_start_ms: dict[TargetName, int] = {}
-        self._lifetime_by_endpoint: dict[Endpoint, Lifetime] = {}
+        self._contested_since: dict[Lifetime, float] = {}
+        self._silent_since: dict[Lifetime, float] = {}
 
     @property
     def position(self) -> Position:
@@ -88,12 +95,10 @@
         """
         for stored in entries:
             entry = stored._replace(has_recent_heartbeat=False) if is_outdated else stored
-            self._entries.put(entry, now)
-            self._record_newest_start(entry)
+            self._put(entry, now)
             if entry.state is LifeState.GONE:
                 continue
             self._sequences[entry.lifetime] = entry.sequence
-            self._lifetime_by_endpoint[entry.endpoint] = entry.lifetime
             if entry.has_recent_heartbeat:
                 self._received_at[entry.lifetime] = now
 
@@ -103,7 +108,7 @@
         known = self._entries.get(lifetime)
         if known is not None and not _matches(known, call):
             return CheckInOutcome.CONFLICTING
-        if self._is_outdated(call, known):
+        if self._is_outdated(call, known, now):
             return CheckInOutcome.OUTDATED
         if call.sequence <= self._sequences.get(lifetime, -1):
             return CheckInOutcome.OUTDATED
@@ -112,11 +117,12 @@
             self._trusts_reports_from = now + FALSE_ALARM_BACKOFF_SECONDS
         self._received_at.pop(lifetime, None)
         self._received_at[lifetime] = now
+        self._silent_since.pop(lifetime, None)
         self._end_predecessors(call, now)
         if known is not None and known.state >= call.state and known.has_recent_heartbeat:
             return CheckInOutcome.RENEWED
         state = call.state if known is None else max(known.state, call.state)
-        self._entries.put(_make_entry(call, state), now)
+        self._put(_make_entry(call, state), now)
         if state is LifeState.DRAINING:
             return CheckInOutcome.DRAINING
         return CheckInOutcome.REGISTERED
@@ -128,8 +134,8 @@
             lifetime ends only if it is draining, since the call may be a delayed one of an earlier
             lifetime.
         """
-        newest = self._newest_start_ms.get(target)
-        if newest is None or (started_ms is not None and started_ms < newest):
+        newest = self._lifetimes.newest_start(target)
+        if newest is None:
             return CheckInOutcome.OUTDATED
         lifetime = Lifetime(target, newest if started_ms is None else started_ms)
         known = self._entries.get(lifetime)
@@ -157,8 +163,7 @@
                 and known.has_recent_heartbeat
                 and entry.state is LifeState.DRAINING
             )
-            self._entries.put(entry._replace(has_recent_heartbeat=has_recent_heartbeat), now)
-            self._record_newest_start(entry)
+            self._put(entry._replace(has_recent_heartbeat=has_recent_heartbeat), now)
             is_republished = True
         return is_republished
 
@@ -187,7 +192,7 @@
         self._reported_at[lifetime] = now
         last = self._sequences.get(lifetime, known.sequence)
         entry = known._replace(has_recent_heartbeat=False, sequence=last)
-        self._entries.put(entry, now, is_removal=True)
+        self._put(entry, now, is_removal=True)
         return entry
 
     def _may_mark(self, service: str, now: float) -> bool:
@@ -205,7 +210,10 @@
         return reported + 1 <= max(1, int(MAX_REPORTED_SHARE * len(ready)))
 
     def expire(self, now: float) -> list[TargetEntry]:
-        """Mark targets that missed their heartbeats as unreachable; return their entries."""
+        """Mark targets that missed their heartbeats as unreachable; return their entries.
+
+        It also ends those that are unreachable for so long that they can't run any more.
+        """
         expired = self._pop_overdue(now)
         stale: list[TargetEntry] = []
         for lifetime in expired:
@@ -217,9 +225,15 @@
             ):
                 last = self._sequences.get(lifetime, known.sequence)
                 stale.append(known._replace(has_recent_heartbeat=False, sequence=last))
-                self._entries.put(stale[-1], now)
+                self._put(stale[-1], now)
+        self._end_long_silent(now)
         for entry in self._entries.remove_ended(now):
             self._remove(entry)
+        self._contested_since = {
+            lifetime: since
+            for lifetime, since in self._contested_since.items()
+            if now - since <= self._expiry_seconds
+        }
         return stale
 
     def _pop_overdue(self, now: float) -> list[Lifetime]:
@@ -233,49 +247,79 @@
             overdue.append(lifetime)
         return overdue
 
-    def _is_outdated(self, call: CheckIn, known: TargetEntry | None) -> bool:
+    def _put(self, entry: TargetEntry, now: float, is_removal: bool = False) -> None:
+        """Publish an entry; see :meth:`VersionedEntries.put`."""
+        self._entries.put(entry, now, is_removal)
+        self._lifetimes.add(entry)
+        if entry.state is LifeState.GONE or entry.has_recent_heartbeat:
+            self._silent_since.pop(entry.lifetime, None)
+        else:
+            self._silent_since.setdefault(entry.lifetime, now)
+
+    def _is_outdated(self, call: CheckIn, known: TargetEntry | None, now: float) -> bool:
         if known is not None and known.state is LifeState.GONE:
             return True
         lifetime = call.lifetime
-        if lifetime.started_ms < self._newest_start_ms.get(lifetime.target, lifetime.started_ms):
+        rivals = self._find_rivals(lifetime, call.endpoint)
+        later = [row for row in rivals if row.lifetime.started_ms > lifetime.started_ms]
+        if any(_is_same_target(row, call) for row in later):
+            return True
+        # A drain of a target that has ended already does no harm.
+        is_contested = bool(later) and call.state is LifeState.READY
+        return is_contested and not self._still_runs(lifetime, now)
+
+    def _still_runs(self, lifetime: Lifetime, now: float) -> bool:
+        """Return whether a target whose address a later one has goes on checking in."""
+        if lifetime in self._received_at:
             return True
-        holder = self._lifetime_by_endpoint.get(call.endpoint)
-        return holder is not None and holder.started_ms > lifetime.started_ms
+        since = self._contested_since.setdefault(lifetime, now)
+        return now - since >= self._min_repeat_seconds
+
+    def _find_rivals(self, lifetime: Lifetime, endpoint: Endpoint) -> list[TargetEntry]:
+        """Return the entries of other lifetimes with the same name or address."""
+        found = map(self._entries.get, self._lifetimes.rivals(lifetime, endpoint))
+        return [rival for rival in found if rival is not None]
 
     def _end_predecessors(self, call: CheckIn, now: float) -> None:
-        lifetime = call.lifetime
-        newest = self._newest_start_ms.get(lifetime.target)
-        if newest is not None and newest < lifetime.started_ms:
-            self._end_lifetime(Lifetime(lifetime.target, newest), now)
-        holder = self._lifetime_by_endpoint.get(call.endpoint)
-        if holder is not None and holder != lifetime:
-            self._end_lifetime(holder, now)
-        self._newest_start_ms[lifetime.target] = lifetime.started_ms
-        self._lifetime_by_endpoint[call.endpoint] = lifetime
-
-    def _end_lifetime(self, lifetime: Lifetime, now: float) -> None:
-        known = self._entries.get(lifetime)
-        if known is not None and known.state is not LifeState.GONE:
-            self._end(known, now)
+        """End the earlier lifetimes of a target that has restarted."""
+        for rival in self._find_rivals(call.lifetime, call.endpoint):
+            is_earlier = rival.lifetime.started_ms < call.lifetime.started_ms
+            is_running = rival.state is not LifeState.GONE
+            if is_earlier and is_running and _is_same_target(rival, call):
+                self._end(rival, now)
+
+    def _end_long_silent(self, now: float) -> None:
+        """End targets that nobody has heard for long and that have left or been replaced."""
+        while self._silent_since:
+            lifetime, since = next(iter(self._silent_since.items()))
+            if now - since <= MAX_SILENCE_SECONDS:
+                return
+            del self._silent_since[lifetime]
+            known = self._entries.get(lifetime)
+            if known is None:
+                continue
+            if self._is_heard_elsewhere(lifetime) or not self._has_left(known):
+                self._silent_since[lifetime] = now
+            else:
+                self._end(known, now)
+
+    def _has_left(self, entry: TargetEntry) -> bool:
+        """Return whether a silent target drains, or a later one checks in at its address."""
+        return entry.state is LifeState.DRAINING or any(
+            rival.lifetime in self._received_at
+            and rival.endpoint == entry.endpoint
+            and rival.lifetime.started_ms > entry.lifetime.started_ms
+            for rival in self._find_rivals(entry.lifetime, entry.endpoint)
+        )
 
     def _end(self, known: TargetEntry, now: float) -> None:
         self._received_at.pop(known.lifetime, None)
-        self._entries.put(known._replace(state=LifeState.GONE, has_recent_heartbeat=False), now)
+        self._put(known._replace(state=LifeState.GONE, has_recent_heartbeat=False), now)
 
     def _remove(self, entry: TargetEntry) -> None:
-        lifetime = entry.lifetime
-        self._sequences.pop(lifetime, None)
-        self._reported_at.pop(lifetime, None)
-        if self._newest_start_ms.get(lifetime.target) == lifetime.started_ms:
-            del self._newest_start_ms[lifetime.target]
-        if self._lifetime_by_endpoint.get(entry.endpoint) == lifetime:
-            del self._lifetime_by_endpoint[entry.endpoint]
-
-    def _record_newest_start(self, entry: TargetEntry) -> None:
-        target, started_ms = entry.lifetime
-        self._newest_start_ms[target] = max(
-            started_ms, self._newest_start_ms.get(target, started_ms)
-        )
+        self._lifetimes.remove(entry)
+        self._sequences.pop(entry.lifetime, None)
+        self._reported_at.pop(entry.lifetime, None)
 
 
 def _matches(known: TargetEntry, call: CheckIn) -> bool:
@@ -283,6 +327,11 @@
     return (known.service, known.endpoint, known.zone) == (call.service, call.endpoint, call.zone)
 
 
+def _is_same_target(entry: TargetEntry, call: CheckIn) -> bool:
+    """Return whether two lifetimes are of one target, so that the later one is its restart."""
+    return entry.lifetime.target == call.lifetime.target and entry.service == call.service
+
+
 def _make_entry(call: CheckIn, state: LifeState) -> TargetEntry:
     return TargetEntry(
         call.lifetime,
--- a/packages/core/src/lacewingrudder_core/_checkins/types.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/types.py
@@ -47,6 +47,22 @@
     warmup_remaining_ms: int
 
 
+class CheckInOutcome(enum.StrEnum):
+    """Result of a check-in or deregistration.
+
+    An outdated call has no effect: its lifetime is unknown or ended, the same or a later call of it
+    arrived before, it may be a delayed one of a lifetime whose name or address a later one has, or
+    a call to deregister may be one of an earlier lifetime.
+    """
+
+    REGISTERED = "registered"
+    RENEWED = "renewed"
+    DRAINING = "draining"
+    ENDED = "ended"
+    OUTDATED = "late"
+    CONFLICTING = "foreign"
+
+
 class TargetEntry(NamedTuple):
     """A lifetime of a target as published by a control host.
 
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -67,6 +67,7 @@
         self._target_outliers: OutlierDetector[int] = OutlierDetector()
         self._zone_outliers: OutlierDetector[ZoneName] = OutlierDetector()
         self._ejections: list[Ejection] = []
+        self._unreported: list[KnownTarget] = []
         self._silence = SilenceDetector()
         self._configuration: Configuration | None = None
         self._splits: dict[Endpoint, WeightedRoundRobin] = {}
@@ -125,7 +126,7 @@
         """Return whether a target answered what was sent to it after the silence began."""
         return self._silence.has_answered(flow_tag(query.lifetime), query.seconds, now)
 
-    def configure(self, configuration: Configuration) -> bool:
+    def configure(self, configuration: Configuration, now: float = 0.0) -> bool:
         """Put a configuration in force if its version is higher than that of the current one.
 
         :return: whether it was put in force.
@@ -134,6 +135,7 @@
             return False
         self._configuration = configuration
         self._max_urgencies = _max_urgencies(configuration)
+        self._unreported += self._target_index.use_services(frozenset(self._max_urgencies), now)
         return True
 
     def apply_update(self, update: Update, now: float) -> list[KnownTarget]:
@@ -168,7 +170,8 @@
         return self._target_index.entry(tag) is not None
 
     def _apply_changes(self, lifetimes: set[Lifetime], now: float) -> list[KnownTarget]:
-        return self._target_index.apply(
+        unreported, self._unreported = self._unreported, []
+        return unreported + self._target_index.apply(
             ((lifetime, self._views.get(lifetime)) for lifetime in lifetimes), now
         )
 
--- a/packages/core/src/lacewingrudder_core/_tagging/target_index.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/target_index.py
@@ -116,8 +116,9 @@
     """Index of the targets that this host knows.
 
     It retains ended lifetimes, so that flows that carry their tags are reset at once. A lifetime
-    ended if it says so, or if a later one took over its name or address. Lifetimes whose tags
-    collide are not used, since a colliding tag doesn't identify a target.
+    ended if it says so, if its target restarted, or if a later one of a service in use took over
+    its name or address. An entry for any other service comes from a writer that is no target.
+    Lifetimes whose tags collide are not used, since a colliding tag doesn't identify a target.
 
     :param zone: zone of this host.
     :param seed: determines the order in which this host considers targets. If all hosts had the
@@ -140,6 +141,7 @@
         self._running: dict[_Location, int] = {}
         self._services: dict[str, _ServiceCandidates] = {}
         self._warmed_up_at: dict[Lifetime, float] = {}
+        self._used_services: frozenset[str] | None = None
 
     @property
     def is_empty(self) -> bool:
@@ -203,6 +205,23 @@
         changed = [self._update_target(tag, now) for tag in sorted(affected)]
         return [target for target in changed if target is not None]
 
+    def use_services(self, services: frozenset[str], now: float) -> list[KnownTarget]:
+        """Set the services that flows are placed on; return the targets that changed.
+
+        Until the first call, all services count.
+        """
+        if services == self._used_services:
+            return []
+        self._used_services = services
+        shared = [
+            group
+            for group in (*self._by_name.values(), *self._by_endpoint.values())
+            if len(group) > 1
+        ]
+        affected = {self._tags[lifetime] for group in shared for lifetime in group}
+        changed = [self._update_target(tag, now) for tag in sorted(affected)]
+        return [target for target in changed if target is not None]
+
     def _link(self, lifetime: Lifetime, target: KnownTarget) -> None:
         tag = self._make_tag(lifetime)
         self._known[lifetime], self._tags[lifetime] = target, tag
@@ -253,7 +272,17 @@
     def _is_superseded(self, lifetime: Lifetime, target: KnownTarget) -> bool:
         """Return whether a later lifetime took over the name or the address."""
         rivals = self._by_name[lifetime.target] | self._by_endpoint[target.entry.endpoint]
-        return any(other.started_ms > lifetime.started_ms for other in rivals)
+        return any(
+            other.started_ms > lifetime.started_ms
+            and self._may_supersede(self._known[other].entry, target.entry)
+            for other in rivals
+        )
+
+    def _may_supersede(self, later: TargetEntry, earlier: TargetEntry) -> bool:
+        """Return whether a later lifetime is of a service in use, or a restart of the earlier."""
+        if (later.lifetime.target, later.service) == (earlier.lifetime.target, earlier.service):
+            return True
+        return self._used_services is None or later.service in self._used_services
 
     def _remove_target(self, tag: int, target: KnownTarget) -> None:
         del self._targets[tag]
@@ -286,7 +315,10 @@
 
 def _has_same_keys(before: KnownTarget, after: KnownTarget) -> bool:
     """Return whether no other lifetime is affected when one replaces the other."""
-    return before.entry.endpoint == after.entry.endpoint
+    return (before.entry.endpoint, before.entry.service) == (
+        after.entry.endpoint,
+        after.entry.service,
+    )
 
 
 def _reported_state(target: KnownTarget) -> tuple[LifeState, bool]:
--- a/packages/core/src/lacewingrudder_core/checkins.py
+++ b/packages/core/src/lacewingrudder_core/checkins.py
@@ -22,11 +22,11 @@
 from ._checkins.core import SubscriberAppeared as SubscriberAppeared
 from ._checkins.core import SubscriberLost as SubscriberLost
 from ._checkins.core import Tick as Tick
-from ._checkins.registry import CheckInOutcome as CheckInOutcome
 from ._checkins.registry import Registry as Registry
 from ._checkins.shutdown import ShutdownPolicy as ShutdownPolicy
 from ._checkins.subscribers import RESTART_GRACE_SECONDS as RESTART_GRACE_SECONDS
 from ._checkins.types import CheckIn as CheckIn
+from ._checkins.types import CheckInOutcome as CheckInOutcome
 from ._checkins.types import ConfigurationUpdate as ConfigurationUpdate
 from ._checkins.types import ControlStarted as ControlStarted
 from ._checkins.types import FormerTargets as FormerTargets
--- a/packages/core/tests/tag_session.py
+++ b/packages/core/tests/tag_session.py
@@ -17,7 +17,7 @@
 
 from __future__ import annotations
 
-from checkin_fakes import EDITS, configuration, data, entry, syn, update
+from checkin_fakes import EDITS, SHEETS, configuration, data, entry, syn, update
 from lacewingrudder_core.checkins import LifeState, TargetEntry
 from lacewingrudder_core.tagging import (
     Decision,
@@ -65,9 +65,10 @@
 
     def _config(self, version: str, service: str, _to: str = "", only: str = "") -> None:
         route = Route(EDITS, (Split(service, 1),), False, 8)
+        sheets = Route(SHEETS, (Split("sheetroom", 1),), True, 7)
         for name, host in self._hosts.items():
             if only in ("", name):
-                in_force = host.configure(configuration(int(version), route))
+                in_force = host.configure(configuration(int(version), route, sheets))
                 self.log.append(f"  {name}: {'in force' if in_force else 'older, ignored'}")
 
     def _target(self, number: str, state: str, zone: str, born: str, *where: str) -> None:
--- /dev/null
+++ b/packages/core/tests/test_other_writers.py
@@ -0,0 +1,148 @@
+"""Check-ins of writers that are no targets of a service in use, beside living targets."""
+
+import unittest
+
+from checkin_fakes import SHEETS, check_in, configuration, data, entry, syn, update
+from lacewingrudder_core.checkins import (
+    CheckInOutcome,
+    LifeState,
+    Lifetime,
+    Registry,
+)
+from lacewingrudder_core.tagging import (
+    Forwarded,
+    Reset,
+    ResetReason,
+    Route,
+    Split,
+    TagForwarder,
+    flow_tag,
+)
+from lacewingrudder_core.types import Endpoint
+
+HEARTBEAT_SECONDS = 1.2
+LONG_SILENCE_SECONDS = 3 * HEARTBEAT_SECONDS + 120.0
+METRICS = "host-metrics"
+
+
+class RegistryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry = Registry(7, HEARTBEAT_SECONDS)
+
+    def get_state(self, number: int, started_ms: int = 1000) -> LifeState | None:
+        found = self.registry.get(Lifetime(f"i-{number:x}", started_ms))
+        return None if found is None else found.state
+
+    # Guards against the end of a living target by a later entry at its address.
+    def test_later_check_in_at_the_address_of_a_target_ends_nothing(self) -> None:
+        self.registry.check_in(check_in(1, 1), 0.0)
+        self.registry.check_in(check_in(2, 1, 2000, service=METRICS, address=1), 0.5)
+        self.assertEqual(self.get_state(1), LifeState.READY)
+        self.assertEqual(self.registry.check_in(check_in(1, 2), 1.2), CheckInOutcome.RENEWED)
+
+    # Guards against the same by an entry under the target's identifier.
+    def test_later_check_in_of_another_service_under_the_identifier_ends_nothing(self) -> None:
+        self.registry.check_in(check_in(1, 1), 0.0)
+        self.registry.check_in(check_in(1, 1, 2000, service=METRICS, address=9), 0.5)
+        self.assertEqual(self.get_state(1), LifeState.READY)
+        self.assertEqual(self.registry.check_in(check_in(1, 2), 1.2), CheckInOutcome.RENEWED)
+        self.assertEqual(self.registry.deregister("i-1", 1000, 2.0), CheckInOutcome.ENDED)
+
+    # Guards against a target that stays out of use at a control host that heard the other first.
+    def test_target_that_goes_on_checking_in_is_used_though_another_has_its_address(self) -> None:
+        self.registry.check_in(check_in(2, 1, 2000, service=METRICS, address=1), 0.0)
+        first = self.registry.check_in(check_in(1, 1), 0.5)
+        again = self.registry.check_in(check_in(1, 2), 0.5 + HEARTBEAT_SECONDS)
+        self.assertEqual((first, again), (CheckInOutcome.OUTDATED, CheckInOutcome.REGISTERED))
+
+    # Guards against a target that ended and is used again because of its delayed check-ins.
+    def test_delayed_check_ins_that_arrive_together_change_nothing(self) -> None:
+        self.registry.check_in(check_in(2, 1, 2000, address=1), 0.0)
+        for sequence in (5, 6, 7):
+            outcome = self.registry.check_in(check_in(1, sequence), 0.1 + sequence / 100)
+            self.assertEqual(outcome, CheckInOutcome.OUTDATED)
+        self.registry.expire(10.0)
+        self.assertEqual(self.registry.check_in(check_in(1, 8), 10.0), CheckInOutcome.OUTDATED)
+
+    # Guards against a drain that is confirmed but not published.
+    def test_drain_counts_though_another_has_the_address(self) -> None:
+        self.registry.check_in(check_in(2, 1, 2000, service=METRICS, address=1), 0.0)
+        self.registry.check_in(check_in(1, 1, state=LifeState.DRAINING), 0.5)
+        self.assertEqual(self.get_state(1), LifeState.DRAINING)
+
+    # Guards against entries that are kept for good when targets crash and addresses are reused.
+    def test_silent_target_whose_address_another_has_ends_after_long(self) -> None:
+        self.registry.check_in(check_in(1, 1), 0.0)
+        for step in range(200):
+            now = 1.0 + step
+            self.registry.check_in(check_in(2, step, 2000, address=1), now)
+            self.registry.expire(now)
+            if abs(now - LONG_SILENCE_SECONDS) > 1.0:
+                is_over = now > LONG_SILENCE_SECONDS
+                expected = LifeState.GONE if is_over else LifeState.READY
+                self.assertEqual(self.get_state(1), expected, now)
+
+    # Guards against the end of a target that another control host hears.
+    def test_silent_target_that_another_control_host_hears_does_not_end(self) -> None:
+        registry = Registry(7, HEARTBEAT_SECONDS, lambda lifetime: lifetime.target == "i-1")
+        registry.check_in(check_in(1, 1), 0.0)
+        for step in range(400):
+            registry.check_in(check_in(2, step, 2000, address=1), 1.0 + step)
+            registry.expire(1.0 + step)
+        found = registry.get(Lifetime("i-1", 1000))
+        assert found is not None
+        self.assertEqual(found.state, LifeState.READY)
+
+    # Guards against a silent target that ends without reason: it may be cut off.
+    def test_silent_target_alone_does_not_end(self) -> None:
+        self.registry.check_in(check_in(1, 1), 0.0)
+        for step in range(400):
+            self.registry.expire(1.0 + step)
+        self.assertEqual(self.get_state(1), LifeState.READY)
+
+
+class ForwarderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.forwarder = TagForwarder("adum")
+        self.forwarder.configure(configuration())
+        self.forwarder.apply_update(update(entry(1, address=9)), 0.0)
+        self.tag = flow_tag(Lifetime("i-1", 1000))
+        self.number = 1
+
+    def apply(self, *entries, now: float = 1.0) -> None:
+        since, self.number = self.number, self.number + 1
+        self.forwarder.apply_update(update(*entries, number=self.number, since=since), now)
+
+    def check_in_use(self, now: float) -> None:
+        expected = Forwarded(Endpoint(0x0A800009, 8080), 1, self.tag)
+        self.assertEqual(self.forwarder.decide(data(40001, self.tag), now), expected)
+        self.assertEqual(self.forwarder.decide(syn(40002), now), expected)
+
+    # Guards against resets of a living target's flows because of an entry at its address.
+    def test_entry_for_a_service_that_is_not_in_use_ends_no_target(self) -> None:
+        for later in (
+            entry(2, started_ms=2000, service=METRICS, address=9),
+            entry(1, started_ms=3000, service=METRICS, address=9),
+            entry(1, started_ms=4000, service=METRICS, address=5),
+            entry(2, LifeState.GONE, 5000, service=METRICS, address=9),
+        ):
+            with self.subTest(later=later):
+                self.apply(later)
+                self.check_in_use(1.0)
+
+    # Guards against the same while the target's own heartbeats are late.
+    def test_target_without_heartbeats_keeps_its_flows_beside_such_an_entry(self) -> None:
+        self.apply(entry(2, started_ms=2000, service=METRICS, address=9))
+        self.apply(entry(1, address=9, has_recent_heartbeat=False))
+        self.check_in_use(1.0)
+
+    def test_address_counts_as_taken_over_once_the_service_is_in_use(self) -> None:
+        self.apply(entry(2, started_ms=2000, service=METRICS, address=9))
+        metrics = Route(SHEETS, (Split(METRICS, 1),), True, 7)
+        self.forwarder.configure(configuration(2, *configuration().routes.values(), metrics), 2.0)
+        gone = Reset(ResetReason.TARGET_GONE)
+        self.assertEqual(self.forwarder.decide(data(40001, self.tag), 2.0), gone)
+        reported = self.forwarder.tick(2.0)
+        self.assertIn(LifeState.GONE, {target.entry.state for target in reported})
+        self.forwarder.configure(configuration(3), 3.0)
+        self.check_in_use(3.0)
--- a/packages/core/tests/test_target_index.py
+++ b/packages/core/tests/test_target_index.py
@@ -22,8 +22,9 @@
 class Rebuilt:
     """What an index has to say, derived from all known targets at once."""
 
-    def __init__(self, known: dict[Lifetime, KnownTarget]) -> None:
+    def __init__(self, known: dict[Lifetime, KnownTarget], services: frozenset[str]) -> None:
         self._known = known
+        self._services = services
         tags = [make_tag(lifetime) for lifetime in known]
         self.targets = {
             make_tag(lifetime): self._end_if_superseded(lifetime)
@@ -35,6 +36,10 @@
         known = self._known[lifetime]
         is_superseded = any(
             other.started_ms > lifetime.started_ms
+            and (
+                target.entry.service in self._services
+                or (other.target, target.entry.service) == (lifetime.target, known.entry.service)
+            )
             and (other.target == lifetime.target or target.entry.endpoint == known.entry.endpoint)
             for other, target in self._known.items()
         )
@@ -72,12 +77,20 @@
         self.random = random.Random(seed)
         self.views = Views()
         self.index = TargetIndex("adum", seed, make_tag)
+        self.used_services = frozenset(SERVICES)
         self.now = 0.0
         self._positions = {control: [1, 0] for control in CONTROLS}
 
     def step(self) -> None:
-        """Let time pass, then apply a random update or only refresh the views."""
+        """Let time pass, then apply a random update or only refresh the views.
+
+        Now and then the services in use change, too.
+        """
         self.now += self.random.choice([0.01, 0.1, 0.5, 1.5, 5.0, 130.0])
+        if self.random.random() < 0.1:
+            count = self.random.randint(0, len(SERVICES))
+            self.used_services = frozenset(self.random.sample(SERVICES, count))
+            self.index.use_services(self.used_services, self.now)
         changed = set()
         if self.random.random() < 0.9:
             changed = self._send_update()
@@ -116,7 +129,7 @@
 class TargetIndexTest(unittest.TestCase):
     def check(self, history: RandomHistory) -> None:
         index = history.index
-        rebuilt = Rebuilt(history.views.merge(history.now))
+        rebuilt = Rebuilt(history.views.merge(history.now), history.used_services)
         self.assertEqual(index._targets, rebuilt.targets)
         for tag in rebuilt.targets:
             self.assertEqual(index.current_tag(tag), rebuilt.current_tag(tag))
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -20,6 +20,7 @@
     CheckInCore,
     CheckInReply,
     FormerTargets,
+    Lifetime,
     Registry,
     SilenceReport,
     Subscription,
@@ -96,6 +97,7 @@
         disk = FolderDisk(registrar.data_folder)
         self._control = self._make_control_task(disk, chart)
         self._store = RegistryStore(disk)
+        self._views = Views()
         stored = self._read_registry()
         self._checkins = CheckInCore(self._name, settings.zone, self._restore_registry(stored))
         self._former_entry_hosts = frozenset(stored.entry_hosts)
@@ -104,7 +106,6 @@
         self._former_valid_until = time.monotonic() + VIEW_VALIDITY_SECONDS
         self._peer_change_count = 0
         self._disk_executor = concurrent.futures.ThreadPoolExecutor(1, "registry")
-        self._views = Views()
         self._server: HttpServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -199,10 +200,14 @@
 
     def _restore_registry(self, stored: StoredRegistry) -> Registry:
         epoch = _wall_milliseconds()
-        registry = Registry(epoch, self._settings.heartbeat_seconds)
+        registry = Registry(epoch, self._settings.heartbeat_seconds, self._is_heard_elsewhere)
         registry.restore(stored.entries, stored.is_outdated(epoch), time.monotonic())
         return registry
 
+    def _is_heard_elsewhere(self, lifetime: Lifetime) -> bool:
+        found = self._views.get(lifetime)
+        return found is not None and found.has_recent_heartbeat
+
     def _announce_start(self) -> None:
         """Tell the former subscribers that haven't subscribed again yet that this host runs."""
         for host in sorted(self._former_entry_hosts.difference(self._checkins.entry_hosts)):
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -233,7 +233,7 @@
             self._entry_events.record_unreadable(update.version, error)
             return
         before = self._forwarder.version
-        if self._forwarder.configure(configuration):
+        if self._forwarder.configure(configuration, self._loop.time()):
             self._entry_events.record_in_force(update.version, before, len(configuration.routes))
         self._report_readiness()
 
