Tell a route that is not known yet from one that was dropped

Cause: an entry host reset every packet without a route, also of an open flow whose tag names a living target, and could not tell a route that it did not know yet from one that was dropped.

Change: routes that this host dropped are remembered for as long as a flow may be idle, and their flows are reset at once, as before.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -24,6 +24,7 @@
 from .concurrency_limit import ConcurrencyLimiter
 from .flow_tracker import AnswerStatus, FlowTracker
 from .outlier_detection import OutlierDetector
+from .route_lag import RouteLag
 from .selection import TargetChooser, WeightedRoundRobin
 from .silence_detector import SilenceDetector
 from .tags import flow_tag
@@ -70,6 +71,9 @@
         self._unreported: list[KnownTarget] = []
         self._silence = SilenceDetector()
         self._configuration: Configuration | None = None
+        self._newest_version = -1
+        self._confirmed_at = float("-inf")
+        self._route_lag = RouteLag()
         self._splits: dict[Endpoint, WeightedRoundRobin] = {}
         self._limiters: dict[str, ConcurrencyLimiter] = {}
         self._max_urgencies: dict[str, int] = {}
@@ -133,6 +137,8 @@
         """
         if configuration.version <= self.version:
             return False
+        before = () if self._configuration is None else self._configuration.routes
+        self._route_lag.record_routes(before, configuration.routes, now)
         self._configuration = configuration
         self._max_urgencies = _max_urgencies(configuration)
         self._unreported += self._target_index.use_services(frozenset(self._max_urgencies), now)
@@ -142,6 +148,9 @@
         """Apply an update of a control host; return the targets that are new or changed."""
         if self._started_at is None:
             self._started_at = now
+        self._newest_version = max(self._newest_version, update.version)
+        if not self._is_behind:
+            self._confirmed_at = now
         changed = self._views.apply_update(update, now)
         return self._apply_changes(changed | self._views.refresh(now), now)
 
@@ -161,6 +170,7 @@
             else self._configuration.idle_seconds
         )
         self._flow_tracker.expire(idle, now)
+        self._route_lag.expire(idle, now)
         self._answer_times.expire(now)
         self._target_outliers.retain_known(self._is_known)
         self._silence.retain_known(self._is_known)
@@ -182,11 +192,26 @@
             return Dropped(DropReason.NOT_READY)
         route = configuration.routes.get(Endpoint(segment.flow.service, segment.flow.service_port))
         if route is None:
-            self._flow_tracker.remove_opening(segment.flow)
-            return Reset(ResetReason.NO_ROUTE)
+            return self._decide_without_route(segment, now)
         if segment.is_syn:
             return self._open_flow(segment, route, now)
-        return self._forward_packet(segment, route, now)
+        return self._forward_packet(segment, route.objective_seconds, now)
+
+    @property
+    def _is_behind(self) -> bool:
+        """Whether control hosts have a newer configuration than this host."""
+        return self._newest_version > self.version
+
+    def _decide_without_route(self, segment: TagSegment, now: float) -> Decision:
+        """Forward a packet of a flow whose route this host may not know yet; reset any other."""
+        endpoint = Endpoint(segment.flow.service, segment.flow.service_port)
+        is_open = segment.tag and not segment.is_syn
+        if is_open and (
+            self._is_behind or self._route_lag.may_be_unknown(endpoint, self._confirmed_at, now)
+        ):
+            return self._forward_packet(segment, None, now)
+        self._flow_tracker.remove_opening(segment.flow)
+        return Reset(ResetReason.NO_ROUTE)
 
     def _open_flow(self, segment: TagSegment, route: Route, now: float) -> Decision:
         self._flow_tracker.forget_abandoned_requests(now)
@@ -259,7 +284,11 @@
         self._target_outliers.record_answer(tag)
         self._zone_outliers.record_answer(zone)
 
-    def _forward_packet(self, segment: TagSegment, route: Route, now: float) -> Decision:
+    def _forward_packet(self, segment: TagSegment, objective: float | None, now: float) -> Decision:
+        """Forward a packet of an open flow to the target that its tag names.
+
+        :param objective: latency objective of the flow's requests in seconds, or ``None``.
+        """
         tag = self._target_index.current_tag(segment.tag)
         entry = self._target_index.entry(tag)
         if entry is None:
@@ -273,7 +302,6 @@
             self._record_answer(tag, entry.zone)
         if tag != segment.tag:
             segment = segment._replace(tag=tag)
-        objective = route.objective_seconds
         max_waiting = None if objective is None else MAX_WAITING_OBJECTIVES * objective
         observation = self._flow_tracker.record_packet(segment, now, max_waiting)
         if observation.answer_status is AnswerStatus.ANSWERED:
