End a target that deregisters only once it has the confirmation

Cause: the end was published when the call arrived, and the confirmation waited for its acknowledgements.

Change: a deregistration takes the target out of use for new flows; its end is published 0.3 s after the confirmation, or 5 s after a call that was not confirmed.

--- /dev/null
+++ b/packages/core/tests/test_deregistration.py
@@ -0,0 +1,134 @@
+"""Targets that deregister: they run, and hold their flows, until they have the reply."""
+
+import unittest
+
+from checkin_fakes import check_in, configuration, data
+from lacewingrudder_core._checkins.core import EXIT_GRACE_SECONDS, MAX_REPLY_DELAY_SECONDS
+from lacewingrudder_core._checkins.registry import MAX_LEAVING_SECONDS
+from lacewingrudder_core.checkins import (
+    CheckedIn,
+    CheckInCore,
+    CheckInOutcome,
+    CheckInReply,
+    ControlHostsChanged,
+    Deregistered,
+    LifeState,
+    Lifetime,
+    Position,
+    Registry,
+    SendUpdate,
+    Subscribed,
+    Subscription,
+    Tick,
+    Update,
+)
+from lacewingrudder_core.tagging import Forwarded, Reset, ResetReason, TagForwarder, flow_tag
+
+ME = "10.0.0.1:7720"
+ENTRY, PAUSED, PEER = "10.1.0.10:7720", "10.2.0.10:7720", "10.2.0.42:7720"
+TICK_SECONDS = 0.1
+TAG = flow_tag(Lifetime("i-1", 1000))
+
+
+class DeregistrationTest(unittest.TestCase):
+    """A control host, an entry host that acknowledges each update, and one that is paused."""
+
+    def setUp(self) -> None:
+        self.core = CheckInCore(ME, "adum", Registry(7, 1.2))
+        self.forwarder = TagForwarder("adum")
+        self.forwarder.configure(configuration())
+        self.acknowledging = {ENTRY, PAUSED, PEER}
+        self.replies: dict[int, CheckInReply] = {}
+        self.pass_event(ControlHostsChanged(frozenset({ME, PEER})), 0.0)
+        for host in sorted(self.acknowledging):
+            self.subscribe(host, Position(0, 0), 0.0)
+        self.pass_event(CheckedIn(1, check_in(1)), 0.0)
+        self.run_until(1.0)
+
+    def subscribe(self, host: str, position: Position, now: float) -> None:
+        subscription = Subscription(host, "adum", host == PEER, position, -1, False)
+        self.pass_event(Subscribed(subscription), now)
+
+    def pass_event(self, event, now: float) -> None:
+        for effect in self.core.handle(event, now):
+            if isinstance(effect, CheckInReply):
+                self.replies[effect.token] = effect
+            elif isinstance(effect, SendUpdate) and isinstance(effect.body, Update):
+                self.receive(effect.host, effect.body, now)
+
+    def receive(self, host: str, body: Update, now: float) -> None:
+        if host not in self.acknowledging:
+            return
+        if host == ENTRY:
+            self.forwarder.apply_update(body, now)
+        self.subscribe(host, body.position, now)
+
+    def run_until(self, end: float) -> None:
+        now = round(end - 1.0, 1)
+        while now < end:
+            now = round(now + TICK_SECONDS, 1)
+            self.pass_event(Tick(), now)
+
+    def is_forwarded(self, now: float) -> bool:
+        decision = self.forwarder.decide(data(40001, TAG), now)
+        if not isinstance(decision, Forwarded):
+            self.assertEqual(decision, Reset(ResetReason.TARGET_GONE))
+        return isinstance(decision, Forwarded)
+
+    def drain(self) -> None:
+        self.pass_event(CheckedIn(2, check_in(1, 2, state=LifeState.DRAINING)), 1.0)
+        self.assertIn(2, self.replies)
+
+    # Guards against resets of a leaving target's flows while it waits for the reply.
+    def test_flows_stay_until_a_target_that_did_not_drain_has_the_reply(self) -> None:
+        self.acknowledging.discard(PAUSED)
+        self.pass_event(Deregistered(3, "i-1", 1000), 1.0)
+        replied_at = None
+        for step in range(1, 30):
+            now = 1.0 + TICK_SECONDS * step
+            self.pass_event(Tick(), now)
+            if replied_at is None and 3 in self.replies:
+                replied_at = now
+            if replied_at is None or now < replied_at + EXIT_GRACE_SECONDS - 0.01:
+                self.assertTrue(self.is_forwarded(now), now)
+        assert replied_at is not None
+        self.assertLessEqual(replied_at, 1.0 + MAX_REPLY_DELAY_SECONDS + TICK_SECONDS)
+        self.assertEqual(self.replies[3][1:], (CheckInOutcome.ENDED, True))
+        self.assertFalse(self.is_forwarded(4.0))
+
+    # Guards against a reply that waits for a paused host although all hosts know of the drain.
+    def test_reply_to_a_drained_target_comes_at_once(self) -> None:
+        self.drain()
+        self.acknowledging.discard(PAUSED)
+        self.pass_event(Deregistered(3, "i-1", 1000), 1.5)
+        self.assertEqual(self.replies[3][1:], (CheckInOutcome.ENDED, True))
+        self.assertTrue(self.is_forwarded(1.5))
+
+    # Guards against flows that stay at a target that has exited.
+    def test_flows_are_reset_soon_after_the_reply(self) -> None:
+        self.drain()
+        self.pass_event(Deregistered(3, "i-1", 1000), 1.5)
+        self.pass_event(Tick(), 1.5 + EXIT_GRACE_SECONDS - 0.01)
+        self.assertTrue(self.is_forwarded(1.79))
+        self.pass_event(Tick(), 1.5 + EXIT_GRACE_SECONDS + 0.01)
+        self.assertFalse(self.is_forwarded(1.81))
+
+    def test_target_that_deregisters_gets_no_new_flow_at_once(self) -> None:
+        self.pass_event(Deregistered(3, "i-1", 1000), 1.0)
+        states = [entry.state for entry in self.core.registry.entries()]
+        self.assertEqual(states, [LifeState.DRAINING])
+
+    # Guards against resets of its flows while a target that got no confirmation calls again, and
+    # against a target that stays known for good because it got none.
+    def test_target_without_a_confirmation_ends_only_after_some_seconds(self) -> None:
+        self.acknowledging = {ENTRY}
+        for step in range(int(MAX_LEAVING_SECONDS)):
+            now = 1.0 + step
+            self.subscribe(ENTRY, self.core.registry.position, now)
+            self.subscribe(PEER, Position(0, 0), now)
+            self.pass_event(Deregistered(10 + step, "i-1", 1000), now)
+            self.pass_event(Tick(), now + 0.7)
+            self.assertFalse(self.replies[10 + step].is_replicated)
+            self.assertTrue(self.is_forwarded(now + 0.7))
+        self.pass_event(Tick(), 1.0 + MAX_LEAVING_SECONDS)
+        self.assertFalse(self.is_forwarded(1.0 + MAX_LEAVING_SECONDS))
