A host whose removal is not committed still stands for election

Callers would have seen no manifest read or changed again: the leader appends the removal of a host that shuts down, only that host gets the entry, and the leader loses its disk. One lost disk of four.

Cause: the host that was to leave took itself for no voter as soon as it had the entry and did not stand; its log is the longest, so the others could not win its vote or an election without it.

Change: a replica counts as a voter until its removal is committed (Ongaro's dissertation, section 4.2.2); a leader counts itself towards a quorum only while it is one of the voters, and steps down once it is none.

--- a/packages/core/src/lacewingrudder_core/_replica/log.py
+++ b/packages/core/src/lacewingrudder_core/_replica/log.py
@@ -179,6 +179,13 @@
         """The index of the entry that set the latest voters."""
         return self._voters_index
 
+    def voters_at(self, index: int) -> tuple[ReplicaId, ...]:
+        """Return the voters that the entries up to an index set."""
+        for entry in reversed(self._entries[: max(0, index - self._base_index)]):
+            if entry.voters:
+                return entry.voters
+        return self._base_voters
+
     def term_at(self, index: int) -> int | None:
         """Return the term of the entry at an index, or ``None`` if the log does not hold it."""
         if index == self._base_index:
--- a/packages/core/src/lacewingrudder_core/_replica/progress.py
+++ b/packages/core/src/lacewingrudder_core/_replica/progress.py
@@ -105,9 +105,14 @@
         return [row for row in self._replicas.values() if row.replica not in voters]
 
     def quorum_contact(self, voters: tuple[ReplicaId, ...], now: float) -> float:
-        """Return the latest time at or after which a majority, with this leader, had contact."""
-        rows = (self._replicas.get(voter.identity) for voter in voters if voter != self._leader)
-        contacts = [now] + [row.last_contact if row else float("-inf") for row in rows]
+        """Return the latest time at or after which a majority had contact with this leader.
+
+        A leader counts itself only while it is a voter.
+        """
+        rows = self._others(voters)
+        contacts = [row.last_contact if row else float("-inf") for row in rows]
+        if self._leader in voters:
+            contacts.append(now)
         return quorum_value(contacts, quorum_size(voters))
 
     def has_lease(self, voters: tuple[ReplicaId, ...], now: float) -> bool:
@@ -119,6 +124,11 @@
 
         :param durable_index: the index up to which the leader's own log is on disk.
         """
-        rows = (self._replicas.get(voter.identity) for voter in voters if voter != self._leader)
-        matches = [durable_index] + [row.match_index if row else 0 for row in rows]
+        matches = [row.match_index if row else 0 for row in self._others(voters)]
+        if self._leader in voters:
+            matches.append(durable_index)
         return int(quorum_value(matches, quorum_size(voters)))
+
+    def _others(self, voters: tuple[ReplicaId, ...]) -> list[Progress | None]:
+        """Return the progress of the voters besides the leader, ``None`` for untracked ones."""
+        return [self._replicas.get(voter.identity) for voter in voters if voter != self._leader]
--- a/packages/core/src/lacewingrudder_core/_replica/replica.py
+++ b/packages/core/src/lacewingrudder_core/_replica/replica.py
@@ -140,6 +140,8 @@
         if self._leadership is not None and not self._leadership.has_lease(now):
             self._transition("lapse")
         self._dispatch(event)
+        if self._leadership is not None and not self._state.is_voter:
+            self._transition("demote")
         return self._state.release_effects()
 
     def _dispatch(self, event: ReplicaEvent) -> None:
--- a/packages/core/src/lacewingrudder_core/_replica/state.py
+++ b/packages/core/src/lacewingrudder_core/_replica/state.py
@@ -107,8 +107,16 @@
 
     @property
     def is_voter(self) -> bool:
-        """Whether this host is one of the latest voters."""
-        return self._own_id in self._log.voters
+        """Whether this host is one of the latest voters, or of those that are committed.
+
+        A host whose removal is not committed still stands for election: it may hold the only log
+        that the others can vote for (Ongaro's dissertation, 2014, section 4.2.2).
+        """
+        log = self._log
+        if self._own_id in log.voters:
+            return True
+        is_committed = log.voters_index <= self._commit_index
+        return not is_committed and self._own_id in log.voters_at(self._commit_index)
 
     @property
     def pending_proposal_count(self) -> int:
--- a/packages/core/tests/test_voter_changes.py
+++ b/packages/core/tests/test_voter_changes.py
@@ -116,6 +116,22 @@
         self.remove(self.cluster.elect())
         self.check_disk_loss()
 
+    # Guards against a cluster in which nobody stands whom the others can vote for: the host that is
+    # to leave has the longest log, and its removal is not committed. Found by seeded schedules.
+    def test_leader_loses_its_disk_while_a_removal_is_not_committed(self) -> None:
+        leader = self.cluster.elect()
+        leaving, *others = self.followers()
+        for other in others:
+            self.cluster.blocked_links.add((leader.name, other.name))
+        self.cluster.pass_event(leaving, m.ShutdownRequested())
+        self.cluster.settle()
+        self.assertNotIn(leaving.replica_id, leaving.core.state.log.voters)
+        self.assertLess(leaving.core.state.commit_index, leaving.core.state.log.voters_index)
+        self.cluster.lose_disk(leader)
+        self.cluster.heal()
+        self.cluster.run(RECOVERY_SECONDS)
+        self.cluster.check_convergence()
+
     # Guards against a host that waits for its time limit though it may exit.
     def test_host_that_leaves_may_exit_soon(self) -> None:
         began = self.cluster.now
