--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 
 from ..types import Endpoint, TargetName
+from .heartbeats import Heartbeats
 from .lifetime_index import LifetimeIndex
 from .types import CheckIn, CheckInOutcome, LifeState, Lifetime, Position, TargetEntry
 from .versioned_entries import VersionedEntries
@@ -61,9 +62,8 @@
         self._entries = VersionedEntries(epoch)
         self._lifetimes = LifetimeIndex()
         self._is_heard_elsewhere = is_heard_elsewhere
-        self._expiry_seconds = MAX_MISSED_HEARTBEATS * heartbeat_seconds
+        self._heartbeats = Heartbeats(MAX_MISSED_HEARTBEATS * heartbeat_seconds)
         self._min_repeat_seconds = MIN_REPEAT_HEARTBEATS * heartbeat_seconds
-        self._received_at: dict[Lifetime, float] = {}
         self._sequences: dict[Lifetime, int] = {}
         self._reported_at: dict[Lifetime, float] = {}
         self._trusts_reports_from = float("-inf")
@@ -104,7 +104,7 @@
                 continue
             self._sequences[entry.lifetime] = entry.sequence
             if entry.has_recent_heartbeat:
-                self._received_at[entry.lifetime] = now
+                self._heartbeats.record(entry.lifetime, now)
 
     def check_in(self, call: CheckIn, now: float) -> CheckInOutcome:
         """Process the check-in of a target."""
@@ -119,14 +119,13 @@
         self._sequences[lifetime] = call.sequence
         if self._reported_at.pop(lifetime, None) is not None:
             self._trusts_reports_from = now + FALSE_ALARM_BACKOFF_SECONDS
-        self._received_at.pop(lifetime, None)
-        self._received_at[lifetime] = now
+        self._heartbeats.record(lifetime, now)
         self._silent_since.pop(lifetime, None)
         self._end_predecessors(call, now)
         if known is not None and known.state >= call.state and known.has_recent_heartbeat:
             return CheckInOutcome.RENEWED
         state = call.state if known is None else max(known.state, call.state)
-        self._put(_make_entry(call, state), now)
+        self._put(TargetEntry.from_check_in(call, state), now)
         if state is LifeState.DRAINING:
             return CheckInOutcome.DRAINING
         return CheckInOutcome.REGISTERED
@@ -189,7 +188,7 @@
 
     def heard_at(self, lifetime: Lifetime) -> float | None:
         """Return the time of a target's last heartbeat, or ``None`` if it is unreachable."""
-        return self._received_at.get(lifetime)
+        return self._heartbeats.received_at(lifetime)
 
     def get(self, lifetime: Lifetime) -> TargetEntry | None:
         """Return the entry of a lifetime, or ``None``."""
@@ -204,11 +203,11 @@
         known = self._entries.get(lifetime)
         if known is None or known.state is not LifeState.READY:
             return None
-        if lifetime not in self._received_at:
+        if lifetime not in self._heartbeats:
             return None
         if now < self._trusts_reports_from or not self._may_mark(known.service, now):
             return None
-        del self._received_at[lifetime]
+        self._heartbeats.remove(lifetime)
         self._reported_at[lifetime] = now
         last = self._sequences.get(lifetime, known.sequence)
         entry = known._replace(has_recent_heartbeat=False, sequence=last)
@@ -219,7 +218,7 @@
         self._reported_at = {
             lifetime: at
             for lifetime, at in self._reported_at.items()
-            if now - at <= self._expiry_seconds
+            if now - at <= self._heartbeats.expiry_seconds
         }
         ready = [
             entry.lifetime
@@ -235,9 +234,8 @@
         It also ends those that deregistered and have had the time to exit, and those that are
         unreachable for so long that they can't run any more.
         """
-        expired = self._pop_overdue(now)
         stale: list[TargetEntry] = []
-        for lifetime in expired:
+        for lifetime in self._heartbeats.pop_overdue(now):
             known = self._entries.get(lifetime)
             if (
                 known is not None
@@ -254,21 +252,10 @@
         self._contested_since = {
             lifetime: since
             for lifetime, since in self._contested_since.items()
-            if now - since <= self._expiry_seconds
+            if now - since <= self._heartbeats.expiry_seconds
         }
         return stale
 
-    def _pop_overdue(self, now: float) -> list[Lifetime]:
-        """Remove and return the lifetimes without a recent heartbeat; the oldest come first."""
-        overdue: list[Lifetime] = []
-        while self._received_at:
-            lifetime, received_at = next(iter(self._received_at.items()))
-            if now - received_at <= self._expiry_seconds:
-                break
-            del self._received_at[lifetime]
-            overdue.append(lifetime)
-        return overdue
-
     def _put(self, entry: TargetEntry, now: float, is_removal: bool = False) -> None:
         """Publish an entry; see :meth:`VersionedEntries.put`."""
         self._entries.put(entry, now, is_removal)
@@ -292,7 +279,7 @@
 
     def _still_runs(self, lifetime: Lifetime, now: float) -> bool:
         """Return whether a target whose address a later one has goes on checking in."""
-        if lifetime in self._received_at:
+        if lifetime in self._heartbeats:
             return True
         since = self._contested_since.setdefault(lifetime, now)
         return now - since >= self._min_repeat_seconds
@@ -334,14 +321,14 @@
     def _has_left(self, entry: TargetEntry) -> bool:
         """Return whether a silent target drains, or a later one checks in at its address."""
         return entry.state is LifeState.DRAINING or any(
-            rival.lifetime in self._received_at
+            rival.lifetime in self._heartbeats
             and rival.endpoint == entry.endpoint
             and rival.lifetime.started_ms > entry.lifetime.started_ms
             for rival in self._find_rivals(entry.lifetime, entry.endpoint)
         )
 
     def _end(self, known: TargetEntry, now: float) -> None:
-        self._received_at.pop(known.lifetime, None)
+        self._heartbeats.remove(known.lifetime)
         self._ends_at.pop(known.lifetime, None)
         self._put(known._replace(state=LifeState.GONE, has_recent_heartbeat=False), now)
 
@@ -360,18 +347,3 @@
 def _is_same_target(entry: TargetEntry, call: CheckIn) -> bool:
     """Return whether two lifetimes are of one target, so that the later one is its restart."""
     return entry.lifetime.target == call.lifetime.target and entry.service == call.service
-
-
-def _make_entry(call: CheckIn, state: LifeState) -> TargetEntry:
-    return TargetEntry(
-        call.lifetime,
-        call.identity,
-        call.service,
-        call.zone,
-        call.endpoint,
-        call.slots,
-        state,
-        call.sequence,
-        call.warmup_remaining_ms,
-        True,
-    )
--- a/packages/core/src/lacewingrudder_core/_checkins/types.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/types.py
@@ -81,6 +81,22 @@
     warmup_remaining_ms: int
     has_recent_heartbeat: bool
 
+    @classmethod
+    def from_check_in(cls, call: CheckIn, state: LifeState) -> TargetEntry:
+        """Return the entry of a target whose check-in has just arrived."""
+        return cls(
+            call.lifetime,
+            call.identity,
+            call.service,
+            call.zone,
+            call.endpoint,
+            call.slots,
+            state,
+            call.sequence,
+            call.warmup_remaining_ms,
+            True,
+        )
+
 
 class Position(NamedTuple):
     """Position in the changes of a control host, such as the last one that a subscriber applied.
