Handle signals from the first statement of both programs

Cause: the event loop set the handlers, after imports, settings and recovery of the log.

Evidence: test_start_signals; with the platform's program as it was, its parts of both tests fail.

Change: handle_start_signals runs before imports that cost time. The command of lacewingrudderd moves to command.py, its test to test_command.py.

Up to 25 ms after the start, while the interpreter starts, it still ends all.

--- a/packages/daemon/tests/test_main.py
+++ b/packages/daemon/tests/test_command.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from click.testing import CliRunner, Result
-from lacewingrudder_daemon.main import main
+from lacewingrudder_daemon.command import main
 
 SETTINGS = {
     "name": "control-1",
