Test of a lost disk: wait for the admission after the disk was lost, not after an earlier start

Cause, in the test: was_admitted(lost, starts=2) looks for control_follower after the host's second start. If the host that was killed first is the one that loses its disk, that is its start before the loss; if it also waited for its leader once (control_pre_candidate, control_follower), the check is true before the host runs again, the third host is killed before the new disk is admitted, and the refusal of note 3 is right: two of three voters' disks are gone.

Change: the test counts the starts before the loss and waits for the admission after the next one, which is stricter.

--- a/tests/test_control_hosts.py
+++ b/tests/test_control_hosts.py
@@ -79,10 +79,11 @@
         self.wait_for_revision(2, self.fleet.hosts)
 
         lost, other = (host for host in self.fleet.hosts if host.name != self.find_leader().name)
+        starts = self.read_events(lost).count("started")
         self.fleet.kill(lost)
         shutil.rmtree(self.fleet.folder / lost.name)
         self.fleet.start_host(lost)
-        self.wait_until(lambda: self.was_admitted(lost, starts=2))
+        self.wait_until(lambda: self.was_admitted(lost, starts + 1))
         self.wait_for_revision(2, [lost])
         self.fleet.kill(other)
         self.fleet.submit(self.fleet.write_note(3, 2, changed=[self.service]), WAIT_TIMEOUT_SECONDS)
@@ -94,10 +95,14 @@
         )
         self.assertEqual((refused.returncode, "no quorum" in refused.stdout), (4, True))
 
+    def read_events(self, host: EntryHost) -> list[str]:
+        """Return the names of a host's events, from all of its starts."""
+        lines = (self.fleet.folder / f"{host.name}.timeline").read_text().splitlines()
+        return [json.loads(line)["event"] for line in lines]
+
     def was_admitted(self, host: EntryHost, starts: int) -> bool:
         """Whether a host that was started ``starts`` times became a voter after its last start."""
-        lines = (self.fleet.folder / f"{host.name}.timeline").read_text().splitlines()
-        events = [json.loads(line)["event"] for line in lines]
+        events = self.read_events(host)
         if events.count("started") < starts:
             return False
         return "control_follower" in events[len(events) - events[::-1].index("started") :]
