--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -122,3 +122,15 @@
             except TimeoutError:
                 self.assertLess(time.monotonic(), deadline, "no reset")
         self.assertEqual(reset.destination_port, PORT)
+
+    # Guards against resets of the flows of a target that runs on without a confirmation.
+    def test_flows_are_served_while_a_target_without_a_confirmation_goes_on_checking_in(
+        self,
+    ) -> None:
+        call = self.send_deregistration(CONTROLS[0])
+        self.addCleanup(call.close)
+        time.sleep(0.2)
+        call.close()
+        for _ in range(12):
+            self.check_in("draining")
+            self.assert_served(1.0)
