Confirm no drain or leave that no other host has acknowledged

Callers saw: a target that drained or left at a control host which had just started, or which all others had lost, got 200 at once and went on to exit; other hosts still placed flows on it.

Cause: replies wait for all subscribers, and without any "all" was true, and so was "replicated". After a start the first host that subscribed was "all".

Change: in the first 0.6 s after a start (a poll interval and a margin) nothing counts as acknowledged by all; without subscribers it does only at the only control host. The reply comes after 0.6 s at the latest, with 503 if no other control host has the change, so the target calls the next one.

--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -80,9 +80,17 @@
     :param name: name of this host.
     :param zone: zone of this host.
     :param registry: the targets that this host knows.
+    :param complete_from: when all other hosts that run have subscribed. Until then, that all
+        subscribers acknowledged a change does not show that all hosts know it.
     """
 
-    def __init__(self, name: HostName, zone: ZoneName, registry: Registry) -> None:
+    def __init__(
+        self,
+        name: HostName,
+        zone: ZoneName,
+        registry: Registry,
+        complete_from: float = float("-inf"),
+    ) -> None:
         self._name = name
         self._zone = zone
         self._registry = registry
@@ -93,6 +101,7 @@
         self._configuration: StoredConfiguration | None = None
         self._pending_replies: collections.deque[_PendingReply] = collections.deque()
         self._silence_reports = SilenceReports()
+        self._complete_from = complete_from
 
     @property
     def registry(self) -> Registry:
@@ -278,10 +287,9 @@
     def _send_due_replies(self, now: float) -> list[CheckInEffect]:
         """Reply to targets whose change all subscribers have acknowledged, or whose time is up."""
         effects: list[CheckInEffect] = []
-        lowest = self._subscribers.lowest_acknowledged
         while self._pending_replies:
             row = self._pending_replies[0]
-            is_acknowledged = lowest is None or row.number <= lowest
+            is_acknowledged = self._is_acknowledged(row.number, now)
             if not is_acknowledged and now < row.reply_by:
                 break
             self._pending_replies.popleft()
@@ -289,6 +297,17 @@
             effects.append(CheckInReply(row.token, row.outcome, is_replicated, row.leaving))
         return effects
 
+    def _is_acknowledged(self, number: int, now: float) -> bool:
+        """Return whether all hosts have acknowledged a change.
+
+        While no host subscribes, that is true only if there is no other control host: this one may
+        be cut off.
+        """
+        if now < self._complete_from:
+            return False
+        lowest = self._subscribers.lowest_acknowledged
+        return self._controls == (self._name,) if lowest is None else number <= lowest
+
     def _is_replicated(self, number: int) -> bool:
         """Return whether a change would survive the loss of this host.
 
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -60,6 +60,9 @@
 POLL_INTERVAL_SECONDS = 0.5
 """Interval at which a control host polls the others for changed targets, such as new drains."""
 
+SUBSCRIPTION_SECONDS = POLL_INTERVAL_SECONDS + 0.1
+"""Time after the start in which the other hosts that run have polled this one."""
+
 REGISTRY_WRITE_INTERVAL_SECONDS = 0.3
 """Interval at which the whole registry is written to disk if it has changed."""
 
@@ -101,7 +104,9 @@
         self._store = RegistryStore(disk)
         self._views = Views()
         stored = self._read_registry()
-        self._checkins = CheckInCore(self._name, settings.zone, self._restore_registry(stored))
+        registry = self._restore_registry(stored)
+        complete_from = time.monotonic() + SUBSCRIPTION_SECONDS
+        self._checkins = CheckInCore(self._name, settings.zone, registry, complete_from)
         self._former_entry_hosts = frozenset(stored.entry_hosts)
         is_outdated = stored.is_outdated(_wall_milliseconds())
         self._former_targets = FormerTargets(() if is_outdated else stored.peer_entries)
