--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -12,21 +12,13 @@
 from .events import Departed
 from .heartbeats import Heartbeats
 from .lifetime_index import LifetimeIndex
+from .silence_marks import SilenceMarks
 from .types import CheckIn, CheckInOutcome, LifeState, Lifetime, Position, TargetEntry
 from .versioned_entries import VersionedEntries
 
 MAX_MISSED_HEARTBEATS = 3
 """Consecutive heartbeats that a target may miss before it counts as unreachable."""
 
-MAX_REPORTED_SHARE = 1 / 3
-"""Share of a service's targets that may count as unreachable because of reports alone, though at
-least one: wrong reports must not take away most of a service."""
-
-FALSE_ALARM_BACKOFF_SECONDS = 10.0
-"""How long reports are ignored after one that a heartbeat refuted: the network seems to lose
-packets."""
-
-
 MIN_REPEAT_HEARTBEATS = 0.5
 """Heartbeats between two check-ins that show that their target still runs: calls that were delayed
 arrive together."""
@@ -64,8 +56,7 @@
         self._heartbeats = Heartbeats(MAX_MISSED_HEARTBEATS * heartbeat_seconds)
         self._min_repeat_seconds = MIN_REPEAT_HEARTBEATS * heartbeat_seconds
         self._sequences: dict[Lifetime, int] = {}
-        self._reported_at: dict[Lifetime, float] = {}
-        self._trusts_reports_from = float("-inf")
+        self._silence_marks = SilenceMarks(self._heartbeats.expiry_seconds)
         self._departures = Departures()
         self._contested_since: dict[Lifetime, float] = {}
         self._silent_since: dict[Lifetime, float] = {}
@@ -116,8 +107,7 @@
         if call.sequence <= self._sequences.get(lifetime, -1):
             return CheckInOutcome.OUTDATED
         self._sequences[lifetime] = call.sequence
-        if self._reported_at.pop(lifetime, None) is not None:
-            self._trusts_reports_from = now + FALSE_ALARM_BACKOFF_SECONDS
+        self._silence_marks.record_heartbeat(lifetime, now)
         self._heartbeats.record(lifetime, now)
         self._silent_since.pop(lifetime, None)
         if lifetime in self._departures:
@@ -217,29 +207,20 @@
             return None
         if lifetime not in self._heartbeats:
             return None
-        if now < self._trusts_reports_from or not self._may_mark(known.service, now):
+        ready = [
+            entry.lifetime
+            for entry in self._entries.entries()
+            if entry.service == known.service and entry.state is LifeState.READY
+        ]
+        if not self._silence_marks.may_mark(ready, now):
             return None
         self._heartbeats.remove(lifetime)
-        self._reported_at[lifetime] = now
+        self._silence_marks.record(lifetime, now)
         last = self._sequences.get(lifetime, known.sequence)
         entry = known._replace(has_recent_heartbeat=False, sequence=last)
         self._put(entry, now, is_removal=True)
         return entry
 
-    def _may_mark(self, service: str, now: float) -> bool:
-        self._reported_at = {
-            lifetime: at
-            for lifetime, at in self._reported_at.items()
-            if now - at <= self._heartbeats.expiry_seconds
-        }
-        ready = [
-            entry.lifetime
-            for entry in self._entries.entries()
-            if entry.service == service and entry.state is LifeState.READY
-        ]
-        reported = sum(lifetime in self._reported_at for lifetime in ready)
-        return reported + 1 <= max(1, int(MAX_REPORTED_SHARE * len(ready)))
-
     def expire(self, now: float) -> list[TargetEntry]:
         """Mark targets that missed their heartbeats as unreachable; return their entries.
 
@@ -339,7 +320,7 @@
     def _remove(self, entry: TargetEntry) -> None:
         self._lifetimes.remove(entry)
         self._sequences.pop(entry.lifetime, None)
-        self._reported_at.pop(entry.lifetime, None)
+        self._silence_marks.remove(entry.lifetime)
         self._departures.remove(entry.lifetime)
 
 
