Take a target out of use that leaves at a control host which it never called

Callers saw: flows were placed for up to 3.6 s on a target that had a 200 for its DELETE and had exited.

Cause: a ready target is in the registry of the control host that hears it alone; at another its deregistration found no entry, had no effect, and was confirmed.

Evidence: test_target_that_leaves_at_a_control_host_which_it_never_called_gets_no_new_flow, with real processes, failed before: SYNs after the 200 were forwarded to the target.

Change: a deregistration that names its lifetime is looked up in the views of the other control hosts as well, and published as a drain.

--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -15,6 +15,7 @@
 from .silence_marks import SilenceMarks
 from .types import CheckIn, CheckInOutcome, LifeState, Lifetime, Position, TargetEntry
 from .versioned_entries import VersionedEntries
+from .views import KnownTarget
 
 MAX_MISSED_HEARTBEATS = 3
 """Consecutive heartbeats that a target may miss before it counts as unreachable."""
@@ -41,18 +42,18 @@
 
     :param epoch: identifies this start of the host.
     :param heartbeat_seconds: interval at which targets check in.
-    :param is_heard_elsewhere: whether another control host receives the heartbeats of a lifetime.
+    :param find_elsewhere: returns what the other control hosts publish of a lifetime, or ``None``.
     """
 
     def __init__(
         self,
         epoch: int,
         heartbeat_seconds: float,
-        is_heard_elsewhere: Callable[[Lifetime], bool] = lambda _: False,
+        find_elsewhere: Callable[[Lifetime], KnownTarget | None] = lambda _: None,
     ) -> None:
         self._entries = VersionedEntries(epoch)
         self._lifetimes = LifetimeIndex()
-        self._is_heard_elsewhere = is_heard_elsewhere
+        self._find_elsewhere = find_elsewhere
         self._heartbeats = Heartbeats(MAX_MISSED_HEARTBEATS * heartbeat_seconds)
         self._min_repeat_seconds = MIN_REPEAT_HEARTBEATS * heartbeat_seconds
         self._sequences: dict[Lifetime, int] = {}
@@ -140,15 +141,20 @@
 
     def find_leaving(self, target: TargetName, started_ms: int | None) -> TargetEntry | None:
         """Return the entry that a deregistration is for; ``None`` if it is outdated."""
+        if started_ms is not None:
+            known = self._find(Lifetime(target, started_ms))
+            return None if known is None or known.state is LifeState.GONE else known
         newest = self._lifetimes.newest_start(target)
-        if newest is None:
-            return None
-        known = self._entries.get(Lifetime(target, newest if started_ms is None else started_ms))
-        if known is None or known.state is LifeState.GONE:
-            return None
-        if started_ms is None and known.state is not LifeState.DRAINING:
-            return None
-        return known
+        known = None if newest is None else self._entries.get(Lifetime(target, newest))
+        return None if known is None or known.state is not LifeState.DRAINING else known
+
+    def _find(self, lifetime: Lifetime) -> TargetEntry | None:
+        """Return the entry of a lifetime, of another control host if only that hears it."""
+        known = self._entries.get(lifetime)
+        if known is not None:
+            return known
+        found = self._find_elsewhere(lifetime)
+        return None if found is None else found.entry._replace(has_recent_heartbeat=False)
 
     def confirm_departure(self, lifetime: Lifetime, now: float) -> None:
         """Record that a target received the reply to its deregistration."""
@@ -192,6 +198,10 @@
     def _is_heard(self, lifetime: Lifetime) -> bool:
         return lifetime in self._heartbeats or self._is_heard_elsewhere(lifetime)
 
+    def _is_heard_elsewhere(self, lifetime: Lifetime) -> bool:
+        found = self._find_elsewhere(lifetime)
+        return found is not None and found.has_recent_heartbeat
+
     def get(self, lifetime: Lifetime) -> TargetEntry | None:
         """Return the entry of a lifetime, or ``None``."""
         return self._entries.get(lifetime)
--- a/packages/core/tests/test_deregistration.py
+++ b/packages/core/tests/test_deregistration.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from checkin_fakes import check_in, configuration, data
+from checkin_fakes import check_in, configuration, data, entry
 from lacewingrudder_core._checkins.core import MAX_REPLY_DELAY_SECONDS
 from lacewingrudder_core._checkins.departures import EXIT_GRACE_SECONDS, MAX_LEAVING_SECONDS
 from lacewingrudder_core.checkins import (
@@ -14,6 +14,7 @@
     Departed,
     DepartureConfirmed,
     Deregistered,
+    KnownTarget,
     LifeState,
     Lifetime,
     Position,
@@ -36,9 +37,8 @@
     """A control host, an entry host that acknowledges each update, and one that is paused."""
 
     def setUp(self) -> None:
-        self.is_heard_elsewhere = False
-        registry = Registry(7, 1.2, lambda _: self.is_heard_elsewhere)
-        self.core = CheckInCore(ME, "adum", registry)
+        self.elsewhere: dict[Lifetime, KnownTarget] = {}
+        self.core = CheckInCore(ME, "adum", Registry(7, 1.2, self.elsewhere.get))
         self.forwarder = TagForwarder("adum")
         self.forwarder.configure(configuration())
         self.acknowledging = {ENTRY, PAUSED, PEER}
@@ -207,10 +207,11 @@
     def test_target_that_goes_on_checking_in_elsewhere_has_not_ended(self) -> None:
         self.drain()
         self.pass_event(Deregistered(3, "i-1", 1000), 1.5)
-        self.is_heard_elsewhere = True
+        draining = entry(1, LifeState.DRAINING)
+        self.elsewhere[draining.lifetime] = KnownTarget(draining, True)
         self.run_without_confirmation(1.5, 3 * MAX_LEAVING_SECONDS)
         self.assertTrue(self.is_forwarded(3 * MAX_LEAVING_SECONDS))
-        self.is_heard_elsewhere = False
+        self.elsewhere[draining.lifetime] = KnownTarget(draining, False)
         self.run_without_confirmation(3 * MAX_LEAVING_SECONDS, 3 * MAX_LEAVING_SECONDS + 0.15)
         self.assertFalse(self.is_forwarded(3 * MAX_LEAVING_SECONDS + 0.15))
 
@@ -234,3 +235,17 @@
                 self.assertEqual(restarted.end_departed(now), [])
                 restarted.expire(now)
                 self.assertEqual([row.state for row in restarted.entries()], [LifeState.DRAINING])
+
+    # Guards against a confirmed leave without effect: another control host hears the target.
+    def test_target_that_another_control_host_hears_gets_no_new_flow_once_it_leaves(self) -> None:
+        ready = entry(2)
+        self.elsewhere[ready.lifetime] = KnownTarget(ready, True)
+        self.pass_event(Deregistered(3, "i-2", 1000), 1.0)
+        published = self.core.registry.get(ready.lifetime)
+        expected = ready._replace(state=LifeState.DRAINING, has_recent_heartbeat=False)
+        self.assertEqual(published, expected)
+        self.assertEqual(self.replies[3].outcome, CheckInOutcome.ENDED)
+        self.receive_reply(3, 1.1)
+        del self.elsewhere[ready.lifetime]
+        self.pass_event(Tick(), 1.1 + EXIT_GRACE_SECONDS)
+        self.assertEqual([row.entry.lifetime for row in self.departed], [ready.lifetime])
--- a/packages/core/tests/test_other_writers.py
+++ b/packages/core/tests/test_other_writers.py
@@ -5,6 +5,7 @@
 from checkin_fakes import SHEETS, check_in, configuration, data, entry, syn, update
 from lacewingrudder_core.checkins import (
     CheckInOutcome,
+    KnownTarget,
     LifeState,
     Lifetime,
     Registry,
@@ -84,7 +85,8 @@
 
     # Guards against the end of a target that another control host hears.
     def test_silent_target_that_another_control_host_hears_does_not_end(self) -> None:
-        registry = Registry(7, HEARTBEAT_SECONDS, lambda lifetime: lifetime.target == "i-1")
+        heard = {Lifetime("i-1", 1000): KnownTarget(entry(1), True)}
+        registry = Registry(7, HEARTBEAT_SECONDS, heard.get)
         registry.check_in(check_in(1, 1), 0.0)
         for step in range(400):
             registry.check_in(check_in(2, step, 2000, address=1), 1.0 + step)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -211,14 +211,10 @@
 
     def _restore_registry(self, stored: StoredRegistry) -> Registry:
         epoch = _wall_milliseconds()
-        registry = Registry(epoch, self._settings.heartbeat_seconds, self._is_heard_elsewhere)
+        registry = Registry(epoch, self._settings.heartbeat_seconds, self._views.get)
         registry.restore(stored.entries, stored.is_outdated(epoch), time.monotonic())
         return registry
 
-    def _is_heard_elsewhere(self, lifetime: Lifetime) -> bool:
-        found = self._views.get(lifetime)
-        return found is not None and found.has_recent_heartbeat
-
     def _announce_start(self) -> None:
         """Tell the former subscribers that haven't subscribed again yet that this host runs."""
         for host in sorted(self._former_entry_hosts.difference(self._checkins.entry_hosts)):
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -18,7 +18,7 @@
     wait_for_status,
 )
 
-from standins.platform import ACK, SYN, read_packet, split_identity
+from standins.platform import ACK, RST, SYN, read_packet, split_identity
 
 CONFIG_PATH = "/lacewingrudder/config"
 TARGET_PATH = "/lacewingrudder/instances/i-7f3a91c2"
@@ -29,7 +29,7 @@
 
 
 class DepartureTest(unittest.TestCase):
-    """Processes of a fleet, and a target with an open flow, which drains and then deregisters."""
+    """Processes of a fleet, and a target with an open flow that deregisters."""
 
     def setUp(self) -> None:
         self.fleet = PlatformFleet()
@@ -42,7 +42,6 @@
         for entry in ENTRIES:
             wait_for_status(200, (entry,), READY_PORT, "GET", READY_PATH)
         self.tag = self.open_flow()
-        self.check_in("draining")
 
     def open_udp_socket(self, address: str, port: int) -> socket.socket:
         opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -102,6 +101,7 @@
 
     # Guards against resets of the open flows of a target whose confirmation was sent but lost.
     def test_flows_are_served_while_the_confirmation_has_not_arrived(self) -> None:
+        self.check_in("draining")
         call = self.send_deregistration(CONTROLS[0])
         self.addCleanup(call.close)
         time.sleep(0.2)
@@ -109,6 +109,7 @@
         self.assert_served(3.0)
 
     def test_flows_are_reset_soon_after_the_confirmation_arrived(self) -> None:
+        self.check_in("draining")
         with self.send_deregistration(CONTROLS[0]) as call:
             self.assertRegex(call.recv(4096), rb"^HTTP/1.1 200")
         self.target.close()
@@ -127,6 +128,7 @@
     def test_flows_are_served_while_a_target_without_a_confirmation_goes_on_checking_in(
         self,
     ) -> None:
+        self.check_in("draining")
         call = self.send_deregistration(CONTROLS[0])
         self.addCleanup(call.close)
         time.sleep(0.2)
@@ -134,3 +136,16 @@
         for _ in range(12):
             self.check_in("draining")
             self.assert_served(1.0)
+
+    # Guards against a confirmed leave without effect: new flows were placed on the exited target.
+    def test_target_that_leaves_at_a_control_host_which_it_never_called_gets_no_new_flow(
+        self,
+    ) -> None:
+        time.sleep(1.0)
+        with self.send_deregistration(CONTROLS[1]) as call:
+            self.assertRegex(call.recv(4096), rb"^HTTP/1.1 200")
+        for port in range(PORT + 1, PORT + 5):
+            for entry in ENTRIES:
+                self.caller.sendto(make_packet(port, SYN), (entry, PACKET_PORT))
+                reset = read_packet(self.caller.recv(2048)).packet
+                self.assertEqual((reset.flags, reset.destination_port), (RST, port))
