Let a stopped entry host forward as long as packets arrive

Callers saw: packets were lost that routers still sent to a stopped entry host more than 1.5 s after it reported not ready.

Cause: it exited after a fixed time, as though its answers to the readiness probes had all been seen.

Evidence: test_leaving_host_forwards_as_long_as_packets_arrive, with real processes, failed before (no packet came through after the exit).

Change: after the 1.5 s it forwards until no packet has come for 0.3 s, at most until the end of its grace period, as the entry host of the product's own fleets does.

--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -60,6 +60,9 @@
 The fabric sends readiness probes every half second and stops sending packets after three failures.
 """
 
+QUIET_SECONDS = 0.3
+"""A leaving host that gets no packet for this long is out of use; answers to probes may be lost."""
+
 DISCONNECTED_TIMEOUT_SECONDS = 1.2
 """This host counts as disconnected if no control host has sent an update for this long.
 
@@ -100,6 +103,7 @@
         self._addresses: dict[Endpoint, Address] = {}
         self._peers = ZonePeerCounts(0, 0)
         self._is_leaving = False
+        self._last_packet_at = float("-inf")
         self._was_reported_ready = False
         self._poll_task: asyncio.Task[None] | None = None
         self._silence_check: asyncio.TimerHandle | None = None
@@ -131,8 +135,8 @@
     async def _leave(self) -> None:
         """Wait until the shutdown policy permits it, then report not ready.
 
-        This host keeps forwarding all the while, and for :data:`SHUTDOWN_FORWARDING_SECONDS`
-        afterwards, until the fabric has stopped sending packets to it.
+        This host keeps forwarding all the while, for :data:`SHUTDOWN_FORWARDING_SECONDS` afterwards
+        and, until the deadline, as long as the fabric sends packets to it.
         """
         deadline = self._stop_deadline()
         policy = ShutdownPolicy(deadline - SHUTDOWN_FORWARDING_SECONDS)
@@ -143,12 +147,12 @@
         self._report_readiness()
         self._poll_controls()
         await asyncio.sleep(SHUTDOWN_FORWARDING_SECONDS)
+        while self._loop.time() < min(deadline, self._last_packet_at + QUIET_SECONDS):
+            await asyncio.sleep(INITIAL_POLL_INTERVAL_SECONDS)
 
     def _is_disconnected(self) -> bool:
-        return (
-            self._loop.time() - self._forwarder.views.last_received_at
-            > DISCONNECTED_TIMEOUT_SECONDS
-        )
+        silence = self._loop.time() - self._forwarder.views.last_received_at
+        return silence > DISCONNECTED_TIMEOUT_SECONDS
 
     async def _close(self) -> None:
         if self._poll_task is not None:
@@ -225,14 +229,14 @@
         self._report_readiness()
 
     def _apply_configuration(self, update: ConfigurationUpdate) -> None:
-        if update.version <= self._forwarder.version:
+        before = self._forwarder.version
+        if update.version <= before:
             return
         try:
             configuration = self._reader.read(update.document)
         except ValueError as error:
             self._entry_events.record_unreadable(update.version, error)
             return
-        before = self._forwarder.version
         if self._forwarder.configure(configuration, self._loop.time()):
             self._entry_events.record_in_force(update.version, before, len(configuration.routes))
         self._report_readiness()
@@ -242,7 +246,8 @@
         if segment is None:
             self._entry_events.record_rejected_packet(len(data), sender[0])
             return
-        decision = self._forwarder.decide(segment, self._loop.time())
+        now = self._last_packet_at = self._loop.time()
+        decision = self._forwarder.decide(segment, now)
         if isinstance(decision, Forwarded):
             datagram = self._adapter.encode_for_target(data, decision.identity, decision.tag)
             self._packet_socket.send(datagram, self._get_or_parse_address(decision.endpoint))
@@ -309,10 +314,8 @@
     def _record_control_changes(self, now: float) -> None:
         for control in self._controls:
             silence = self._forwarder.views.seconds_since_update(control, now)
-            if (
-                CONTROL_LOST_TIMEOUT_SECONDS < silence < float("inf")
-                and control not in self._lost_controls
-            ):
+            is_lost = CONTROL_LOST_TIMEOUT_SECONDS < silence < float("inf")
+            if is_lost and control not in self._lost_controls:
                 self._lost_controls.add(control)
                 self._entry_events.record_control_lost(control, silence)
             elif silence <= CONTROL_LOST_TIMEOUT_SECONDS and control in self._lost_controls:
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -19,7 +19,7 @@
     wait_for_status,
 )
 
-from standins.platform import ACK, RST, SYN, read_packet, split_identity
+from standins.platform import ACK, GRACE_SECONDS, RST, SYN, read_packet, split_identity
 
 CONFIG_PATH = "/lacewingrudder/config"
 TARGET_PATH = "/lacewingrudder/instances/i-7f3a91c2"
@@ -172,3 +172,18 @@
         self.assertEqual(self.receive_at_target()[0], 0x7F3A91C2)
         self.assertEqual(process.wait(10), 0)
         self.assertIn('"event": "stopped"', self.fleet.log(ENTRIES[0]))
+
+    # Guards against packets that are lost because the routers have not yet seen that a host leaves.
+    def test_leaving_host_forwards_as_long_as_packets_arrive(self) -> None:
+        self.set_up_service()
+        process = self.fleet.processes[ENTRIES[0]]
+        self.send(ENTRIES[0], make_packet(40004, SYN))
+        identity, tag = self.receive_at_target()
+        process.send_signal(signal.SIGTERM)
+        began = time.monotonic()
+        while time.monotonic() < began + 4.0:
+            self.send(ENTRIES[0], make_packet(40004, ACK, tag, b"x"))
+            self.assertEqual(self.receive_at_target(), (identity, tag))
+            time.sleep(0.05)
+        self.assertEqual(process.wait(10), 0)
+        self.assertLess(time.monotonic() - began, GRACE_SECONDS)
