Start on a disk that refuses writes, and write once it has space

Callers saw: a control host whose disk was empty and full when it started exited with code 1, again and again while the disk was full.

Cause: ReplicaStore.recover writes the first frame, or truncates a torn one, and let the error out.

Change: recover logs the refusal; the next write makes up for it, with the retries that writes have. Nothing is acknowledged before that.

--- a/packages/daemon/src/lacewingrudder_daemon/_storage/log_store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/log_store.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+import logging
 import struct
 import zlib
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from lacewingrudder_core.replica import DurableState, Write
@@ -18,6 +19,8 @@
 
 from .disk import Disk
 
+_log = logging.getLogger(__name__)
+
 LOG_NAME = "replica.log"
 _MAGIC = b"lwr1"
 _FRAME = struct.Struct("!4sII")
@@ -53,17 +56,23 @@
         self._state = DurableState("")
         self._synced_size = 0
         self._is_dirty = False
+        self._has_file = True
 
     def recover(self, identity: str) -> DurableState:
         """Return the state on disk; a torn last frame is truncated.
 
+        If the disk refuses writes now, the next :meth:`write` makes up for it. Until that succeeds,
+        nothing new is acknowledged.
+
         :param identity: identity of this host if the disk is empty.
         :raises CorruptLogError: if a synced frame is corrupt.
-        :raises OSError: if the disk fails.
+        :raises OSError: if the disk cannot be read.
         """
         data = self._disk.read(LOG_NAME)
         if data is None:
-            self._rewrite(DurableState(identity))
+            self._has_file = False
+            self._state = DurableState(identity)
+            self._try_to_prepare(lambda: self._rewrite(self._state))
             return self._state
         first = _read_frame(data, 0)
         if first is None:
@@ -81,7 +90,7 @@
         state = self._state
         for write in writes:
             state = state.after(write)
-        if any(write.snapshot is not None for write in writes):
+        if not self._has_file or any(write.snapshot is not None for write in writes):
             self._rewrite(state)
             return
         if self._is_dirty:
@@ -101,6 +110,7 @@
     def _rewrite(self, state: DurableState) -> None:
         frame = _encode_frame(encode_value(state))
         self._disk.replace(LOG_NAME, frame)
+        self._has_file = True
         self._is_dirty = False
         self._synced_size = len(frame)
         self._state = state
@@ -114,7 +124,20 @@
             return
         if _contains_frame(data, self._synced_size + 1):
             raise CorruptLogError(self._synced_size)
+        self._is_dirty = True
+        self._try_to_prepare(self._truncate)
+
+    def _truncate(self) -> None:
         self._disk.truncate(LOG_NAME, self._synced_size)
+        self._is_dirty = False
+
+    @staticmethod
+    def _try_to_prepare(prepare: Callable[[], None]) -> None:
+        try:
+            prepare()
+        except OSError as error:
+            reason = error.strerror or str(error)
+            _log.error("cannot prepare the replicated log, trying again later: %s", reason)
 
 
 def _encode_frame(body: bytes) -> bytes:
--- a/packages/daemon/tests/test_store.py
+++ b/packages/daemon/tests/test_store.py
@@ -104,6 +104,38 @@
         self.disk.crash()
         self.assertEqual(self.open()[1].entries, (entry(1), entry(2), entry(3)))
 
+    # Guards against the end of a control host that starts with an empty and full disk.
+    def test_empty_disk_that_is_full_is_written_once_it_has_space(self) -> None:
+        self.disk = FakeDisk(capacity=10)
+        with self.assertLogs(level="ERROR"):
+            store, state = self.open()
+        self.assertEqual(state, DurableState("fresh identity"))
+        for _ in range(3):
+            with self.assertRaisesRegex(OSError, "No space left"):
+                store.write([write(1, entry(1))])
+        self.disk.capacity = 1 << 30
+        store.write([write(1, entry(1))])
+        store.write([write(2, entry(2))])
+        self.disk.crash()
+        found = ReplicaStore(self.disk).recover("another")
+        self.assertEqual(found, state.after(write(1, entry(1))).after(write(2, entry(2))))
+        self.assertEqual(found.identity, "fresh identity")
+
+    # Guards against the same where a torn frame can't be truncated yet.
+    def test_torn_tail_that_cannot_be_truncated_yet_is_so_before_the_next_write(self) -> None:
+        self.store.write([write(1, entry(1))])
+        self.disk.has_sync_error = True
+        with self.assertRaises(OSError):
+            self.store.write([write(2, entry(2))])
+        self.disk.crash(torn_bytes=20)
+        with self.assertLogs(level="ERROR"):
+            store, state = self.open()
+        self.assertEqual(state.entries, (entry(1),))
+        self.disk.has_sync_error = False
+        store.write([write(2, entry(2))])
+        self.disk.crash()
+        self.assertEqual(self.open()[1].entries, (entry(1), entry(2)))
+
     def test_random_crashes_lose_nothing_that_was_synced(self) -> None:
         for seed in range(200):
             self._crash_at_random(random.Random(seed))
