Keep the flows of a target that takes seconds to exit while it checks in elsewhere

Callers saw: a target with the confirmation of its leave ran on for seconds and went on checking in with another control host; 1 s after the confirmation its open flows were reset.

Cause: the control host that confirmed the leave ended the target whatever the others heard.

Evidence: test_confirmed_target_that_checks_in_elsewhere_has_not_ended failed before. The same with check-ins at the host that confirmed held before.

Change: no deregistered target ends while another control host receives its heartbeats, at most three missed ones later.

--- a/packages/core/src/lacewingrudder_core/_checkins/departures.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/departures.py
@@ -59,15 +59,18 @@
         """Forget a target that has ended."""
         self._deadlines.pop(lifetime, None)
 
-    def pop_ended(self, now: float, is_heard: Callable[[Lifetime], bool]) -> list[Departure]:
+    def pop_ended(
+        self, now: float, is_heard_elsewhere: Callable[[Lifetime], bool]
+    ) -> list[Departure]:
         """Remove and return the targets that have exited.
 
-        :param is_heard: whether some control host receives the heartbeats of a target.
+        :param is_heard_elsewhere: whether another control host receives the heartbeats of a target.
+            It may still run then, even if it received the confirmation.
         """
         ended = [
             Departure(lifetime, row.is_confirmed)
             for lifetime, row in self._deadlines.items()
-            if row.ends_at <= now and (row.is_confirmed or not is_heard(lifetime))
+            if row.ends_at <= now and not is_heard_elsewhere(lifetime)
         ]
         for departure in ended:
             del self._deadlines[departure.lifetime]
--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -163,7 +163,7 @@
     def end_departed(self, now: float) -> list[Departed]:
         """End the targets that deregistered and have had the time to exit; return them."""
         departed: list[Departed] = []
-        for lifetime, is_confirmed in self._departures.pop_ended(now, self._is_heard):
+        for lifetime, is_confirmed in self._departures.pop_ended(now, self._is_heard_elsewhere):
             known = self._entries.get(lifetime)
             if known is not None and known.state is not LifeState.GONE:
                 self._end(known, now)
@@ -195,9 +195,6 @@
         """Return the time of a target's last heartbeat, or ``None`` if it is unreachable."""
         return self._heartbeats.received_at(lifetime)
 
-    def _is_heard(self, lifetime: Lifetime) -> bool:
-        return lifetime in self._heartbeats or self._is_heard_elsewhere(lifetime)
-
     def _is_heard_elsewhere(self, lifetime: Lifetime) -> bool:
         found = self._find_elsewhere(lifetime)
         return found is not None and found.has_recent_heartbeat
--- a/packages/core/tests/test_deregistration.py
+++ b/packages/core/tests/test_deregistration.py
@@ -224,6 +224,31 @@
         self.run_without_confirmation(1.6, 1.5 + MAX_LEAVING_SECONDS)
         self.assertTrue(self.is_forwarded(1.5 + MAX_LEAVING_SECONDS))
 
+    # Guards against resets of the flows of a target that takes seconds to exit when confirmed.
+    def test_confirmed_target_that_runs_on_and_checks_in_has_not_ended(self) -> None:
+        self.drain()
+        self.pass_event(Deregistered(3, "i-1", 1000), 1.5)
+        self.receive_reply(3, 1.5)
+        for step in range(20):
+            now = 2.0 + 1.2 * step
+            call = check_in(1, 3 + step, state=LifeState.DRAINING)
+            self.pass_event(CheckedIn(10 + step, call), now)
+            self.run_without_confirmation(now, now + 1.2)
+            self.assertTrue(self.is_forwarded(now + 1.2), now)
+
+    # Guards against the same where its check-ins arrive at another control host.
+    def test_confirmed_target_that_checks_in_elsewhere_has_not_ended(self) -> None:
+        self.drain()
+        self.pass_event(Deregistered(3, "i-1", 1000), 1.5)
+        self.receive_reply(3, 1.5)
+        draining = entry(1, LifeState.DRAINING)
+        self.elsewhere[draining.lifetime] = KnownTarget(draining, True)
+        self.run_without_confirmation(1.5, 12.0)
+        self.assertTrue(self.is_forwarded(12.0))
+        self.elsewhere[draining.lifetime] = KnownTarget(draining, False)
+        self.run_without_confirmation(12.0, 12.15)
+        self.assertFalse(self.is_forwarded(12.15))
+
     # Guards against the end of a target by a control host that was killed and forgot the call.
     def test_restart_of_the_control_host_does_not_end_the_target(self) -> None:
         self.drain()
