Give a confirmed target time for one more check-in before it counts as ended

Callers saw: a target with the confirmation of its leave took seconds to exit and went on checking in with the control host that confirmed it; its open flows were reset after 1 s, before its next check-in came.

Cause: 1 s is less than the interval of its check-ins, which show that it runs.

Evidence: test_confirmed_target_that_runs_on_and_checks_in_has_not_ended, whose check-ins now come 1.1 intervals after the confirmation, failed before.

Change: the end counts 1.25 heartbeat intervals from the confirmation (1.5 s here).

--- a/packages/core/src/lacewingrudder_core/_checkins/departures.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/departures.py
@@ -7,8 +7,9 @@
 
 from .types import Lifetime
 
-EXIT_GRACE_SECONDS = 1.0
-"""How long a target takes to exit once it has the confirmation of its deregistration."""
+EXIT_GRACE_HEARTBEATS = 1.25
+"""Heartbeat intervals after which a target with the confirmation of its deregistration has exited.
+One that runs on checks in before."""
 
 MAX_LEAVING_SECONDS = 10.0
 """How long a target that deregisters may run on after its last call without a confirmation: longer
@@ -35,9 +36,12 @@
 
     A target exits when it has the confirmation, which may be lost or late although it was sent. A
     target that calls again, here or at another control host, runs on without one.
+
+    :param heartbeat_seconds: interval at which targets check in.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, heartbeat_seconds: float) -> None:
+        self._exit_grace_seconds = EXIT_GRACE_HEARTBEATS * heartbeat_seconds
         self._deadlines: dict[Lifetime, _Deadline] = {}
 
     def __len__(self) -> int:
@@ -53,7 +57,7 @@
     def record_confirmation(self, lifetime: Lifetime, now: float) -> None:
         """Record that a target received the confirmation, if it deregistered."""
         if lifetime in self._deadlines:
-            self._deadlines[lifetime] = _Deadline(now + EXIT_GRACE_SECONDS, True)
+            self._deadlines[lifetime] = _Deadline(now + self._exit_grace_seconds, True)
 
     def remove(self, lifetime: Lifetime) -> None:
         """Forget a target that has ended."""
--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -58,7 +58,7 @@
         self._min_repeat_seconds = MIN_REPEAT_HEARTBEATS * heartbeat_seconds
         self._sequences: dict[Lifetime, int] = {}
         self._silence_marks = SilenceMarks(self._heartbeats.expiry_seconds)
-        self._departures = Departures()
+        self._departures = Departures(heartbeat_seconds)
         self._contested_since: dict[Lifetime, float] = {}
         self._silent_since: dict[Lifetime, float] = {}
 
--- a/packages/core/tests/test_deregistration.py
+++ b/packages/core/tests/test_deregistration.py
@@ -4,7 +4,7 @@
 
 from checkin_fakes import check_in, configuration, data, entry
 from lacewingrudder_core._checkins.core import MAX_REPLY_DELAY_SECONDS
-from lacewingrudder_core._checkins.departures import EXIT_GRACE_SECONDS, MAX_LEAVING_SECONDS
+from lacewingrudder_core._checkins.departures import EXIT_GRACE_HEARTBEATS, MAX_LEAVING_SECONDS
 from lacewingrudder_core.checkins import (
     CheckedIn,
     CheckInCore,
@@ -30,6 +30,8 @@
 ME = "10.0.0.1:7720"
 ENTRY, PAUSED, PEER = "10.1.0.10:7720", "10.2.0.10:7720", "10.2.0.42:7720"
 TICK_SECONDS = 0.1
+HEARTBEAT_SECONDS = 1.2
+EXIT_GRACE_SECONDS = EXIT_GRACE_HEARTBEATS * HEARTBEAT_SECONDS
 TAG = flow_tag(Lifetime("i-1", 1000))
 
 
@@ -38,7 +40,7 @@
 
     def setUp(self) -> None:
         self.elsewhere: dict[Lifetime, KnownTarget] = {}
-        self.core = CheckInCore(ME, "adum", Registry(7, 1.2, self.elsewhere.get))
+        self.core = CheckInCore(ME, "adum", Registry(7, HEARTBEAT_SECONDS, self.elsewhere.get))
         self.forwarder = TagForwarder("adum")
         self.forwarder.configure(configuration())
         self.acknowledging = {ENTRY, PAUSED, PEER}
@@ -229,8 +231,9 @@
         self.drain()
         self.pass_event(Deregistered(3, "i-1", 1000), 1.5)
         self.receive_reply(3, 1.5)
+        self.run_without_confirmation(1.5, 1.5 + 1.1 * HEARTBEAT_SECONDS)
         for step in range(20):
-            now = 2.0 + 1.2 * step
+            now = 1.5 + HEARTBEAT_SECONDS * (1.1 + step)
             call = check_in(1, 3 + step, state=LifeState.DRAINING)
             self.pass_event(CheckedIn(10 + step, call), now)
             self.run_without_confirmation(now, now + 1.2)
@@ -254,7 +257,7 @@
         self.drain()
         self.pass_event(Deregistered(3, "i-1", 1000), 1.5)
         for is_outdated in (False, True):
-            restarted = Registry(8, 1.2)
+            restarted = Registry(8, HEARTBEAT_SECONDS)
             restarted.restore(self.core.registry.entries(), is_outdated, 2.0)
             for now in (3.0, 10.0, 100.0):
                 self.assertEqual(restarted.end_departed(now), [])
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -113,6 +113,7 @@
         with self.send_deregistration(CONTROLS[0]) as call:
             self.assertRegex(call.recv(4096), rb"^HTTP/1.1 200")
         self.target.close()
+        self.caller.settimeout(PACKET_INTERVAL_SECONDS)
         deadline = time.monotonic() + MAX_RESET_DELAY_SECONDS
         while True:
             packet = make_packet(PORT, ACK, self.tag, b"x")
