Don't take a client's close for the receipt of a response that was lost on the way

Callers saw: a target gave up on the response to its DELETE, which was lost on the way, and closed the connection; that counted as its confirmation, and 1.5 s later its open flows were reset.

Cause: the close of a connection counted as the receipt of the response before it, though the close can arrive where the response did not.

Evidence: test_client_that_closes_before_it_has_the_whole_response_did_not_receive_it failed before: a client with a small window closed its side before it had all bytes.

Change: at the close the server asks the system how many bytes the client has not acknowledged (TIOCOUTQ); where the system can't tell, the close counts as before.

--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
@@ -9,6 +9,9 @@
 import abc
 import asyncio
 import contextlib
+import fcntl
+import struct
+import termios
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -17,6 +20,8 @@
 
 from ..event_sink import EventSink
 
+_QUEUE_SIZE = struct.Struct("i")
+
 BODY_LIMIT_BYTES = 8 << 20
 MAX_READ_BYTES = 65_536
 READ_TIMEOUT_SECONDS = 60.0
@@ -183,10 +188,23 @@
         """Return the next bytes, empty at the end; both show that the last response arrived."""
         data = await self._reader.read(MAX_READ_BYTES)
         on_received, self._on_received = self._on_received, None
-        if on_received is not None:
+        if on_received is not None and (data or not self._has_unacknowledged_bytes()):
             on_received()
         return data
 
+    def _has_unacknowledged_bytes(self) -> bool:
+        """Return whether the system still holds bytes that the client has not acknowledged.
+
+        A client may close a connection on which the response was lost.
+        """
+        connection = self._writer.get_extra_info("socket")
+        try:
+            held = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(_QUEUE_SIZE.size))
+        except OSError:
+            return False  # The system can't tell.
+        byte_count: int = _QUEUE_SIZE.unpack(held)[0]
+        return byte_count > 0
+
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         try:
             return await self._handler.answer(request)
--- a/packages/daemon/tests/test_fleet_http.py
+++ b/packages/daemon/tests/test_fleet_http.py
@@ -128,6 +128,7 @@
     def __init__(self) -> None:
         self.may_answer = asyncio.Event()
         self.may_answer.set()
+        self.body = b"fine"
         self.count = 0
 
     def add(self) -> None:
@@ -135,7 +136,7 @@
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         await self.may_answer.wait()
-        return HttpResponse(200, b"fine", on_received=self.add)
+        return HttpResponse(200, self.body, on_received=self.add)
 
 
 class ReceiptTest(unittest.IsolatedAsyncioTestCase):
@@ -147,7 +148,7 @@
         await self.server.start(Endpoint.parse(f"127.0.0.1:{PORT}"))
         self.addAsyncCleanup(self.server.stop)
         self.client = socket.create_connection(("127.0.0.1", PORT))
-        self.addCleanup(self.client.close)
+        self.addCleanup(lambda: self.client.close())
 
     async def request(self, header: str = "") -> None:
         self.client.sendall(f"GET / HTTP/1.1\r\nHost: x\r\n{header}\r\n".encode())
@@ -186,6 +187,20 @@
             self.assertEqual(await self.count_after_close(), 0)
             self.client = socket.create_connection(("127.0.0.1", PORT))
 
+    # Guards against a response that is lost on the way and yet counts, since the client closes.
+    async def test_client_that_closes_before_it_has_the_whole_response_did_not_receive_it(
+        self,
+    ) -> None:
+        self.handler.body = bytes(100_000)
+        self.client.close()
+        self.client = socket.socket()
+        self.client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.client.connect(("127.0.0.1", PORT))
+        await self.request()
+        self.client.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.handler.count, 0)
+
     async def test_client_that_gave_up_before_the_response_did_not_receive_it(self) -> None:
         self.handler.may_answer.clear()
         await self.request()
