Soak: targets serve until their leave is confirmed, and half of them lose the first confirmation

The soak counted a target as ended when it sent its DELETE, so resets of its flows after that went unseen. Now it lives, serves and checks in until a control host confirms, or 3 s longer without; half of the targets reset the connection of their first DELETE without reading the response and call again after a second. The call proxy resets the host's connection where it dropped a response or the client reset, instead of a close that says that all arrived.

--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -5,16 +5,13 @@
 import asyncio
 import contextlib
 import random
-import socket
-import struct
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from standins.sockets import open_socket
 from standins.wire import Address
 
-_LINGER_RESET = struct.pack("ii", 1, 0)
-"""Value of ``SO_LINGER`` with a timeout of 0, so that closing the connection sends an RST."""
+from .http_client import reset_connection
 
 _READ_BYTES = 65_536
 
@@ -103,9 +100,7 @@
     def reset_connections(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
-            connection_socket = writer.get_extra_info("socket")
-            connection_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
-            writer.transport.abort()
+            reset_connection(writer)
 
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = asyncio.create_task(self._relay(reader, writer))
@@ -128,6 +123,10 @@
             finally:
                 for copy_task in copy_tasks:
                     copy_task.cancel()
+                is_lost = reader.exception() is not None
+                if is_lost or self.is_unresponsive or self.drops_responses:
+                    # A close would tell the host that the client has all of its response.
+                    reset_connection(host_writer)
                 host_writer.close()
         except OSError:
             pass  # The host is down: the client sees a closed connection.
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -22,15 +22,21 @@
 from standins.wire import Address
 
 from .guarantees import Guarantee
-from .http_client import HttpClient
+from .http_client import REQUEST_TIMEOUT_SECONDS, HttpClient
 
 MAX_DRAIN_SECONDS = 3.0
 """Maximum time after the confirmation of its drain in which a target may receive new flows."""
 
-MAX_DRAIN_CHECK_IN_COUNT = 5
-"""Maximum number of check-ins with which a target tries to get its drain confirmed."""
+MAX_LEAVE_CALL_COUNT = 5
+"""Maximum number of calls with which a target tries to get its drain, or its end, confirmed."""
+
+LEAVE_RETRY_INTERVAL_SECONDS = 0.3
+LOST_CONFIRMATION_SHARE = 0.5
+"""Share of the targets that lose the first confirmation of their end."""
+
+UNCONFIRMED_EXIT_DELAY_SECONDS = 3.0
+"""How long a target whose end nobody confirms runs on after its last call."""
 
-DRAIN_RETRY_INTERVAL_SECONDS = 0.3
 HEARTBEAT_JITTER_FACTORS = (0.9, 1.1)
 SLOT_COUNT = 3
 
@@ -104,12 +110,12 @@
             await asyncio.sleep(HEARTBEAT_SECONDS * self._random.uniform(*HEARTBEAT_JITTER_FACTORS))
 
     async def drain(self) -> None:
-        """Check in as draining until confirmed, at most ``MAX_DRAIN_CHECK_IN_COUNT`` times."""
+        """Check in as draining until confirmed, at most ``MAX_LEAVE_CALL_COUNT`` times."""
         self.is_draining = True
-        for _ in range(MAX_DRAIN_CHECK_IN_COUNT):
+        for _ in range(MAX_LEAVE_CALL_COUNT):
             if await self._check_in():
                 return
-            await asyncio.sleep(DRAIN_RETRY_INTERVAL_SECONDS)
+            await asyncio.sleep(LEAVE_RETRY_INTERVAL_SECONDS)
 
     def record_drain_held(self) -> None:
         """Record that the drain guarantee held if its time bound has passed.
@@ -123,10 +129,27 @@
             self._environment.check(Guarantee.NO_FLOWS_AFTER_DRAIN, True, "")
 
     async def deregister(self) -> None:
-        """End this target, and send its deregistration to control hosts until one accepts it."""
-        self.is_alive = False
+        """Deregister, and end once a control host has confirmed it, or without that after a while.
+
+        Until then this target serves its open flows and goes on checking in.
+        """
         body = {"born": self.lifetime.started_ms}
-        await self._request("DELETE", body)
+        if self._random.random() < LOST_CONFIRMATION_SHARE:
+            await self._lose_confirmation(body)
+        for _ in range(MAX_LEAVE_CALL_COUNT):
+            if await self._request("DELETE", body):
+                break
+            await asyncio.sleep(LEAVE_RETRY_INTERVAL_SECONDS)
+        else:
+            await asyncio.sleep(UNCONFIRMED_EXIT_DELAY_SECONDS)
+        self.is_alive = False
+
+    async def _lose_confirmation(self, body: Mapping[str, object]) -> None:
+        """Deregister, lose the response, and wait for it until the time-out."""
+        control = self._random.choice(self._environment.controls)
+        path = f"/lacewingrudder/instances/{self.lifetime.name}"
+        await self._environment.http_client.request_and_abandon(control, "DELETE", path, body)
+        await asyncio.sleep(REQUEST_TIMEOUT_SECONDS)
 
     async def _check_in(self) -> bool:
         state = "draining" if self.is_draining else "ready"
