Close our side of a connection before waiting for the receipt of its last response

Callers saw (since the receipt of confirmations counts, in no release): a target that asks for Connection: close and reads its response up to the end of the connection got that end only after 1 s, which is its time-out.

Cause: the server waited for the client's close before it closed.

Evidence: test_client_that_reads_to_the_end_of_the_connection_gets_it_at_once failed before.

Change: the server sends the end of its side first, then waits for the client's.

--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
@@ -177,9 +177,13 @@
             self._protocol.start_next_cycle()
 
     async def _wait_for_receipt(self) -> None:
-        """Wait until the client closes a connection that ends with its last response."""
+        """Wait until the client closes a connection that ends with its last response.
+
+        This side of the connection is closed first, as clients may read up to its end.
+        """
         if self._on_received is None or self._closes_after_response:
             return
+        self._writer.write_eof()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(RECEIPT_TIMEOUT_SECONDS):
                 await self._read()
--- a/packages/daemon/tests/test_fleet_http.py
+++ b/packages/daemon/tests/test_fleet_http.py
@@ -175,6 +175,14 @@
         self.assertEqual(self.handler.count, 0)
         self.assertEqual(await self.count_after_close(), 1)
 
+    # Guards against a response that is complete for such a client only after its time-out.
+    async def test_client_that_reads_to_the_end_of_the_connection_gets_it_at_once(self) -> None:
+        await self.request("Connection: close\r\n")
+        await self.receive()
+        self.client.settimeout(0.3)
+        self.assertEqual(self.client.recv(4096), b"")
+        self.assertEqual(await self.count_after_close(), 1)
+
     async def test_client_that_sends_the_next_request_received_the_response_before(self) -> None:
         await self.request()
         await self.receive()
