--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -5,9 +5,11 @@
 import http.client
 import json
 import signal
+import socket
 import subprocess
 import tempfile
 import time
+import unittest
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -33,6 +35,12 @@
 SERVICE_PORT = 8080
 WAIT_TIMEOUT_SECONDS = 20.0
 
+CONFIG_PATH = "/lacewingrudder/config"
+TARGET_PATH = "/lacewingrudder/instances/i-7f3a91c2"
+READY_PATH = "/lacewingrudder/readyz"
+TARGET_ADDRESS = "127.0.4.1"
+TARGET_STARTED_MS = 1000
+
 
 def make_packet(port: int, flags: int, tag: int = 0, data: bytes = b"") -> bytes:
     return Packet(CALLER, port, SERVICE, SERVICE_PORT, flags, 1, 0, tag, data).pack()
@@ -119,3 +127,58 @@
         f"no host responded to {request[1:3]} as expected in time: "
         f"last response {response} (status 0: no response), expected status {status}"
     )
+
+
+class PlatformFleetTestCase(unittest.TestCase):
+    """A fleet, one target and one caller.
+
+    :cvar receive_timeout_seconds: how long the target and the caller wait for a packet.
+    """
+
+    receive_timeout_seconds = 5.0
+
+    def setUp(self) -> None:
+        self.fleet = PlatformFleet()
+        self.addCleanup(self.fleet.close)
+        self.target = self._open_udp_socket(TARGET_ADDRESS)
+        self.caller = self._open_udp_socket(CALLER, PACKET_PORT)
+        self._sequence = 0
+
+    def check_in_body(self, state: str) -> dict[str, str | int]:
+        """Return the next check-in of the target."""
+        self._sequence += 1
+        return {
+            "service": "a",
+            "address": f"{TARGET_ADDRESS}:{self.target.getsockname()[1]}",
+            "zone": "z",
+            "version": "v1",
+            "concurrency": 3,
+            "state": state,
+            "cold-remaining-ms": 0,
+            "sequence": self._sequence,
+            "born": TARGET_STARTED_MS,
+        }
+
+    def check_in(self, state: str = "ready") -> None:
+        """Check the target in with the first control host that acknowledges it."""
+        body = self.check_in_body(state)
+        wait_for_status(200, CONTROLS, CALL_PORT, "PUT", TARGET_PATH, body)
+
+    def wait_until_ready(self, entry: str) -> None:
+        """Wait until an entry host says that it places flows."""
+        wait_for_status(200, (entry,), READY_PORT, "GET", READY_PATH)
+
+    def submit(self, configuration: Any) -> None:
+        """Submit a configuration to the first control host that accepts it."""
+        wait_for_status(200, CONTROLS, CALL_PORT, "PUT", CONFIG_PATH, configuration)
+
+    def send(self, entry: str, data: bytes) -> None:
+        """Send a packet of the caller to an entry host."""
+        self.caller.sendto(data, (entry, PACKET_PORT))
+
+    def _open_udp_socket(self, address: str, port: int = 0) -> socket.socket:
+        udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(udp_socket.close)
+        udp_socket.bind((address, port))
+        udp_socket.settimeout(self.receive_timeout_seconds)
+        return udp_socket
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -3,73 +3,43 @@
 import json
 import socket
 import time
-import unittest
 
 from platform_fleet import (
     CALL_PORT,
-    CALLER,
     CONTROLS,
     ENTRIES,
-    PACKET_PORT,
-    READY_PORT,
-    PlatformFleet,
+    TARGET_PATH,
+    TARGET_STARTED_MS,
+    PlatformFleetTestCase,
     make_configuration,
     make_packet,
-    wait_for_status,
 )
 
 from standins.platform import ACK, RST, SYN, read_packet, split_identity
 
-CONFIG_PATH = "/lacewingrudder/config"
-TARGET_PATH = "/lacewingrudder/instances/i-7f3a91c2"
-READY_PATH = "/lacewingrudder/readyz"
 PORT = 40001
 PACKET_INTERVAL_SECONDS = 0.1
 MAX_RESET_DELAY_SECONDS = 2.0
 
 
-class DepartureTest(unittest.TestCase):
+class DepartureTest(PlatformFleetTestCase):
     """Processes of a fleet, and a target with an open flow that deregisters."""
 
+    receive_timeout_seconds = 0.5
+
     def setUp(self) -> None:
-        self.fleet = PlatformFleet()
-        self.addCleanup(self.fleet.close)
-        self.target = self.open_udp_socket("127.0.4.1", 0)
-        self.caller = self.open_udp_socket(CALLER, PACKET_PORT)
-        self.sequence = 0
-        wait_for_status(200, CONTROLS, CALL_PORT, "PUT", CONFIG_PATH, make_configuration(3))
-        self.check_in("ready")
+        super().setUp()
+        self.submit(make_configuration(3))
+        self.check_in()
         for entry in ENTRIES:
-            wait_for_status(200, (entry,), READY_PORT, "GET", READY_PATH)
+            self.wait_until_ready(entry)
         self.tag = self.open_flow()
 
-    def open_udp_socket(self, address: str, port: int) -> socket.socket:
-        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.addCleanup(opened.close)
-        opened.bind((address, port))
-        opened.settimeout(0.5)
-        return opened
-
-    def check_in(self, state: str) -> None:
-        self.sequence += 1
-        body = {
-            "service": "a",
-            "address": f"127.0.4.1:{self.target.getsockname()[1]}",
-            "zone": "z",
-            "version": "v1",
-            "concurrency": 3,
-            "state": state,
-            "cold-remaining-ms": 0,
-            "sequence": self.sequence,
-            "born": 1000,
-        }
-        wait_for_status(200, CONTROLS, CALL_PORT, "PUT", TARGET_PATH, body)
-
     def open_flow(self) -> int:
         """Open a flow through the first entry host; return its tag."""
         deadline = time.monotonic() + 5
         while time.monotonic() < deadline:
-            self.caller.sendto(make_packet(PORT, SYN), (ENTRIES[0], PACKET_PORT))
+            self.send(ENTRIES[0], make_packet(PORT, SYN))
             try:
                 return read_packet(split_identity(self.target.recv(2048))[1]).packet.echo
             except TimeoutError:
@@ -78,8 +48,7 @@
 
     def is_forwarded(self) -> bool:
         """Send a packet of the flow; return whether it reached the target, not reset."""
-        packet = make_packet(PORT, ACK, self.tag, b"x")
-        self.caller.sendto(packet, (ENTRIES[0], PACKET_PORT))
+        self.send(ENTRIES[0], make_packet(PORT, ACK, self.tag, b"x"))
         try:
             self.target.recv(2048)
         except TimeoutError:
@@ -93,7 +62,7 @@
             time.sleep(PACKET_INTERVAL_SECONDS)
 
     def send_deregistration(self, control: str) -> socket.socket:
-        body = json.dumps({"born": 1000}).encode()
+        body = json.dumps({"born": TARGET_STARTED_MS}).encode()
         head = f"DELETE {TARGET_PATH} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
         call = socket.create_connection((control, CALL_PORT), 5)
         call.sendall(head.encode() + body)
@@ -116,8 +85,7 @@
         self.caller.settimeout(PACKET_INTERVAL_SECONDS)
         deadline = time.monotonic() + MAX_RESET_DELAY_SECONDS
         while True:
-            packet = make_packet(PORT, ACK, self.tag, b"x")
-            self.caller.sendto(packet, (ENTRIES[0], PACKET_PORT))
+            self.send(ENTRIES[0], make_packet(PORT, ACK, self.tag, b"x"))
             try:
                 reset = read_packet(self.caller.recv(2048)).packet
                 break
@@ -147,6 +115,6 @@
             self.assertRegex(call.recv(4096), rb"^HTTP/1.1 200")
         for port in range(PORT + 1, PORT + 5):
             for entry in ENTRIES:
-                self.caller.sendto(make_packet(port, SYN), (entry, PACKET_PORT))
+                self.send(entry, make_packet(port, SYN))
                 reset = read_packet(self.caller.recv(2048)).packet
                 self.assertEqual((reset.flags, reset.destination_port), (RST, port))
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -2,17 +2,17 @@
 import signal
 import socket
 import time
-import unittest
 
 from lacewingrudder_core._tagging.core import DISCOVERY_TIMEOUT_SECONDS
 from platform_fleet import (
     CALL_PORT,
-    CALLER,
+    CONFIG_PATH,
     CONTROLS,
     ENTRIES,
-    PACKET_PORT,
+    READY_PATH,
     READY_PORT,
-    PlatformFleet,
+    TARGET_PATH,
+    PlatformFleetTestCase,
     http_request,
     make_configuration,
     make_packet,
@@ -21,57 +21,19 @@
 
 from standins.platform import ACK, GRACE_SECONDS, RST, SYN, read_packet, split_identity
 
-CONFIG_PATH = "/lacewingrudder/config"
-TARGET_PATH = "/lacewingrudder/instances/i-7f3a91c2"
-READY_PATH = "/lacewingrudder/readyz"
 
-
-def open_udp_socket(address: str, port: int = 0) -> socket.socket:
-    udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    udp_socket.bind((address, port))
-    udp_socket.settimeout(5)
-    return udp_socket
-
-
-class PlatformFleetTest(unittest.TestCase):
+class PlatformFleetTest(PlatformFleetTestCase):
     """Processes of three control hosts and two entry hosts, with one target and one caller."""
 
-    def setUp(self) -> None:
-        self.fleet = PlatformFleet()
-        self.addCleanup(self.fleet.close)
-        self.target = open_udp_socket("127.0.4.1")
-        self.addCleanup(self.target.close)
-        self.caller = open_udp_socket(CALLER, PACKET_PORT)
-        self.addCleanup(self.caller.close)
-        self.sequence = 0
-
-    def check_in_body(self, state: str) -> dict[str, str | int]:
-        self.sequence += 1
-        return {
-            "service": "a",
-            "address": f"127.0.4.1:{self.target.getsockname()[1]}",
-            "zone": "z",
-            "version": "v1",
-            "concurrency": 3,
-            "state": state,
-            "cold-remaining-ms": 0,
-            "sequence": self.sequence,
-            "born": 1000,
-        }
-
-    def check_in(self, state: str = "ready") -> None:
-        body = self.check_in_body(state)
-        wait_for_status(200, CONTROLS, CALL_PORT, "PUT", TARGET_PATH, body)
-
     def set_up_service(self) -> None:
         """Submit a configuration, check a target in and wait until the entry hosts know both.
 
         A check-in is answered before the entry hosts are told of the target, up to 0.2 s later.
         """
-        wait_for_status(200, CONTROLS, CALL_PORT, "PUT", CONFIG_PATH, make_configuration(3))
+        self.submit(make_configuration(3))
         self.check_in()
         for entry in ENTRIES:
-            wait_for_status(200, (entry,), READY_PORT, "GET", READY_PATH)
+            self.wait_until_ready(entry)
             self.wait_for_event("target_changed", (entry,), 1.0)
 
     def wait_for_event(self, event: str, addresses: tuple[str, ...], seconds: float) -> str:
@@ -84,9 +46,6 @@
             logs = "".join(self.fleet.log(address) for address in addresses)
         return logs
 
-    def send(self, entry: str, data: bytes) -> None:
-        self.caller.sendto(data, (entry, PACKET_PORT))
-
     def receive_at_target(self) -> tuple[int, int]:
         """Receive a forwarded packet; return the identifier of its target and its flow tag."""
         identity, data = split_identity(self.target.recv(2048))
@@ -140,7 +99,7 @@
 
     def test_configuration_survives_a_kill_of_all_processes(self) -> None:
         self.set_up_service()
-        wait_for_status(200, CONTROLS, CALL_PORT, "PUT", CONFIG_PATH, make_configuration(9, "b"))
+        self.submit(make_configuration(9, "b"))
         for address in (*CONTROLS, *ENTRIES):
             self.fleet.kill(address)
         for address in (*CONTROLS, *ENTRIES):
@@ -150,7 +109,7 @@
         )
         self.check_in()
         for entry in ENTRIES:
-            wait_for_status(200, (entry,), READY_PORT, "GET", READY_PATH)
+            self.wait_until_ready(entry)
 
     def test_minority_of_control_hosts_refuses_reads_and_new_configurations(self) -> None:
         self.set_up_service()
