Soak: reload processes while they start

Each restarted process gets SIGHUP four times within 0.2 s, from the moment on when it handles it. This covers what a reload meets while sockets and state are set up; that the handler is set early enough is test_start_signals' to show.

--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -137,6 +137,17 @@
         if name in self._processes:
             self._processes[name].send_signal(signal.SIGHUP)
 
+    def handles_reload(self, name: str) -> bool:
+        """Return whether a host's process has set its handler for :meth:`reload`.
+
+        While the interpreter of a process starts, the signal's default action ends it.
+        """
+        if name not in self._processes:
+            return False
+        status = Path(f"/proc/{self._processes[name].pid}/status").read_text()
+        handled = int(status.partition("SigCgt:")[2].split(maxsplit=1)[0], 16)
+        return bool(handled & 1 << signal.SIGHUP - 1)
+
     def pause(self, name: str) -> int:
         """Pause a host; return the paused incarnation, or 0 if it has no process."""
         if name not in self._processes:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -30,6 +30,10 @@
 SAME_NAME_RESTART_DELAY_SECONDS = 0.5
 """How soon a crashed target restarts under the same identifier and address."""
 
+HANDLER_POLL_INTERVAL_SECONDS = 0.005
+START_RELOAD_DELAYS_SECONDS = (0.0, 0.02, 0.05, 0.1)
+"""Pauses before the signals to reload that a starting host gets one after the other."""
+
 FIRST_TARGET_PORT = 29_000
 
 
@@ -133,6 +137,7 @@
         self._partitioned_zones = partitioned_zones
         self._check = check
         self._now = now
+        self._tasks: set[asyncio.Task[None]] = set()
         self._handlers: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
             FaultKind.PAUSE: self._pause,
             FaultKind.KILL: self._kill,
@@ -268,6 +273,26 @@
             self._hosts.append_torn_write(host)
 
     def _restart(self, host: str) -> None:
-        """Start a host unless another fault has already started it."""
-        if not self._hosts.is_running(host):
-            self._hosts.start(host)
+        """Start a host that has no process, and signal it while it starts."""
+        if self._hosts.is_running(host):
+            return
+        self._hosts.start(host)
+        task = asyncio.create_task(self._reload_while_starting(host))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _reload_while_starting(self, host: str) -> None:
+        """Signal a host to reload again and again, once it has set its handler."""
+        incarnation = self._hosts.incarnation_of(host)
+        while not self._hosts.handles_reload(host):
+            if not self._is_incarnation(host, incarnation):
+                return
+            await asyncio.sleep(HANDLER_POLL_INTERVAL_SECONDS)
+        for delay in START_RELOAD_DELAYS_SECONDS:
+            await asyncio.sleep(delay)
+            if self._is_incarnation(host, incarnation):
+                self._hosts.reload(host)
+
+    def _is_incarnation(self, host: str, incarnation: int) -> bool:
+        is_current = self._hosts.incarnation_of(host) == incarnation
+        return is_current and self._hosts.is_running(host)
