--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 import collections
-from typing import NamedTuple
 
 from .._notes.configurations import StoredConfiguration
+from .._notes.evacuations import Evacuations
 from ..core import Core
 from ..types import HostName, ZoneName
 from .events import (
@@ -24,6 +24,7 @@
     ControlHostsChanged,
     DepartureConfirmed,
     Deregistered,
+    EvacuationsCommitted,
     Expired,
     PeerUpdated,
     PublicationContinued,
@@ -36,6 +37,7 @@
     SubscriberAppeared,
     SubscriberLost,
 )
+from .pending_replies import MAX_REPLY_DELAY_SECONDS, RESEND_INTERVAL_SECONDS, PendingReply
 from .publication import Publication
 from .registry import Registry
 from .silence_reports import QUERY_TIMEOUT_SECONDS, SilenceReports
@@ -51,28 +53,6 @@
     Update,
 )
 
-MAX_REPLY_DELAY_SECONDS = 0.6
-"""How long the reply to a drain waits for acknowledgements; targets time out after a second."""
-
-RESEND_INTERVAL_SECONDS = 0.12
-"""Interval for resending an update whose acknowledgement a drain waits for: twice the round trip
-between zones."""
-
-
-class _PendingReply(NamedTuple):
-    """A drain or deregistration whose target awaits the reply.
-
-    :param number: change that the subscribers have to acknowledge.
-    :param reply_by: when the reply is sent at the latest.
-    :param leaving: the lifetime that may exit once it has the reply, if any.
-    """
-
-    token: int
-    outcome: CheckInOutcome
-    number: int
-    reply_by: float
-    leaving: Lifetime | None
-
 
 class CheckInCore(Core[CheckInEvent, CheckInEffect]):
     """Handles check-ins at one control host and publishes their changes to subscribers.
@@ -99,7 +79,8 @@
         self._continues_at: float | None = None
         self._controls: tuple[HostName, ...] = (name,)
         self._configuration: StoredConfiguration | None = None
-        self._pending_replies: collections.deque[_PendingReply] = collections.deque()
+        self._evacuations = Evacuations()
+        self._pending_replies: collections.deque[PendingReply] = collections.deque()
         self._silence_reports = SilenceReports()
         self._complete_from = complete_from
 
@@ -129,8 +110,8 @@
             return self._publish(True, now) if is_republished else []
         if isinstance(event, SilenceReported | SilenceRefuted | SilenceQueryEnded):
             return self._handle_silence(event, now)
-        if isinstance(event, ConfigurationCommitted):
-            return self._handle_commit(event.configuration)
+        if isinstance(event, ConfigurationCommitted | EvacuationsCommitted):
+            return self._handle_commit(event, now)
         if isinstance(event, ControlHostsChanged):
             self._controls = tuple(sorted(event.names))
             return []
@@ -172,7 +153,7 @@
         effects = self._publish(True, now)
         number = self._registry.position.number
         self._pending_replies.append(
-            _PendingReply(token, outcome, number, now + MAX_REPLY_DELAY_SECONDS, leaving)
+            PendingReply(token, outcome, number, now + MAX_REPLY_DELAY_SECONDS, leaving)
         )
         return effects + self._send_due_replies(now)
 
@@ -212,25 +193,27 @@
             return []
         query = SilenceQuery(lifetime, seconds)
         asked: list[CheckInEffect] = [
-            SendUpdate(subscription.host, query)
-            for subscription in self._subscribers.all()
-            if not subscription.is_control and subscription.zone == target.zone
+            SendUpdate(host, query) for host in self._subscribers.entry_hosts_in(target.zone)
         ]
         return [*asked, AwaitRefutation(lifetime, QUERY_TIMEOUT_SECONDS)]
 
-    def _handle_commit(self, configuration: StoredConfiguration) -> list[CheckInEffect]:
-        """Send a configuration to the subscribed entry hosts in this host's zone.
+    def _handle_commit(
+        self, event: ConfigurationCommitted | EvacuationsCommitted, now: float
+    ) -> list[CheckInEffect]:
+        """Send what was committed to the subscribed entry hosts in this host's zone.
 
         Entry hosts in other zones receive it when they next renew their subscription.
         """
-        if configuration.version <= self._version:
+        local_hosts = self._subscribers.entry_hosts_in(self._zone)
+        if isinstance(event, EvacuationsCommitted):
+            if event.evacuations.revision <= self._evacuations.revision:
+                return []
+            self._evacuations = event.evacuations
+            return [self._make_update(host, now) for host in local_hosts]
+        if event.configuration.version <= self._version:
             return []
-        self._configuration = configuration
-        return [
-            self._make_configuration_update(subscription.host)
-            for subscription in self._subscribers.all()
-            if not subscription.is_control and subscription.zone == self._zone
-        ]
+        self._configuration = event.configuration
+        return [self._make_configuration_update(host) for host in local_hosts]
 
     def _handle_tick(self, now: float) -> list[CheckInEffect]:
         last_removal = self._registry.last_removal
@@ -325,7 +308,7 @@
         subscription = self._subscribers.get(host)
         assert subscription is not None
         self._subscribers.record_sent(host, self._registry.position.number, now)
-        since, entries = self._registry.changes_since(subscription.position)
+        since, entries = self._registry.changes_since(subscription.position, now)
         body = Update(
             self._name,
             self._registry.position,
@@ -334,6 +317,7 @@
             self._version,
             self._controls,
             self._subscribers.count_peers(host, subscription.zone, now),
+            self._evacuations,
         )
         return SendUpdate(host, body)
 
--- a/packages/core/src/lacewingrudder_core/_checkins/events.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/events.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from .._notes.configurations import StoredConfiguration
+from .._notes.evacuations import Evacuations
 from ..types import HostName, TargetName
 from .types import (
     CheckIn,
@@ -80,6 +81,12 @@
     configuration: StoredConfiguration
 
 
+class EvacuationsCommitted(NamedTuple):
+    """A change of the evacuated zones was committed and applied on this host."""
+
+    evacuations: Evacuations
+
+
 class ControlHostsChanged(NamedTuple):
     """The set of known control hosts, including this one."""
 
@@ -107,6 +114,7 @@
     | SilenceRefuted
     | SilenceQueryEnded
     | ConfigurationCommitted
+    | EvacuationsCommitted
     | ControlHostsChanged
     | PublicationContinued
     | Tick
--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -16,6 +16,7 @@
 from .types import CheckIn, CheckInOutcome, LifeState, Lifetime, Position, TargetEntry
 from .versioned_entries import VersionedEntries
 from .views import KnownTarget
+from .warmups import Warmups
 
 MAX_MISSED_HEARTBEATS = 3
 """Consecutive heartbeats that a target may miss before it counts as unreachable."""
@@ -59,6 +60,7 @@
         self._sequences: dict[Lifetime, int] = {}
         self._silence_marks = SilenceMarks(self._heartbeats.expiry_seconds)
         self._departures = Departures(heartbeat_seconds)
+        self._warmups = Warmups()
         self._contested_since: dict[Lifetime, float] = {}
         self._silent_since: dict[Lifetime, float] = {}
 
@@ -72,14 +74,19 @@
         """Number of the last published removal; see :attr:`VersionedEntries.last_removal`."""
         return self._entries.last_removal
 
-    def changes_since(self, position: Position) -> tuple[int, tuple[TargetEntry, ...]]:
+    def changes_since(self, position: Position, now: float) -> tuple[int, tuple[TargetEntry, ...]]:
         """Return the changes after a position; see :meth:`VersionedEntries.changes_since`."""
-        return self._entries.changes_since(position)
+        since, entries = self._entries.changes_since(position)
+        return since, tuple(self._warmups.refresh(entry, now) for entry in entries)
 
     def entries(self) -> list[TargetEntry]:
-        """Return all published entries."""
+        """Return all entries as they were published."""
         return self._entries.entries()
 
+    def current_entries(self, now: float) -> list[TargetEntry]:
+        """Return all entries with the warm-up that remains now."""
+        return [self._warmups.refresh(entry, now) for entry in self._entries.entries()]
+
     def restore(self, entries: Iterable[TargetEntry], is_outdated: bool, now: float) -> None:
         """Restore the entries that this host published before it stopped.
 
@@ -94,6 +101,7 @@
             if entry.state is LifeState.GONE:
                 continue
             self._sequences[entry.lifetime] = entry.sequence
+            self._warmups.record(entry.lifetime, entry.warmup_remaining_ms, now)
             if entry.has_recent_heartbeat:
                 self._heartbeats.record(entry.lifetime, now)
 
@@ -101,7 +109,7 @@
         """Process the check-in of a target."""
         lifetime = call.lifetime
         known = self._entries.get(lifetime)
-        if known is not None and not _matches(known, call):
+        if known is not None and not call.matches(known):
             return CheckInOutcome.CONFLICTING
         if self._is_outdated(call, known, now):
             return CheckInOutcome.OUTDATED
@@ -114,7 +122,8 @@
         if lifetime in self._departures:
             self._departures.record_call(lifetime, now)
         self._end_predecessors(call, now)
-        if known is not None and known.state >= call.state and known.has_recent_heartbeat:
+        is_cold_again = self._warmups.record(lifetime, call.warmup_remaining_ms, now)
+        if call.repeats(known) and not is_cold_again:
             return CheckInOutcome.RENEWED
         state = call.state if known is None else max(known.state, call.state)
         self._put(TargetEntry.from_check_in(call, state), now)
@@ -269,7 +278,7 @@
         lifetime = call.lifetime
         rivals = self._find_rivals(lifetime, call.endpoint)
         later = [row for row in rivals if row.lifetime.started_ms > lifetime.started_ms]
-        if any(_is_same_target(row, call) for row in later):
+        if any(call.is_of_same_target(row) for row in later):
             return True
         # A drain of a target that has ended already does no harm.
         is_contested = bool(later) and call.state is LifeState.READY
@@ -292,7 +301,7 @@
         for rival in self._find_rivals(call.lifetime, call.endpoint):
             is_earlier = rival.lifetime.started_ms < call.lifetime.started_ms
             is_running = rival.state is not LifeState.GONE
-            if is_earlier and is_running and _is_same_target(rival, call):
+            if is_earlier and is_running and call.is_of_same_target(rival):
                 self._end(rival, now)
 
     def _end_long_silent(self, now: float) -> None:
@@ -329,13 +338,4 @@
         self._sequences.pop(entry.lifetime, None)
         self._silence_marks.remove(entry.lifetime)
         self._departures.remove(entry.lifetime)
-
-
-def _matches(known: TargetEntry, call: CheckIn) -> bool:
-    """Return whether a call has the service, address and zone of its lifetime, which are fixed."""
-    return (known.service, known.endpoint, known.zone) == (call.service, call.endpoint, call.zone)
-
-
-def _is_same_target(entry: TargetEntry, call: CheckIn) -> bool:
-    """Return whether two lifetimes are of one target, so that the later one is its restart."""
-    return entry.lifetime.target == call.lifetime.target and entry.service == call.service
+        self._warmups.forget(entry.lifetime)
--- a/packages/core/src/lacewingrudder_core/_checkins/subscribers.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/subscribers.py
@@ -65,6 +65,10 @@
         """The subscribed entry hosts."""
         return [host for host, lease in self._leases.items() if not lease.subscription.is_control]
 
+    def entry_hosts_in(self, zone: ZoneName) -> list[HostName]:
+        """Return the subscribed entry hosts in a zone."""
+        return [row.host for row in self.all() if not row.is_control and row.zone == zone]
+
     def renew(self, subscription: Subscription, acknowledged: int, now: float) -> bool:
         """Add or renew a subscription; return whether it is new.
 
--- a/packages/core/src/lacewingrudder_core/_checkins/types.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/types.py
@@ -5,6 +5,7 @@
 import enum
 from typing import NamedTuple
 
+from .._notes.evacuations import Evacuations
 from ..types import Endpoint, HostName, TargetName, ZoneName
 
 
@@ -46,6 +47,22 @@
     sequence: int
     warmup_remaining_ms: int
 
+    def matches(self, known: TargetEntry) -> bool:
+        """Return whether the call has the service, address and zone of its lifetime."""
+        return (known.service, known.endpoint, known.zone) == (
+            self.service,
+            self.endpoint,
+            self.zone,
+        )
+
+    def repeats(self, known: TargetEntry | None) -> bool:
+        """Return whether the call only repeats what is published of its lifetime."""
+        return known is not None and known.state >= self.state and known.has_recent_heartbeat
+
+    def is_of_same_target(self, entry: TargetEntry) -> bool:
+        """Return whether two lifetimes are of one target, so that the later one is its restart."""
+        return (entry.lifetime.target, entry.service) == (self.lifetime.target, self.service)
+
 
 class CheckInOutcome(enum.StrEnum):
     """Result of a check-in or deregistration.
@@ -149,6 +166,7 @@
     :param since: number of the change before the first of these; 0 if the entries are complete.
     :param version: version of the newest committed configuration, -1 for none.
     :param controls: control hosts that the sender knows.
+    :param evacuations: the newest committed evacuations that the sender knows.
     """
 
     host: HostName
@@ -158,6 +176,7 @@
     version: int
     controls: tuple[HostName, ...]
     peers: ZonePeerCounts = ZonePeerCounts(0, 0)
+    evacuations: Evacuations = Evacuations()
 
 
 class SilenceReport(NamedTuple):
--- a/packages/core/src/lacewingrudder_core/_control/submissions.py
+++ b/packages/core/src/lacewingrudder_core/_control/submissions.py
@@ -16,7 +16,7 @@
 from .._replica.log import note_weight
 from .._replica.messages import ForwardReply, ForwardRequest
 from .._replica.replica import NO_QUORUM
-from ..messages import SubmitConfiguration, SubmitNote, SubmitOrder
+from ..messages import SubmitConfiguration, SubmitNote, SubmitOrder, SubmitZoneOrder
 from ..types import HostName
 
 ANSWER_TIMEOUT_SECONDS = 4.0
@@ -64,7 +64,7 @@
     def start(
         self,
         token: int,
-        request: SubmitNote | SubmitOrder | SubmitConfiguration,
+        request: SubmitNote | SubmitOrder | SubmitConfiguration | SubmitZoneOrder,
         own_name: HostName,
         leader: HostName,
         revision: int,
@@ -76,23 +76,20 @@
         :param leader: the leader this host knows, or empty.
         :param revision: current revision, for the answer to a refused submission.
         """
-        note = request.note if isinstance(request, SubmitNote) else None
-        order = request.order if isinstance(request, SubmitOrder) else None
-        configuration = request.configuration if isinstance(request, SubmitConfiguration) else None
-        problem = self._refusal(note, leader)
+        problem = self._refusal(request.note if isinstance(request, SubmitNote) else None, leader)
         if problem is not None:
             return OperatorAnswer(token, problem._replace(revision=revision))
         number = self._add("", token, now)
+        forward = _forward_request(number, request)
         if leader == own_name:
-            return Propose(number, note, order, configuration)
-        forward = ForwardRequest(number, note, order, configuration)
+            return _propose(number, forward)
         self._pending[number] = self._pending[number]._replace(request=forward, leader=leader)
         return SendToReplica(leader, forward)
 
     def start_forwarded(self, sender: HostName, request: ForwardRequest, now: float) -> Propose:
         """Start a submission that another control host forwarded."""
         number = self._add(sender, request.number, now)
-        return Propose(number, request.note, request.order, request.configuration)
+        return _propose(number, request)
 
     def redirect(self, own_name: HostName, leader: HostName) -> list[Propose | SendToReplica]:
         """Send submissions that were forwarded to an earlier leader to the current one."""
@@ -103,7 +100,7 @@
                 continue
             self._pending[number] = pending._replace(leader=leader, was_resent=True)
             if leader == own_name:
-                steps.append(Propose(number, request.note, request.order, request.configuration))
+                steps.append(_propose(number, request))
             else:
                 steps.append(SendToReplica(leader, request))
         return steps
@@ -145,3 +142,19 @@
         own_number = next(self._numbers)
         self._pending[own_number] = _PendingSubmission(host, number, now + ANSWER_TIMEOUT_SECONDS)
         return own_number
+
+
+def _forward_request(
+    number: int, request: SubmitNote | SubmitOrder | SubmitConfiguration | SubmitZoneOrder
+) -> ForwardRequest:
+    if isinstance(request, SubmitNote):
+        return ForwardRequest(number, request.note, None)
+    if isinstance(request, SubmitOrder):
+        return ForwardRequest(number, None, request.order)
+    if isinstance(request, SubmitConfiguration):
+        return ForwardRequest(number, None, None, request.configuration)
+    return ForwardRequest(number, None, None, zone_order=request.order)
+
+
+def _propose(number: int, request: ForwardRequest) -> Propose:
+    return Propose(number, *request[1:])
--- a/packages/core/src/lacewingrudder_core/_notes/catalogue.py
+++ b/packages/core/src/lacewingrudder_core/_notes/catalogue.py
@@ -8,6 +8,7 @@
 from ..types import OrderAction, Service, TargetName, TargetOrder
 from .checks import NoteParts, catalogue_problem, parts_problem
 from .configurations import StoredConfiguration
+from .evacuations import Evacuations, ZoneOrder
 
 MAX_KEPT_RECEIPTS = 10_000
 
@@ -34,7 +35,7 @@
 
 
 class Change(NamedTuple):
-    """An applied change: exactly one of a note, an order and a configuration.
+    """An applied change: exactly one of a note, an order, a configuration and a zone order.
 
     :param revision: the revision that the change produced.
     """
@@ -43,6 +44,7 @@
     note: Note | None
     order: TargetOrder | None
     configuration: StoredConfiguration | None = None
+    zone_order: ZoneOrder | None = None
 
 
 class NoteReceipt(NamedTuple):
@@ -85,6 +87,7 @@
 
     :param receipts: records of the latest accepted notes, oldest first.
     :param configuration: the submitted configuration with the highest version, or ``None``.
+    :param evacuations: the zones whose targets get no new flows.
     """
 
     revision: int = 0
@@ -92,6 +95,7 @@
     orders: tuple[TargetOrder, ...] = ()
     receipts: tuple[NoteReceipt, ...] = ()
     configuration: StoredConfiguration | None = None
+    evacuations: Evacuations = Evacuations()
 
     @property
     def configuration_version(self) -> int:
@@ -143,6 +147,12 @@
             return SubmitOutcome(SubmitReply(SubmitTag.ACCEPTED, self.revision, ""), None, self)
         return self._accept(Change(self.revision + 1, None, None, configuration))
 
+    def submit_zone_order(self, order: ZoneOrder) -> SubmitOutcome:
+        """Apply a zone order; one that is already in force is accepted without a new revision."""
+        if self.evacuations.is_in_force(order):
+            return SubmitOutcome(SubmitReply(SubmitTag.ACCEPTED, self.revision, ""), None, self)
+        return self._accept(Change(self.revision + 1, None, None, zone_order=order))
+
     def apply(self, change: Change) -> Catalogue:
         """Return the catalogue after a change; a note must have passed :meth:`check`."""
         if change.note is not None:
@@ -151,6 +161,9 @@
             return self._with_order(change.revision, change.order)
         if change.configuration is not None:
             return self._replace(revision=change.revision, configuration=change.configuration)
+        if change.zone_order is not None:
+            evacuations = self.evacuations.apply(change.zone_order, change.revision)
+            return self._replace(revision=change.revision, evacuations=evacuations)
         return self._replace(revision=change.revision)
 
     def _accept(self, change: Change) -> SubmitOutcome:
@@ -186,7 +199,7 @@
 
 
 class SubmitOutcome(NamedTuple):
-    """The result of a submitted note, order or configuration.
+    """The result of a submitted note, order, configuration or zone order.
 
     :param change: the change that was applied, or ``None``.
     :param catalogue: the catalogue afterwards.
--- a/packages/core/src/lacewingrudder_core/_replica/events.py
+++ b/packages/core/src/lacewingrudder_core/_replica/events.py
@@ -6,6 +6,7 @@
 
 from .._notes.catalogue import Catalogue, Note, SubmitOutcome, SubmitReply
 from .._notes.configurations import StoredConfiguration
+from .._notes.evacuations import ZoneOrder
 from ..types import HostName, TargetOrder
 from .durable import Write
 from .messages import ForwardMessage, ReplicaMessage
@@ -20,7 +21,7 @@
 
 
 class Propose(NamedTuple):
-    """Append a note, an order or a configuration to the log.
+    """Append a note, an order, a configuration or a zone order to the log.
 
     :param token: returned in the :class:`EntryApplied` or :class:`ProposalFailed` that ends it.
     """
@@ -29,6 +30,7 @@
     note: Note | None
     order: TargetOrder | None
     configuration: StoredConfiguration | None = None
+    zone_order: ZoneOrder | None = None
 
 
 class ReadRequested(NamedTuple):
@@ -88,7 +90,7 @@
 
 
 class EntryApplied(NamedTuple):
-    """A committed note, order or configuration was applied.
+    """A committed note, order, configuration or zone order was applied.
 
     :param token: token of this host's pending proposal for the entry, or ``None`` if there is none.
     """
--- a/packages/core/src/lacewingrudder_core/_replica/leadership.py
+++ b/packages/core/src/lacewingrudder_core/_replica/leadership.py
@@ -78,7 +78,11 @@
     def propose(self, event: Propose, now: float) -> None:
         """Append a proposal to the log and replicate it."""
         self._state.append(
-            event.note, event.order, configuration=event.configuration, token=event.token
+            event.note,
+            event.order,
+            configuration=event.configuration,
+            zone_order=event.zone_order,
+            token=event.token,
         )
         self._broadcast(now)
 
--- a/packages/core/src/lacewingrudder_core/_replica/log.py
+++ b/packages/core/src/lacewingrudder_core/_replica/log.py
@@ -7,6 +7,7 @@
 
 from .._notes.catalogue import Catalogue, Note, NoteReceipt
 from .._notes.configurations import StoredConfiguration
+from .._notes.evacuations import Evacuations, ZoneOrder
 from ..types import HostName, Service, TargetOrder
 
 MAX_APPEND_WEIGHT = 1000
@@ -27,7 +28,7 @@
 
 
 class LogEntry(NamedTuple):
-    """One log entry: a note, an order, a configuration, or a new set of voters.
+    """One log entry: a note, an order, a configuration, a zone order, or a new set of voters.
 
     The entry that a leader appends at the start of its term carries none of them.
     """
@@ -38,6 +39,7 @@
     order: TargetOrder | None = None
     voters: tuple[ReplicaId, ...] = ()
     configuration: StoredConfiguration | None = None
+    zone_order: ZoneOrder | None = None
 
     @property
     def weight(self) -> int:
@@ -64,6 +66,7 @@
     :param number: position of the part, from 0.
     :param total: number of parts in the snapshot.
     :param configuration: set in the first part only.
+    :param evacuations: set in the first part only.
     """
 
     last_index: int
@@ -76,6 +79,7 @@
     orders: tuple[TargetOrder, ...]
     receipts: tuple[NoteReceipt, ...]
     configuration: StoredConfiguration | None = None
+    evacuations: Evacuations = Evacuations()
 
 
 EMPTY_SNAPSHOT = LogSnapshot(0, 0, (), Catalogue())
@@ -110,7 +114,10 @@
     parts = tuple(
         LogSnapshotPart(*head, number, len(chunks), *chunk) for number, chunk in enumerate(chunks)
     )
-    return (parts[0]._replace(configuration=catalogue.configuration), *parts[1:])
+    first = parts[0]._replace(
+        configuration=catalogue.configuration, evacuations=catalogue.evacuations
+    )
+    return (first, *parts[1:])
 
 
 def join_snapshot(parts: Iterable[LogSnapshotPart]) -> LogSnapshot:
@@ -123,6 +130,7 @@
         tuple(order for part in received for order in part.orders),
         tuple(receipt for part in received for receipt in part.receipts),
         first.configuration,
+        first.evacuations,
     )
     return LogSnapshot(first.last_index, first.last_term, first.voters, catalogue)
 
--- a/packages/core/src/lacewingrudder_core/_replica/messages.py
+++ b/packages/core/src/lacewingrudder_core/_replica/messages.py
@@ -6,6 +6,7 @@
 
 from .._notes.catalogue import Note, SubmitReply
 from .._notes.configurations import StoredConfiguration
+from .._notes.evacuations import ZoneOrder
 from ..types import TargetOrder
 from .log import LogEntry, LogSnapshotPart, ReplicaId
 
@@ -163,7 +164,7 @@
 class ForwardRequest(NamedTuple):
     """An operator's request, forwarded to the leader by the host that received it.
 
-    It carries exactly one of a note, an order and a configuration.
+    It carries exactly one of a note, an order, a configuration and a zone order.
 
     :param number: the sender's request number, echoed in the reply.
     """
@@ -172,6 +173,7 @@
     note: Note | None
     order: TargetOrder | None
     configuration: StoredConfiguration | None = None
+    zone_order: ZoneOrder | None = None
 
 
 class ForwardReply(NamedTuple):
--- a/packages/core/src/lacewingrudder_core/_replica/state.py
+++ b/packages/core/src/lacewingrudder_core/_replica/state.py
@@ -11,6 +11,7 @@
 
 from .._notes.catalogue import Catalogue, Note, SubmitOutcome, SubmitReply, SubmitTag
 from .._notes.configurations import StoredConfiguration
+from .._notes.evacuations import ZoneOrder
 from ..types import TargetOrder
 from .durable import DurableState, Write, entries_after
 from .events import (
@@ -160,6 +161,7 @@
         order: TargetOrder | None = None,
         voters: tuple[ReplicaId, ...] = (),
         configuration: StoredConfiguration | None = None,
+        zone_order: ZoneOrder | None = None,
         token: int | None = None,
     ) -> None:
         """Append an entry of the current term.
@@ -167,7 +169,7 @@
         :param token: token of the proposal that asked for it, or ``None``.
         """
         index = self._log.last_index + 1
-        entry = LogEntry(index, self._term, note, order, voters, configuration)
+        entry = LogEntry(index, self._term, note, order, voters, configuration, zone_order)
         self._log.append(entry)
         self._mark_unwritten(entry.log_index)
         if token is not None:
@@ -303,4 +305,6 @@
             return self._catalogue.submit_order(entry.order)
         if entry.configuration is not None:
             return self._catalogue.submit_configuration(entry.configuration)
+        if entry.zone_order is not None:
+            return self._catalogue.submit_zone_order(entry.zone_order)
         return None
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import functools
-
 from .._checkins.types import (
     FormerTargets,
     LifeState,
@@ -18,17 +16,19 @@
     Update,
 )
 from .._checkins.views import KnownTarget, Views
+from .._notes.evacuations import Evacuations
 from ..latencies import LatencyHistogram
 from ..types import Endpoint, HostName, ZoneName
+from .admission import FlowAdmission
 from .answer_times import AnswerTimes
-from .concurrency_limit import ConcurrencyLimiter
+from .candidates import Candidate, Exclusion
+from .ejections import Ejections
 from .flow_tracker import AnswerStatus, FlowTracker
-from .outlier_detection import OutlierDetector
 from .route_lag import RouteLag
 from .selection import TargetChooser, WeightedRoundRobin
 from .silence_detector import SilenceDetector
 from .tags import flow_tag
-from .target_index import Candidate, TargetIndex
+from .target_index import TargetIndex
 from .types import (
     DEFAULT_IDLE_TIMEOUT_SECONDS,
     Configuration,
@@ -56,18 +56,20 @@
 
     :param zone: zone of this host.
     :param seed: differs between hosts, so that they break ties between equal targets differently.
+    :param limits_warmup: whether targets that warm up get no new flows, if the configuration says
+        how long they do.
     """
 
-    def __init__(self, zone: ZoneName, seed: int = 0) -> None:
+    def __init__(self, zone: ZoneName, seed: int = 0, limits_warmup: bool = False) -> None:
         self._zone = zone
+        self._limits_warmup = limits_warmup
         self._views = Views()
         self._target_index = TargetIndex(zone, seed)
         self._flow_tracker = FlowTracker()
         self._answer_times = AnswerTimes()
         self._chooser = TargetChooser(zone, self._flow_tracker.load, self._answer_times)
-        self._target_outliers: OutlierDetector[int] = OutlierDetector()
-        self._zone_outliers: OutlierDetector[ZoneName] = OutlierDetector()
-        self._ejections: list[Ejection] = []
+        self._ejections = Ejections(zone)
+        self._evacuations = Evacuations()
         self._unreported: list[KnownTarget] = []
         self._silence = SilenceDetector()
         self._configuration: Configuration | None = None
@@ -75,8 +77,7 @@
         self._confirmed_at = float("-inf")
         self._route_lag = RouteLag()
         self._splits: dict[Endpoint, WeightedRoundRobin] = {}
-        self._limiters: dict[str, ConcurrencyLimiter] = {}
-        self._max_urgencies: dict[str, int] = {}
+        self._admission = FlowAdmission(self._count_waiting)
         self._started_at: float | None = None
         self._open_seconds = LatencyHistogram()
 
@@ -95,6 +96,11 @@
         """Version of the configuration in force, -1 for none."""
         return -1 if self._configuration is None else self._configuration.version
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The newest evacuated zones that this host knows."""
+        return self._evacuations
+
     @property
     def flow_tracker(self) -> FlowTracker:
         """Recently seen flows and the load that they put on targets."""
@@ -108,8 +114,7 @@
 
     def pop_ejections(self) -> list[Ejection]:
         """Return the targets and zones that were ejected since the last call."""
-        ejections, self._ejections = self._ejections, []
-        return ejections
+        return self._ejections.pop_new()
 
     @property
     def next_silence_check(self) -> float | None:
@@ -140,14 +145,19 @@
         before = () if self._configuration is None else self._configuration.routes
         self._route_lag.record_routes(before, configuration.routes, now)
         self._configuration = configuration
-        self._max_urgencies = _max_urgencies(configuration)
-        self._unreported += self._target_index.use_services(frozenset(self._max_urgencies), now)
+        self._admission.configure(configuration)
+        if self._limits_warmup:
+            self._target_index.limit_warmups(configuration.warmups, now)
+        self._unreported += self._target_index.use_services(self._admission.services, now)
         return True
 
     def apply_update(self, update: Update, now: float) -> list[KnownTarget]:
         """Apply an update of a control host; return the targets that are new or changed."""
         if self._started_at is None:
             self._started_at = now
+        if update.evacuations.revision > self._evacuations.revision:
+            self._evacuations = update.evacuations
+            self._target_index.evacuate_zones(frozenset(update.evacuations.zones), now)
         self._newest_version = max(self._newest_version, update.version)
         if not self._is_behind:
             self._confirmed_at = now
@@ -172,7 +182,7 @@
         self._flow_tracker.expire(idle, now)
         self._route_lag.expire(idle, now)
         self._answer_times.expire(now)
-        self._target_outliers.retain_known(self._is_known)
+        self._ejections.retain_known(self._is_known)
         self._silence.retain_known(self._is_known)
         return self._apply_changes(self._views.refresh(now), now)
 
@@ -214,6 +224,9 @@
         return Reset(ResetReason.NO_ROUTE)
 
     def _open_flow(self, segment: TagSegment, route: Route, now: float) -> Decision:
+        if self._started_at is None:
+            # Without an update of a control host, the evacuated zones are not known.
+            return Dropped(DropReason.NOT_READY)
         self._flow_tracker.forget_abandoned_requests(now)
         opening = self._flow_tracker.get_opening(segment.flow)
         if opening is None or not segment.attempt:
@@ -222,7 +235,7 @@
                 route.splits
             )
             tried_tags: list[int] = []
-            if service is not None and not self._admits(service, route):
+            if service is not None and not self._admission.admits(service, route, now):
                 return Reset(ResetReason.OVERLOAD)
         else:
             service, tried_tags = opening.service, opening.tried_tags
@@ -231,58 +244,34 @@
         if target is None or service is None:
             if not self.is_ready(now):
                 return Dropped(DropReason.NOT_READY)
-            return Reset(ResetReason.NO_TARGET)
+            is_warming_up = Exclusion.WARMING_UP in (
+                self._target_index.exclusions(service or "", now).values()
+            )
+            return Reset(ResetReason.WARMING_UP if is_warming_up else ResetReason.NO_TARGET)
         self._flow_tracker.record_syn(segment.flow, service, target.tag, now)
         self._silence.record_syn(segment.flow, target.tag, now)
         return Forwarded(target.entry.endpoint, target.entry.identity, target.tag)
 
-    def _get_limiter(self, service: str) -> ConcurrencyLimiter:
-        return self._limiters.setdefault(service, ConcurrencyLimiter())
-
-    def _admits(self, service: str, route: Route) -> bool:
-        is_most_urgent = route.urgency >= self._max_urgencies[service]
-        return self._get_limiter(service).admits(
-            functools.partial(self._count_waiting, service), is_most_urgent
-        )
-
-    def _count_waiting(self, service: str) -> int:
+    def _count_waiting(self, service: str, now: float) -> int:
         loads = (
             self._flow_tracker.load(row.tag)
-            for row in self._target_index.candidates(service).targets
+            for row in self._target_index.candidates(service, now).targets
         )
         return sum(load.waiting + load.opening for load in loads)
 
     def _choose_target(self, service: str, tried_tags: list[int], now: float) -> Candidate | None:
         return self._chooser.choose(
-            self._target_index.candidates(service),
+            self._target_index.candidates(service, now),
             tried_tags,
-            lambda candidate: self._is_ejected(candidate, now),
+            lambda candidate: self._ejections.is_ejected(candidate, now),
             now,
         )
 
-    def _is_ejected(self, candidate: Candidate, now: float) -> bool:
-        zone = candidate.entry.zone
-        return self._target_outliers.is_ejected(
-            candidate.tag, now
-        ) or self._zone_outliers.is_ejected(zone, now)
-
     def _record_failure(self, tag: int, now: float) -> None:
-        """Record that a target did not answer.
-
-        If the target is in another zone than this host, the failure also counts against that zone,
-        since the network path to it may be down.
-        """
+        """Record that a target left a SYN unanswered."""
         entry = self._target_index.entry(tag)
-        if entry is None:
-            return
-        if self._target_outliers.record_failure(tag, now):
-            self._ejections.append(Ejection(entry.zone, entry.endpoint))
-        if entry.zone != self._zone and self._zone_outliers.record_failure(entry.zone, now):
-            self._ejections.append(Ejection(entry.zone, None))
-
-    def _record_answer(self, tag: int, zone: ZoneName) -> None:
-        self._target_outliers.record_answer(tag)
-        self._zone_outliers.record_answer(zone)
+        if entry is not None:
+            self._ejections.record_failure(tag, entry, now)
 
     def _forward_packet(self, segment: TagSegment, objective: float | None, now: float) -> Decision:
         """Forward a packet of an open flow to the target that its tag names.
@@ -299,29 +288,19 @@
         if opening is not None:
             self._open_seconds.observe(now - opening.opened_at)
             self._silence.record_answer(tag, opening.opened_at)
-            self._record_answer(tag, entry.zone)
+            self._ejections.record_answer(tag, entry.zone)
         if tag != segment.tag:
             segment = segment._replace(tag=tag)
         max_waiting = None if objective is None else MAX_WAITING_OBJECTIVES * objective
         observation = self._flow_tracker.record_packet(segment, now, max_waiting)
         if observation.answer_status is AnswerStatus.ANSWERED:
-            self._record_answer(tag, entry.zone)
+            self._ejections.record_answer(tag, entry.zone)
         elif observation.answer_status is AnswerStatus.RETRANSMITTED:
-            self._record_failure(tag, now)
+            self._ejections.record_failure(tag, entry, now)
         seconds = observation.answer_seconds
         if seconds is not None:
             self._silence.record_answer(tag, now - seconds)
             self._answer_times.service(entry.service).record(tag, seconds, now)
         if seconds is not None and objective is not None:
-            waiting = functools.partial(self._count_waiting, entry.service)
-            self._get_limiter(entry.service).record_answer(tag, seconds, objective, waiting, now)
+            self._admission.record_answer(entry.service, tag, seconds, objective, now)
         return Forwarded(entry.endpoint, entry.identity, tag)
-
-
-def _max_urgencies(configuration: Configuration) -> dict[str, int]:
-    """Return the highest urgency of any route to each service."""
-    urgencies: dict[str, int] = {}
-    for route in configuration.routes.values():
-        for split in (split for split in route.splits if split.weight > 0):
-            urgencies[split.service] = max(urgencies.get(split.service, 0), route.urgency)
-    return urgencies
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -7,8 +7,8 @@
 
 from ..types import ZoneName
 from .answer_times import AnswerTimes
+from .candidates import Candidate, Candidates
 from .flow_tracker import TargetLoad
-from .target_index import Candidate, Candidates
 from .types import Split
 
 REQUEST_WEIGHT = 1.0
--- a/packages/core/src/lacewingrudder_core/_tagging/target_index.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/target_index.py
@@ -2,106 +2,28 @@
 
 from __future__ import annotations
 
-import bisect
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple, TypeVar
 
 from .._checkins.types import LifeState, Lifetime, TargetEntry
 from .._checkins.views import KnownTarget
-from ..hashing import pair_hash
 from ..types import Endpoint, TargetName, ZoneName
+from .candidates import Candidate, Candidates, Exclusion, PlacementRules, ServiceCandidates
 from .tags import flow_tag
-
-
-class Candidate(NamedTuple):
-    """A target that may be chosen for new flows.
-
-    :param has_recent_heartbeat: whether its heartbeats arrive.
-    :param warmed_up_at: end of its warm-up, during which it is slow.
-    """
-
-    tag: int
-    entry: TargetEntry
-    has_recent_heartbeat: bool
-    warmed_up_at: float
-
-
-class Candidates(NamedTuple):
-    """The targets that may be chosen for new flows of a service.
-
-    :param targets: targets in all zones.
-    :param local_targets: targets in this host's zone.
-    """
-
-    targets: Sequence[Candidate]
-    local_targets: Sequence[Candidate]
-
+from .types import WarmupLimit
 
 _KeyT = TypeVar("_KeyT", int, TargetName, Endpoint)
 
-_NO_CANDIDATES = Candidates((), ())
-
-
-class _OrderedCandidates:
-    """Candidates in an order that differs between hosts, as its seed does."""
-
-    def __init__(self, seed: int) -> None:
-        self._seed = seed
-        self._keys: list[tuple[int, int]] = []
-        self.rows: list[Candidate] = []
-
-    def put(self, candidate: Candidate) -> None:
-        """Add a candidate or replace the one with its tag."""
-        position, is_known = self._find(candidate.tag)
-        if is_known:
-            self.rows[position] = candidate
-        else:
-            self._keys.insert(position, self._key(candidate.tag))
-            self.rows.insert(position, candidate)
-
-    def remove(self, tag: int) -> None:
-        """Remove the candidate with a tag, if there is one."""
-        position, is_known = self._find(tag)
-        if is_known:
-            del self._keys[position], self.rows[position]
-
-    def _find(self, tag: int) -> tuple[int, bool]:
-        key = self._key(tag)
-        position = bisect.bisect_left(self._keys, key)
-        return position, position < len(self._keys) and self._keys[position] == key
+MILLISECONDS_PER_SECOND = 1000
 
-    def _key(self, tag: int) -> tuple[int, int]:
-        return pair_hash(self._seed, tag), tag
-
-
-class _ServiceCandidates:
-    """Candidates of one service.
-
-    :param zone: zone of this host.
-    """
+_NO_CANDIDATES = Candidates((), ())
 
-    def __init__(self, zone: ZoneName, seed: int) -> None:
-        self._zone = zone
-        self._all = _OrderedCandidates(seed)
-        self._local = _OrderedCandidates(seed)
 
-    @property
-    def candidates(self) -> Candidates:
-        """The candidates in all zones and in this host's."""
-        return Candidates(self._all.rows, self._local.rows)
+class _WarmupEnd(NamedTuple):
+    """The end of a target's warm-up, and the sequence number of the entry that told it."""
 
-    def put(self, candidate: Candidate) -> None:
-        """Add a candidate or replace the one with its tag."""
-        self._all.put(candidate)
-        if candidate.entry.zone == self._zone:
-            self._local.put(candidate)
-        else:
-            self._local.remove(candidate.tag)
-
-    def remove(self, tag: int) -> None:
-        """Remove the candidate with a tag, if there is one."""
-        self._all.remove(tag)
-        self._local.remove(tag)
+    sequence: int
+    at: float
 
 
 class _Location(NamedTuple):
@@ -139,8 +61,10 @@
         self._by_endpoint: dict[Endpoint, set[Lifetime]] = {}
         self._targets: dict[int, KnownTarget] = {}
         self._running: dict[_Location, int] = {}
-        self._services: dict[str, _ServiceCandidates] = {}
-        self._warmed_up_at: dict[Lifetime, float] = {}
+        self._services: dict[str, ServiceCandidates] = {}
+        self._warmup_ends: dict[Lifetime, _WarmupEnd] = {}
+        self._evacuated_zones: frozenset[ZoneName] = frozenset()
+        self._warmups: Mapping[str, WarmupLimit] = {}
         self._used_services: frozenset[str] | None = None
 
     @property
@@ -170,10 +94,15 @@
         entry = self.entry(tag)
         return entry is not None and entry.state is LifeState.GONE
 
-    def candidates(self, service: str) -> Candidates:
+    def candidates(self, service: str, now: float) -> Candidates:
         """Return the targets that may be chosen for new flows of a service."""
         known = self._services.get(service)
-        return _NO_CANDIDATES if known is None else known.candidates
+        return _NO_CANDIDATES if known is None else known.candidates(now)
+
+    def exclusions(self, service: str, now: float) -> dict[int, Exclusion]:
+        """Return the tags of the running targets that get no new flows of a service, and why."""
+        known = self._services.get(service)
+        return {} if known is None else known.exclusions(now)
 
     def apply(
         self, changes: Iterable[tuple[Lifetime, KnownTarget | None]], now: float
@@ -201,7 +130,7 @@
                 self._link(lifetime, target)
                 affected |= self._related_tags(lifetime)
             else:
-                self._warmed_up_at.pop(lifetime, None)
+                self._warmup_ends.pop(lifetime, None)
         changed = [self._update_target(tag, now) for tag in sorted(affected)]
         return [target for target in changed if target is not None]
 
@@ -222,6 +151,38 @@
         changed = [self._update_target(tag, now) for tag in sorted(affected)]
         return [target for target in changed if target is not None]
 
+    def limit_warmups(self, warmups: Mapping[str, WarmupLimit], now: float) -> None:
+        """Set the services whose targets get no new flows while they warm up."""
+        self._warmups = warmups
+        self._update_rules(now)
+
+    def evacuate_zones(self, zones: frozenset[ZoneName], now: float) -> None:
+        """Set the zones whose targets get no new flows.
+
+        Targets without work may be cold again. Those of a zone that is no longer evacuated count as
+        warming up for as long as one that starts, since their next check-in is yet to come.
+        """
+        restored = self._evacuated_zones - zones
+        self._evacuated_zones = zones
+        for service, warmup in self._warmups.items():
+            if service in self._services:
+                self._extend_warmups(self._services[service], restored, now + warmup.seconds, now)
+        self._update_rules(now)
+
+    def _extend_warmups(
+        self, known: ServiceCandidates, zones: Iterable[ZoneName], until: float, now: float
+    ) -> None:
+        for candidate in (row for zone in zones for row in known.extend_warmup(zone, until, now)):
+            entry = candidate.entry
+            self._warmup_ends[entry.lifetime] = _WarmupEnd(entry.sequence, until)
+
+    def _update_rules(self, now: float) -> None:
+        for service, known in self._services.items():
+            known.set_rules(self._rules(service), now)
+
+    def _rules(self, service: str) -> PlacementRules:
+        return PlacementRules(self._evacuated_zones, service in self._warmups)
+
     def _link(self, lifetime: Lifetime, target: KnownTarget) -> None:
         tag = self._make_tag(lifetime)
         self._known[lifetime], self._tags[lifetime] = target, tag
@@ -292,18 +253,27 @@
         known = self._services.get(service)
         if known is not None:
             known.remove(tag)
-            if not known.candidates.targets:
+            if known.is_empty:
                 del self._services[service]
 
     def _add_candidate(self, tag: int, target: KnownTarget, now: float) -> None:
         entry = target.entry
-        warmed_up_at = self._warmed_up_at.setdefault(
-            entry.lifetime, now + entry.warmup_remaining_ms / 1000
-        )
         known = self._services.get(entry.service)
         if known is None:
-            known = self._services[entry.service] = _ServiceCandidates(self._zone, self._seed)
-        known.put(Candidate(tag, entry, target.has_recent_heartbeat, warmed_up_at))
+            rules = self._rules(entry.service)
+            known = ServiceCandidates(self._zone, self._seed, rules)
+            self._services[entry.service] = known
+        warmed_up_at = self._record_warmup(entry, now)
+        known.put(Candidate(tag, entry, target.has_recent_heartbeat, warmed_up_at), now)
+
+    def _record_warmup(self, entry: TargetEntry, now: float) -> float:
+        """Return the end of a target's warm-up, which an entry tells only when it is new."""
+        end = self._warmup_ends.get(entry.lifetime)
+        if end is None or entry.sequence > end.sequence:
+            reported = now + entry.warmup_remaining_ms / MILLISECONDS_PER_SECOND
+            at = reported if end is None else max(end.at, reported)
+            end = self._warmup_ends[entry.lifetime] = _WarmupEnd(entry.sequence, at)
+        return end.at
 
 
 def _discard(groups: dict[_KeyT, set[Lifetime]], key: _KeyT, lifetime: Lifetime) -> None:
--- a/packages/core/src/lacewingrudder_core/_tagging/types.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/types.py
@@ -4,6 +4,7 @@
 
 import enum
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from ..types import Endpoint, FlowKey, ZoneName
@@ -59,15 +60,28 @@
     objective_seconds: float | None = None
 
 
+class WarmupLimit(NamedTuple):
+    """What targets of a service that warm up bear.
+
+    :param seconds: length of the warm-up.
+    :param flows_per_second: new flows that a target bears meanwhile, from all hosts together.
+    """
+
+    seconds: float
+    flows_per_second: float
+
+
 class Configuration(NamedTuple):
     """A complete, parsed configuration.
 
     :param idle_seconds: idle time after which a flow may be discarded.
+    :param warmups: services whose targets bear few flows while they warm up.
     """
 
     version: int
     routes: Mapping[Endpoint, Route]
     idle_seconds: float
+    warmups: Mapping[str, WarmupLimit] = MappingProxyType({})
 
 
 class Ejection(NamedTuple):
@@ -94,6 +108,7 @@
     NO_ROUTE = "no_route"
     NO_TARGET = "no_target"
     OVERLOAD = "overload"
+    WARMING_UP = "warming_up"
     TARGET_GONE = "target_gone"
 
 
--- a/packages/core/src/lacewingrudder_core/checkins.py
+++ b/packages/core/src/lacewingrudder_core/checkins.py
@@ -12,6 +12,7 @@
 from ._checkins.events import Departed as Departed
 from ._checkins.events import DepartureConfirmed as DepartureConfirmed
 from ._checkins.events import Deregistered as Deregistered
+from ._checkins.events import EvacuationsCommitted as EvacuationsCommitted
 from ._checkins.events import Expired as Expired
 from ._checkins.events import PeerUpdated as PeerUpdated
 from ._checkins.events import PublicationContinued as PublicationContinued
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -7,6 +7,7 @@
 
 from ._notes.catalogue import Change, Note, SubmitReply
 from ._notes.configurations import StoredConfiguration
+from ._notes.evacuations import ZoneOrder
 from .types import (
     HostName,
     Member,
@@ -225,6 +226,12 @@
     configuration: StoredConfiguration
 
 
+class SubmitZoneOrder(NamedTuple):
+    """An operator submits an order for all targets of a zone."""
+
+    order: ZoneOrder
+
+
 class ReadConfiguration(NamedTuple):
     """An operator requests the latest configuration."""
 
@@ -312,7 +319,7 @@
 
 
 class OperatorReply(NamedTuple):
-    """The answer to a submitted note, order or configuration."""
+    """The answer to a submitted note, order, configuration or zone order."""
 
     reply: SubmitReply
 
@@ -321,4 +328,11 @@
 PeerStatusMessage = PeerStatusRequest | PeerStatusReply
 PropagationMessage = SubscribeReply | Changes | SnapshotPart
 SubscriberMessage = Subscribe | SnapshotPull
-OperatorRequest = SubmitNote | SubmitOrder | SubmitConfiguration | ReadConfiguration | StatusRequest
+OperatorRequest = (
+    SubmitNote
+    | SubmitOrder
+    | SubmitConfiguration
+    | SubmitZoneOrder
+    | ReadConfiguration
+    | StatusRequest
+)
--- a/packages/core/src/lacewingrudder_core/routes.py
+++ b/packages/core/src/lacewingrudder_core/routes.py
@@ -7,3 +7,4 @@
 from ._tagging.types import Configuration as Configuration
 from ._tagging.types import Route as Route
 from ._tagging.types import Split as Split
+from ._tagging.types import WarmupLimit as WarmupLimit
--- a/packages/core/tests/test_deregistration.py
+++ b/packages/core/tests/test_deregistration.py
@@ -3,8 +3,8 @@
 import unittest
 
 from checkin_fakes import check_in, configuration, data, entry
-from lacewingrudder_core._checkins.core import MAX_REPLY_DELAY_SECONDS
 from lacewingrudder_core._checkins.departures import EXIT_GRACE_HEARTBEATS, MAX_LEAVING_SECONDS
+from lacewingrudder_core._checkins.pending_replies import MAX_REPLY_DELAY_SECONDS
 from lacewingrudder_core.checkins import (
     CheckedIn,
     CheckInCore,
--- a/packages/core/tests/test_removals_after_start.py
+++ b/packages/core/tests/test_removals_after_start.py
@@ -3,7 +3,7 @@
 import unittest
 
 from checkin_fakes import check_in
-from lacewingrudder_core._checkins.core import MAX_REPLY_DELAY_SECONDS
+from lacewingrudder_core._checkins.pending_replies import MAX_REPLY_DELAY_SECONDS
 from lacewingrudder_core.checkins import (
     CheckedIn,
     CheckInCore,
--- a/packages/core/tests/test_simultaneous_drains.py
+++ b/packages/core/tests/test_simultaneous_drains.py
@@ -9,7 +9,7 @@
 from types import FrameType
 
 from checkin_fakes import check_in
-from lacewingrudder_core._checkins.core import MAX_REPLY_DELAY_SECONDS
+from lacewingrudder_core._checkins.pending_replies import MAX_REPLY_DELAY_SECONDS
 from lacewingrudder_core._checkins.publication import BATCH_HOSTS, REMOVAL_INTERVAL_SECONDS
 from lacewingrudder_core.checkins import (
     CheckedIn,
--- a/packages/core/tests/test_tag_overload.py
+++ b/packages/core/tests/test_tag_overload.py
@@ -170,7 +170,7 @@
         self.assertEqual(forwarder.decide(syn(40002), 0.0), Reset(ResetReason.OVERLOAD))
         self.assertEqual(
             forwarder.flow_tracker.load(
-                forwarder._target_index.candidates("proofdesk").targets[0].tag
+                forwarder._target_index.candidates("proofdesk", 0.0).targets[0].tag
             ).opening,
             1,
         )
--- a/packages/core/tests/test_tagging.py
+++ b/packages/core/tests/test_tagging.py
@@ -130,7 +130,7 @@
             index = forwarder._target_index
             self.assertNotIn(
                 draining.lifetime,
-                [row.entry.lifetime for row in index.candidates("proofdesk").targets],
+                [row.entry.lifetime for row in index.candidates("proofdesk", 0.0).targets],
             )
 
     def test_ended_target_is_reported_once(self) -> None:
@@ -403,7 +403,7 @@
                     forwarder.decide(data(port, placed.tag), now)
             forwarder.tick(now + 10.0)
         self.assertLess(
-            len(forwarder._target_index._targets) + len(forwarder._target_index._warmed_up_at), 20
+            len(forwarder._target_index._targets) + len(forwarder._target_index._warmup_ends), 20
         )
         self.assertLess(forwarder.flow_tracker.flow_count, 60)
         self.assertLess(
--- a/packages/core/tests/test_target_index.py
+++ b/packages/core/tests/test_target_index.py
@@ -134,7 +134,7 @@
         for tag in rebuilt.targets:
             self.assertEqual(index.current_tag(tag), rebuilt.current_tag(tag))
         for service in SERVICES:
-            found = index.candidates(service)
+            found = index.candidates(service, 0.0)
             rows = {(row.tag, row.has_recent_heartbeat) for row in found.targets}
             self.assertEqual(rows, rebuilt.candidates(service))
             self.assertEqual(len(found.targets), len(rows))
@@ -160,5 +160,5 @@
         index.apply([(lifetime, None) for lifetime in list(index._known)], history.now)
         for kept in (index._targets, index._by_tag, index._by_name, index._by_endpoint):
             self.assertEqual(kept, {})
-        for kept in (index._tags, index._running, index._services, index._warmed_up_at):
+        for kept in (index._tags, index._running, index._services, index._warmup_ends):
             self.assertEqual(kept, {})
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -29,7 +29,13 @@
     Update,
     Views,
 )
-from lacewingrudder_core.notes import Catalogue, StoredConfiguration, SubmitReply
+from lacewingrudder_core.notes import (
+    Catalogue,
+    Evacuations,
+    StoredConfiguration,
+    SubmitReply,
+    ZoneOrder,
+)
 from lacewingrudder_core.replica import DiscoveredVoters, ReplicaCore, ReplicaMessageReceived
 from lacewingrudder_core.types import HostName, TargetName
 from lacewingrudder_wire.exceptions import CodecError
@@ -113,6 +119,7 @@
         self._former_valid_until = time.monotonic() + VIEW_VALIDITY_SECONDS
         self._peer_change_count = 0
         self._disk_executor = concurrent.futures.ThreadPoolExecutor(1, "registry")
+        self._evacuations = Evacuations()
         self._server: HttpServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -153,7 +160,13 @@
 
     async def submit(self, configuration: StoredConfiguration) -> SubmitReply:
         """Submit a configuration to the replicated log and return the outcome."""
-        request = m.SubmitConfiguration(configuration)
+        return await self._submit(m.SubmitConfiguration(configuration))
+
+    async def submit_zone_order(self, order: ZoneOrder) -> SubmitReply:
+        """Submit an order for all targets of a zone to the replicated log; return the outcome."""
+        return await self._submit(m.SubmitZoneOrder(order))
+
+    async def _submit(self, request: m.SubmitConfiguration | m.SubmitZoneOrder) -> SubmitReply:
         reply = await self._requests.wait_for_answer(
             m.OperatorReply,
             lambda token: self._control.handle(control.OperatorRequestReceived(token, request)),
@@ -212,7 +225,8 @@
     def _restore_registry(self, stored: StoredRegistry) -> Registry:
         epoch = _wall_milliseconds()
         registry = Registry(epoch, self._settings.heartbeat_seconds, self._views.get)
-        registry.restore(stored.entries, stored.is_outdated(epoch), time.monotonic())
+        entries = stored.current_entries(epoch)
+        registry.restore(entries, stored.is_outdated(epoch), time.monotonic())
         return registry
 
     def _announce_start(self) -> None:
@@ -230,6 +244,7 @@
                 "version": core.catalogue.configuration_version,
                 "leads": leads,
                 "voters": len(voters),
+                "evacuated_zones": len(core.catalogue.evacuations.zones),
             },
             {
                 "message_bytes_sent": self._message_socket.sent_bytes,
@@ -253,11 +268,17 @@
         )
 
     def _handle_catalogue_change(self, catalogue: Catalogue) -> None:
-        if catalogue.configuration is None:
+        evacuations, configuration = catalogue.evacuations, catalogue.configuration
+        if evacuations != self._evacuations:
+            self._evacuations = evacuations
+            detail = f"revision {evacuations.revision}, zones: {', '.join(evacuations.zones)}"
+            self._events.record("evacuations_committed", detail=detail)
+            self._handle_checkin_event(checkins.EvacuationsCommitted(evacuations))
+        if configuration is None:
             return
-        version = catalogue.configuration.version
-        self._events.record("committed", revision=version, detail=f"revision {catalogue.revision}")
-        self._handle_checkin_event(checkins.ConfigurationCommitted(catalogue.configuration))
+        detail = f"revision {catalogue.revision}"
+        self._events.record("committed", revision=configuration.version, detail=detail)
+        self._handle_checkin_event(checkins.ConfigurationCommitted(configuration))
 
     def _handle_message(self, sender: HostName, body: Any) -> None:
         if not isinstance(body, _CHECKIN_MESSAGES):
@@ -290,7 +311,7 @@
         """Return the reachable targets that checked in with other control hosts only."""
         merged = self._views.merge(self._loop.time())
         return tuple(
-            entry
+            entry._replace(warmup_remaining_ms=0)
             for entry, has_recent_heartbeat in merged.values()
             if has_recent_heartbeat
             and entry.state is checkins.LifeState.READY
@@ -358,7 +379,7 @@
             content = self._checkins.registry.position, entry_hosts, peer_entries
             if content == written and self._loop.time() < rewrite_at:
                 continue
-            entries = tuple(self._checkins.registry.entries())
+            entries = tuple(self._checkins.registry.current_entries(self._loop.time()))
             stored = StoredRegistry(entries, _wall_milliseconds(), entry_hosts, peer_entries)
             try:
                 await self._loop.run_in_executor(self._disk_executor, self._store.write, stored)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -92,7 +92,8 @@
         self._adapter = packets
         self._reader = reader
         self._entry_events = EntryEvents(events)
-        self._forwarder = TagForwarder(settings.zone, name_hash(str(settings.messages)))
+        seed = name_hash(str(settings.messages))
+        self._forwarder = TagForwarder(settings.zone, seed, entry.limits_warmup)
         self._packet_socket = DatagramSocket(self._handle_packet)
         self._message_socket = MessageSocket(ENTRY_MESSAGES, events, self._handle_message)
         self._readiness_changed = asyncio.Event()
@@ -221,9 +222,12 @@
         self._announced_controls = set(update.controls)
         self._controls |= self._announced_controls
         self._peers = update.peers
+        evacuations = self._forwarder.evacuations
         self._entry_events.record_target_changes(
             self._forwarder.apply_update(update, self._loop.time())
         )
+        if self._forwarder.evacuations != evacuations:
+            self._entry_events.record_evacuations(self._forwarder.evacuations)
         if update.entries:
             self._subscribe(sender, is_poll=False)
         self._report_readiness()
@@ -294,6 +298,7 @@
                 "flows": forwarder.flow_tracker.flow_count,
                 "version": forwarder.version,
                 "ready": self.is_ready,
+                "evacuated_zones": len(forwarder.evacuations.zones),
             },
             {
                 "message_bytes_sent": self._message_socket.sent_bytes,
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from lacewingrudder_core.checkins import KnownTarget, LifeState, Lifetime, ZonePeerCounts
+from lacewingrudder_core.notes import Evacuations
 from lacewingrudder_core.tagging import (
     EJECTION_FAILURE_COUNT,
     Ejection,
@@ -89,6 +90,12 @@
         detail = f"{routes} routes, after version {before}"
         self._sink.record("in_force", revision=version, detail=detail)
 
+    def record_evacuations(self, evacuations: Evacuations) -> None:
+        """Report that the targets of other zones than before get no new flows."""
+        zones = ", ".join(evacuations.zones) or "none"
+        detail = f"revision {evacuations.revision}, evacuated zones: {zones}"
+        self._sink.record("evacuations_in_force", detail=detail)
+
     def record_unreadable(self, version: int, error: ValueError) -> None:
         """Report a configuration that cannot be decoded; the previous one stays in force."""
         self._sink.record("configuration_unreadable", revision=version, detail=str(error))
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/settings.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/settings.py
@@ -17,10 +17,13 @@
 
     :param packets: endpoint that receives packets from callers.
     :param readiness: HTTP endpoint for readiness probes.
+    :param limits_warmup: whether targets that warm up get no new flows while others run, for
+        services whose configuration says how long they do.
     """
 
     packets: Endpoint
     readiness: Endpoint
+    limits_warmup: bool = False
 
 
 class RegistrarSettings(NamedTuple):
@@ -28,10 +31,12 @@
 
     :param calls: HTTP endpoint for targets and operators.
     :param data_folder: folder for durable state.
+    :param zones: zones that operators may evacuate; empty for any.
     """
 
     calls: Endpoint
     data_folder: Path
+    zones: frozenset[ZoneName] = frozenset()
 
 
 class FleetSettings(NamedTuple):
@@ -130,13 +135,21 @@
 def _entry_settings(reader: _Reader) -> TagEntrySettings | None:
     if not reader.has("packets"):
         return None
-    return TagEntrySettings(reader.endpoint("packets"), reader.endpoint("readiness"))
+    return TagEntrySettings(
+        reader.endpoint("packets"),
+        reader.endpoint("readiness"),
+        reader.boolean("limit_warmup") if reader.has("limit_warmup") else False,
+    )
 
 
 def _registrar_settings(reader: _Reader) -> RegistrarSettings | None:
     if not reader.has("calls"):
         return None
-    return RegistrarSettings(reader.endpoint("calls"), Path(reader.string("data_folder")))
+    return RegistrarSettings(
+        reader.endpoint("calls"),
+        Path(reader.string("data_folder")),
+        reader.names("zones") if reader.has("zones") else frozenset(),
+    )
 
 
 class _Reader:
@@ -167,6 +180,12 @@
             raise DocumentError(self._file, field, "must be a number above 0")
         return value
 
+    def names(self, field: str) -> frozenset[str]:
+        value = self._document.get(field)
+        if not isinstance(value, list) or not all(isinstance(text, str) for text in value):
+            raise DocumentError(self._file, field, "must be a list of names")
+        return frozenset(value)
+
     def endpoint(self, field: str) -> Endpoint:
         return self._parse(field, self.string(field))
 
--- a/packages/daemon/src/lacewingrudder_daemon/_storage/registry_store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/registry_store.py
@@ -46,6 +46,14 @@
         age_seconds = abs(now_ms - self.written_ms) / MILLISECONDS_PER_SECOND
         return bool(self.written_ms) and age_seconds > MAX_AGE_SECONDS
 
+    def current_entries(self, now_ms: int) -> tuple[TargetEntry, ...]:
+        """Return the entries with the warm-up that remains now."""
+        age_ms = max(0, now_ms - self.written_ms)
+        return tuple(
+            entry._replace(warmup_remaining_ms=max(0, entry.warmup_remaining_ms - age_ms))
+            for entry in self.entries
+        )
+
 
 class RegistryStore:
     """A file with what a control host restores at its start, and a checksum.
