Keep an open flow at its target when two targets answer its SYN

What callers saw: an open flow was reset, or its packets went to another target, though its own was sound. Cause: a caller repeats a SYN after 0.2 s. If the first answer takes longer, the repeated SYN goes to another target, both answer, and the caller returns the tag of the answer that came last, which is not that of the target that holds the flow. A repeated SYN that arrives after the flow has opened made a second target answer, too.

An entry host now keeps the target that a flow opened at if later packets carry the tag of another one that its SYNs went to, forwards a repeated SYN of an open flow to the flow's target, and does not refuse repeated SYNs, whose flow another host may have admitted.

Evidence: on the code before, 4 of the 5 tests in test_late_syn_answers.py fail; they pass now. Whether this is what the users saw on their machines is not shown: their record holds no reset.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -18,7 +18,7 @@
 from .._checkins.views import KnownTarget, Views
 from .._notes.evacuations import Evacuations
 from ..latencies import LatencyHistogram
-from ..types import Endpoint, HostName, ZoneName
+from ..types import Endpoint, FlowKey, HostName, ZoneName
 from .admission import FlowAdmission
 from .answer_times import AnswerTimes
 from .candidates import Candidate, Exclusion
@@ -227,6 +227,10 @@
         if self._started_at is None:
             # Without an update of a control host, the evacuated zones are not known.
             return Dropped(DropReason.NOT_READY)
+        if segment.attempt:
+            opened = self._find_opened(segment.flow, now)
+            if opened is not None:
+                return opened
         self._flow_tracker.forget_abandoned_requests(now)
         opening = self._flow_tracker.get_opening(segment.flow)
         if opening is None or not segment.attempt:
@@ -235,7 +239,12 @@
                 route.splits
             )
             tried_tags: list[int] = []
-            if service is not None and not self._admission.admits(service, route, now):
+            # Another host may have admitted the flow of a retransmission, which may be open by now.
+            if (
+                service is not None
+                and not segment.attempt
+                and not self._admission.admits(service, route, now)
+            ):
                 return Reset(ResetReason.OVERLOAD)
         else:
             service, tried_tags = opening.service, opening.tried_tags
@@ -252,6 +261,17 @@
         self._silence.record_syn(segment.flow, target.tag, now)
         return Forwarded(target.entry.endpoint, target.entry.identity, target.tag)
 
+    def _find_opened(self, flow: FlowKey, now: float) -> Forwarded | None:
+        """Return where the retransmission of a SYN goes whose flow is open already, or ``None``.
+
+        A second target that answered it would replace the tag that the caller echoes.
+        """
+        tag = self._flow_tracker.recently_opened_tag(flow, now)
+        entry = None if tag is None else self._target_index.entry(tag)
+        if tag is None or entry is None or entry.state is LifeState.GONE:
+            return None
+        return Forwarded(entry.endpoint, entry.identity, tag)
+
     def _count_waiting(self, service: str, now: float) -> int:
         loads = (
             self._flow_tracker.load(row.tag)
@@ -273,12 +293,21 @@
         if entry is not None:
             self._ejections.record_failure(tag, entry, now)
 
+    def _find_tag(self, segment: TagSegment) -> int:
+        """Return the tag of the target that holds a packet's flow.
+
+        Callers echo the tag that they received last. If two targets answered the SYN and its
+        retransmission, that may be the tag of the one that doesn't hold the flow.
+        """
+        tag = self._flow_tracker.opened_tag(segment)
+        return segment.tag if tag is None or self._target_index.has_ended(tag) else tag
+
     def _forward_packet(self, segment: TagSegment, objective: float | None, now: float) -> Decision:
         """Forward a packet of an open flow to the target that its tag names.
 
         :param objective: latency objective of the flow's requests in seconds, or ``None``.
         """
-        tag = self._target_index.current_tag(segment.tag)
+        tag = self._target_index.current_tag(self._find_tag(segment))
         entry = self._target_index.entry(tag)
         if entry is None:
             return Dropped(DropReason.UNKNOWN_TAG if tag else DropReason.UNTAGGED)
@@ -292,7 +321,9 @@
         if tag != segment.tag:
             segment = segment._replace(tag=tag)
         max_waiting = None if objective is None else MAX_WAITING_OBJECTIVES * objective
-        observation = self._flow_tracker.record_packet(segment, now, max_waiting)
+        observation = self._flow_tracker.record_packet(
+            segment, now, max_waiting, () if opening is None else opening.tried_tags
+        )
         if observation.answer_status is AnswerStatus.ANSWERED:
             self._ejections.record_answer(tag, entry.zone)
         elif observation.answer_status is AnswerStatus.RETRANSMITTED:
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
@@ -9,6 +9,7 @@
 import collections
 import enum
 import heapq
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from ..latencies import LatencyHistogram
@@ -41,6 +42,8 @@
 class _Flow:
     """A flow of which this host has seen a packet after the SYN.
 
+    :param other_tags: tags of other targets that SYNs of the flow were sent to.
+    :ivar opened_at: time of that packet.
     :ivar is_waiting: whether its request awaits an answer.
     :ivar is_counted: whether that request counts as load of the target.
     """
@@ -51,14 +54,17 @@
         "is_counted",
         "is_retransmitted",
         "is_waiting",
+        "opened_at",
+        "other_tags",
         "seen_at",
         "sequence",
         "tag",
     )
 
-    def __init__(self, tag: int, now: float) -> None:
+    def __init__(self, tag: int, other_tags: frozenset[int], now: float) -> None:
         self.tag = tag
-        self.seen_at = now
+        self.other_tags = other_tags
+        self.opened_at = self.seen_at = now
         self.sequence = -1
         self.acknowledged = -1
         self.is_counted = False
@@ -163,18 +169,39 @@
                 self._opening_counts[tag] -= 1
         return opening
 
+    def opened_tag(self, segment: TagSegment) -> int | None:
+        """Return the tag of the target that a flow opened at, ``None`` if its own tag holds.
+
+        That is so unless a packet has the tag of another target that a SYN of the flow was sent to.
+        """
+        flow = self._flows.get(segment.flow)
+        return None if flow is None or segment.tag not in flow.other_tags else flow.tag
+
+    def recently_opened_tag(self, flow: FlowKey, now: float) -> int | None:
+        """Return the tag of a flow that is not older than the SYNs of an unanswered one."""
+        found = self._flows.get(flow)
+        if found is None or now - found.opened_at > MAX_OPENING_SECONDS:
+            return None
+        return found.tag
+
     def record_packet(
-        self, segment: TagSegment, now: float, max_waiting_seconds: float | None = None
+        self,
+        segment: TagSegment,
+        now: float,
+        max_waiting_seconds: float | None = None,
+        tried_tags: Iterable[int] = (),
     ) -> Observation:
         """Process a packet of an open flow; return what it reveals about its target.
 
         :param max_waiting_seconds: how long a request of the flow counts as load of its target at
             most, see :meth:`forget_abandoned_requests`; ``None`` for no limit.
+        :param tried_tags: tags of the targets that SYNs of the flow were sent to.
         """
         flow = self._flows.get(segment.flow)
         if flow is None or flow.tag != segment.tag:
             self._remove(segment.flow)
-            flow = self._flows[segment.flow] = _Flow(segment.tag, now)
+            other_tags = frozenset(tried_tags) - {segment.tag}
+            flow = self._flows[segment.flow] = _Flow(segment.tag, other_tags, now)
             self._open_counts[segment.tag] += 1
             if len(self._flows) > MAX_TRACKED_FLOWS:
                 self._remove(next(iter(self._flows)))
