--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -21,6 +21,11 @@
 
 from standins.platform import ACK, GRACE_SECONDS, RST, SYN, read_packet, split_identity
 
+EVACUATION_PATH = "/lacewingrudder/evacuations/z"
+
+MAX_POLL_SECONDS = 1.0
+"""Entry hosts poll each control host twice a second."""
+
 
 class PlatformFleetTest(PlatformFleetTestCase):
     """Processes of three control hosts and two entry hosts, with one target and one caller."""
@@ -111,6 +116,28 @@
         for entry in ENTRIES:
             self.wait_until_ready(entry)
 
+    # Guards against a confirmed evacuation that is forgotten when all processes are killed at once.
+    def test_evacuation_survives_a_kill_of_all_processes_until_the_zone_is_restored(self) -> None:
+        self.set_up_service()
+        time.sleep(DISCOVERY_TIMEOUT_SECONDS)
+        wait_for_status(200, CONTROLS, CALL_PORT, "POST", EVACUATION_PATH)
+        self.wait_for_event("evacuations_in_force", ENTRIES[:1], MAX_POLL_SECONDS)
+        for address in (*CONTROLS, *ENTRIES):
+            self.fleet.kill(address)
+        for address in (*CONTROLS, *ENTRIES):
+            self.fleet.start(address)
+        self.check_in()
+        for number, entry in enumerate(ENTRIES):
+            self.wait_until_ready(entry)
+            time.sleep(DISCOVERY_TIMEOUT_SECONDS)
+            self.send(entry, make_packet(40002 + number, SYN))
+            reset = read_packet(self.caller.recv(2048)).packet
+            self.assertEqual((reset.flags, reset.destination_port), (RST, 40002 + number))
+        wait_for_status(200, CONTROLS, CALL_PORT, "DELETE", EVACUATION_PATH)
+        time.sleep(MAX_POLL_SECONDS)
+        self.send(ENTRIES[0], make_packet(40010, SYN))
+        self.assertEqual(self.receive_at_target()[0], 0x7F3A91C2)
+
     def test_minority_of_control_hosts_refuses_reads_and_new_configurations(self) -> None:
         self.set_up_service()
         for address in CONTROLS[1:]:
