--- a/packages/core/tests/test_tag_overload.py
+++ b/packages/core/tests/test_tag_overload.py
@@ -150,7 +150,7 @@
     def test_urgency_counts_among_the_routes_in_force(self) -> None:
         forwarder = TagForwarder("adum")
         forwarder.apply_update(update(entry(1)), 0.0)
-        forwarder._limiters["proofdesk"] = limiter = ConcurrencyLimiter()
+        forwarder._admission._limiters["proofdesk"] = limiter = ConcurrencyLimiter()
         limiter._limit = 5.0
         splits = (Split("proofdesk", 1),)
         usual = Route(EDITS, splits, False, 3, 0.2)
@@ -164,7 +164,7 @@
         forwarder = TagForwarder("adum")
         forwarder.configure(configuration(1, Route(EDITS, (Split("proofdesk", 1),), False, 8, 0.2)))
         forwarder.apply_update(update(entry(1)), 0.0)
-        forwarder._limiters["proofdesk"] = limiter = ConcurrencyLimiter()
+        forwarder._admission._limiters["proofdesk"] = limiter = ConcurrencyLimiter()
         limiter._limit = MIN_LIMIT
         forwarder.decide(syn(40001), 0.0)
         self.assertEqual(forwarder.decide(syn(40002), 0.0), Reset(ResetReason.OVERLOAD))
