Explain where an entry host would send a new flow, without a change

An operator could not tell why a flow got its target: the choice depends on state that only the entry host has. TagForwarder.explain reports it with the code that places flows, over copies of what a choice would change; entry hosts answer ExplainRequest; lwr explain prints the answer. test_explanation compares the pickled forwarder before and after each of the explanations in 30 random schedules, and the explained decision with the next SYN's: all equal.

--- a/packages/cli/src/lacewingrudder_cli/main.py
+++ b/packages/cli/src/lacewingrudder_cli/main.py
@@ -15,6 +15,7 @@
 from lacewingrudder_wire.documents import read_document, read_note
 from lacewingrudder_wire.exceptions import DocumentError, LacewingrudderError
 
+from .explain import explain
 from .options import control_option, json_option
 from .orders import drain, restore, withdraw
 from .outcomes import EXIT_CODES, reply_text
@@ -40,11 +41,11 @@
 
     Release notes describe services: check a note, submit it, and use status to see when it is in
     force on all entry hosts. Orders drain, withdraw or restore a single target. The timeline shows
-    the events of all processes.
+    the events of all processes. Explain shows where an entry host would send a new flow.
 
     \b
     Exit codes: 0 done, 2 usage error or invalid input, 3 conflict, 4 refused (not accepted),
-    5 unknown (may have been accepted; send it again).
+    5 unknown (may have been accepted; send it again). Those of explain are in its own help.
     """
 
 
@@ -73,7 +74,7 @@
     _exit_with_reply(request(controls, SubmitNote(contents)), as_json)
 
 
-for command in (status, drain, withdraw, restore, timeline):
+for command in (status, drain, withdraw, restore, timeline, explain):
     cli.add_command(command)
 
 
--- a/packages/core/src/lacewingrudder_core/_tagging/admission.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/admission.py
@@ -37,6 +37,16 @@
             route.urgency >= self._max_urgencies[service],
         )
 
+    def limit(self, service: str, route: Route) -> float | None:
+        """Return the count of waiting requests from which on new flows of a route are refused.
+
+        ``None`` means that there is no limit.
+        """
+        limiter = self._limiters.get(service)
+        if limiter is None:
+            return None
+        return limiter.limit_for(route.urgency >= self._max_urgencies[service])
+
     def record_answer(
         self, service: str, tag: int, seconds: float, objective_seconds: float, now: float
     ) -> None:
--- a/packages/core/src/lacewingrudder_core/_tagging/answer_times.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/answer_times.py
@@ -78,6 +78,9 @@
         return mean + (row.seconds - mean) * math.exp((row.updated_at - now) / DECAY_SECONDS)
 
 
+_NO_ANSWER_TIMES = ServiceAnswerTimes()
+
+
 class AnswerTimes:
     """Response times of all targets, by service."""
 
@@ -88,6 +91,10 @@
         """Return the response times of a service."""
         return self._services.setdefault(service, ServiceAnswerTimes())
 
+    def find(self, service: str) -> ServiceAnswerTimes:
+        """Return the response times of a service to read; empty ones if there are none yet."""
+        return self._services.get(service, _NO_ANSWER_TIMES)
+
     def expire(self, now: float) -> None:
         """Drop what no longer matters."""
         for times in self._services.values():
--- a/packages/core/src/lacewingrudder_core/_tagging/candidates.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/candidates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+import copy
 import enum
 import heapq
 from collections.abc import Sequence
@@ -86,6 +87,12 @@
         if is_known:
             del self._keys[position], self.rows[position]
 
+    def copy(self) -> _OrderedCandidates:
+        """Return a copy that changes independently."""
+        ordered = copy.copy(self)
+        ordered._keys, ordered.rows = list(self._keys), list(self.rows)
+        return ordered
+
     def _find(self, tag: int) -> tuple[int, bool]:
         key = self._key(tag)
         position = bisect.bisect_left(self._keys, key)
@@ -132,6 +139,13 @@
                 self._place(candidate, now)
         return Candidates(self._all.rows, self._local.rows)
 
+    def peek(self, now: float) -> Candidates:
+        """Return what :meth:`candidates` would, without a change."""
+        trial = copy.copy(self)
+        trial._all, trial._local = self._all.copy(), self._local.copy()
+        trial._warmup_ends = list(self._warmup_ends)
+        return trial.candidates(now)
+
     def exclusions(self, now: float) -> dict[int, Exclusion]:
         """Return the tags of the running targets that are left out, and why."""
         found = ((tag, self._rules.exclusion(row, now)) for tag, row in self._running.items())
--- a/packages/core/src/lacewingrudder_core/_tagging/concurrency_limit.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/concurrency_limit.py
@@ -113,10 +113,15 @@
             are being opened. It is called only if needed, since it iterates over all targets.
         :param is_most_urgent: whether no route to the service has a higher urgency.
         """
+        limit = self.limit_for(is_most_urgent)
+        return limit is None or waiting() < limit
+
+    def limit_for(self, is_most_urgent: bool) -> float | None:
+        """Return the limit for routes of an urgency; see :meth:`admits`."""
         if self._limit is None:
-            return True
+            return None
         share = 1.0 if is_most_urgent else LESS_URGENT_SHARE
-        return waiting() < max(MIN_LIMIT, share * self._limit)
+        return max(MIN_LIMIT, share * self._limit)
 
     def record_answer(
         self,
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -21,11 +21,13 @@
 from ..types import Endpoint, FlowKey, HostName, ZoneName
 from .admission import FlowAdmission
 from .answer_times import AnswerTimes
-from .candidates import Candidate, Exclusion
+from .candidates import Candidate
 from .ejections import Ejections
+from .explanation import PlacementState, explain_placement
+from .explanation_types import Explanation
 from .flow_tracker import AnswerStatus, FlowTracker
 from .route_lag import RouteLag
-from .selection import TargetChooser, WeightedRoundRobin
+from .selection import TargetChooser, WeightedRoundRobin, refusal
 from .silence_detector import SilenceDetector
 from .tags import flow_tag
 from .target_index import TargetIndex
@@ -207,6 +209,22 @@
             return self._open_flow(segment, route, now)
         return self._forward_packet(segment, route.objective_seconds, now)
 
+    def explain(self, flow: FlowKey, now: float) -> Explanation:
+        """Return where the first SYN of a flow would go, and why; changes nothing."""
+        state = PlacementState(
+            self._configuration,
+            self._evacuations,
+            self._started_at is not None,
+            self.is_ready(now),
+            self._splits,
+            self._admission,
+            self._target_index,
+            self._flow_tracker,
+            self._chooser,
+            self._ejections,
+        )
+        return explain_placement(state, flow, now)
+
     @property
     def _is_behind(self) -> bool:
         """Whether control hosts have a newer configuration than this host."""
@@ -251,12 +269,8 @@
             self._record_failure(tried_tags[-1], now)
         target = None if service is None else self._choose_target(service, tried_tags, now)
         if target is None or service is None:
-            if not self.is_ready(now):
-                return Dropped(DropReason.NOT_READY)
-            is_warming_up = Exclusion.WARMING_UP in (
-                self._target_index.exclusions(service or "", now).values()
-            )
-            return Reset(ResetReason.WARMING_UP if is_warming_up else ResetReason.NO_TARGET)
+            exclusions = self._target_index.exclusions(service or "", now)
+            return refusal(exclusions, self.is_ready(now))
         self._flow_tracker.record_syn(segment.flow, service, target.tag, now)
         self._silence.record_syn(segment.flow, target.tag, now)
         return Forwarded(target.entry.endpoint, target.entry.identity, target.tag)
@@ -273,11 +287,7 @@
         return Forwarded(entry.endpoint, entry.identity, tag)
 
     def _count_waiting(self, service: str, now: float) -> int:
-        loads = (
-            self._flow_tracker.load(row.tag)
-            for row in self._target_index.candidates(service, now).targets
-        )
-        return sum(load.waiting + load.opening for load in loads)
+        return self._chooser.count_waiting(self._target_index.candidates(service, now).targets)
 
     def _choose_target(self, service: str, tried_tags: list[int], now: float) -> Candidate | None:
         return self._chooser.choose(
@@ -285,7 +295,7 @@
             tried_tags,
             lambda candidate: self._ejections.is_ejected(candidate, now),
             now,
-        )
+        ).chosen
 
     def _record_failure(self, tag: int, now: float) -> None:
         """Record that a target left a SYN unanswered."""
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
@@ -9,7 +9,7 @@
 import collections
 import enum
 import heapq
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from ..latencies import LatencyHistogram
@@ -143,6 +143,25 @@
             self._open_counts[tag], self._opening_counts[tag], self._waiting_counts[tag]
         )
 
+    def loads_at_syn(self, flow: FlowKey, now: float) -> Callable[[int], TargetLoad]:
+        """Return the loads of targets that the first SYN of a flow would find, without a change.
+
+        Abandoned requests no longer count then, nor does an earlier attempt to open the flow.
+        """
+        opening = self._openings.get(flow)
+        tried = collections.Counter(() if opening is None else opening.tried_tags)
+        due = {row for row in self._counted if row.until <= now}
+        expired = {row.flow for row in due if self._has_request(row)}
+        abandoned = collections.Counter(
+            self._flows[key].tag for key in expired if self._flows[key].is_counted
+        )
+
+        def load(tag: int) -> TargetLoad:
+            flows, openings, waiting = self.load(tag)
+            return TargetLoad(flows, openings - tried[tag], waiting - abandoned[tag])
+
+        return load
+
     def get_opening(self, flow: FlowKey) -> OpeningFlow | None:
         """Return the record of a flow that hasn't opened yet, or ``None``."""
         return self._openings.get(flow)
@@ -223,9 +242,13 @@
         """
         while self._counted and self._counted[0].until <= now:
             request = heapq.heappop(self._counted)
-            flow = self._flows.get(request.flow)
-            if flow is not None and flow.requested_at == request.requested_at:
-                self._set_counted(flow, False)
+            if self._has_request(request):
+                self._set_counted(self._flows[request.flow], False)
+
+    def _has_request(self, request: _CountedRequest) -> bool:
+        """Return whether a request is the latest one of a flow that is still tracked."""
+        flow = self._flows.get(request.flow)
+        return flow is not None and flow.requested_at == request.requested_at
 
     def expire(self, idle_seconds: float, now: float) -> None:
         """Drop idle flows, and flows that stayed unanswered for too long."""
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Sequence
+import copy
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from ..types import ZoneName
 from .answer_times import AnswerTimes
-from .candidates import Candidate, Candidates
+from .candidates import Candidate, Candidates, Exclusion
 from .flow_tracker import TargetLoad
-from .types import Split
+from .types import Dropped, DropReason, Reset, ResetReason, Split
 
 REQUEST_WEIGHT = 1.0
 """Load of a request that awaits its answer, in slots."""
@@ -64,6 +65,34 @@
         self._credits[best.service] -= total
         return best.service
 
+    def peek(self, splits: Sequence[Split]) -> str | None:
+        """Return what :meth:`choose` would return next."""
+        trial = WeightedRoundRobin()
+        trial._credits = dict(self._credits)
+        return trial.choose(splits)
+
+
+class Cost(NamedTuple):
+    """Sort key of a target; the lowest is chosen.
+
+    :param penalty: penalty for signs that the target won't answer.
+    :param load: load per slot.
+    """
+
+    penalty: int
+    load: float
+
+
+class Selection(NamedTuple):
+    """A choice among the targets of a service.
+
+    :param chosen: ``None`` if there is no target.
+    :param compared: the targets that it was chosen from.
+    """
+
+    chosen: Candidate | None
+    compared: Sequence[Candidate]
+
 
 class TargetChooser:
     """Chooses targets for new flows at one host.
@@ -81,14 +110,20 @@
         self._answer_times = answer_times
         self._next_index = 0
 
+    def preview(self, load: Callable[[int], TargetLoad]) -> TargetChooser:
+        """Return a chooser that chooses as this one would next, given other loads."""
+        chooser = copy.copy(self)
+        chooser._load = load
+        return chooser
+
     def choose(
         self,
         candidates: Candidates,
         tried_tags: Collection[int],
         is_ejected: Callable[[Candidate], bool],
         now: float,
-    ) -> Candidate | None:
-        """Return the least loaded target, preferring the local zone, or ``None`` if there is none.
+    ) -> Selection:
+        """Choose the least loaded target, preferring the local zone.
 
         Targets that are ejected, miss heartbeats, or didn't answer an earlier transmission of the
         SYN are chosen only if there is no other. After a remote target didn't answer,
@@ -103,35 +138,48 @@
                 self._zone
             }
 
-        def cost(candidate: Candidate) -> _Cost:
-            zone = candidate.entry.zone
-            penalty = (
-                2 * (not candidate.has_recent_heartbeat)
-                + is_ejected(candidate)
-                + (zone in unresponsive_zones)
-            )
+        def cost(candidate: Candidate) -> Cost:
+            first_cost = self.cost(candidate, is_ejected(candidate), now)
+            if not tried_tags:
+                return first_cost
+            penalty = first_cost.penalty + (candidate.entry.zone in unresponsive_zones)
             penalty += 4 * sum(1 for tag in tried_tags if tag == candidate.tag)
-            return _Cost(penalty, self._load_per_slot(candidate, now))
+            return first_cost._replace(penalty=penalty)
 
         local_targets = self._next_sample(candidates.local_targets)
         best = min(local_targets, key=cost, default=None)
-        if best is not None and cost(best) < _Cost(0, MAX_LOCAL_LOAD):
-            return best
-        return min(targets, key=cost, default=None)
+        if best is not None and cost(best) < Cost(0, MAX_LOCAL_LOAD):
+            return Selection(best, local_targets)
+        return Selection(min(targets, key=cost, default=None), targets)
+
+    def cost(self, candidate: Candidate, is_ejected: bool, now: float) -> Cost:
+        """Return the cost of a target for a flow whose SYN no target has received yet."""
+        penalty = 2 * (not candidate.has_recent_heartbeat) + is_ejected
+        return Cost(penalty, self._load_per_slot(candidate, now))
+
+    def target_load(self, candidate: Candidate) -> TargetLoad:
+        """Return the load of a target, as far as this host knows it."""
+        return self._load(candidate.tag)
+
+    def count_waiting(self, targets: Sequence[Candidate]) -> int:
+        """Return how many requests await answers of targets, and flows that are being opened."""
+        loads = (self._load(row.tag) for row in targets)
+        return sum(load.waiting + load.opening for load in loads)
+
+    def relative_answer_time(self, candidate: Candidate, now: float) -> float:
+        """Return the expected response time of a target relative to that of its service."""
+        times = self._answer_times.find(candidate.entry.service)
+        if now < candidate.warmed_up_at and not times.has_samples(candidate.tag):
+            return WARMUP_FACTOR
+        return times.ratio(candidate.tag, now)
 
     def _load_per_slot(self, candidate: Candidate, now: float) -> float:
         flows, opening, waiting = self._load(candidate.tag)
         slots = max(1, candidate.entry.slots)
         own = REQUEST_WEIGHT * waiting + OPENING_WEIGHT * opening + FLOW_WEIGHT * (flows + 1)
-        load = self._relative_answer_time(candidate, now) * (UNSEEN_LOAD + own / slots)
+        load = self.relative_answer_time(candidate, now) * (UNSEEN_LOAD + own / slots)
         return load if candidate.entry.zone == self._zone else load + REMOTE_ZONE_LOAD
 
-    def _relative_answer_time(self, candidate: Candidate, now: float) -> float:
-        times = self._answer_times.service(candidate.entry.service)
-        if now < candidate.warmed_up_at and not times.has_samples(candidate.tag):
-            return WARMUP_FACTOR
-        return times.ratio(candidate.tag, now)
-
     def _next_sample(self, local_targets: Sequence[Candidate]) -> Sequence[Candidate]:
         """Return the candidates to compare: the next few in rotation."""
         if len(local_targets) <= MAX_COMPARED_COUNT:
@@ -144,12 +192,13 @@
         ]
 
 
-class _Cost(NamedTuple):
-    """Sort key of a target; the lowest is chosen.
+def refusal(exclusions: Mapping[int, Exclusion], is_ready: bool) -> Dropped | Reset:
+    """Return what happens to a new flow that no target can be chosen for.
 
-    :param penalty: penalty for signs that the target won't answer.
-    :param load: load per slot.
+    :param exclusions: the running targets of the service that are left out.
+    :param is_ready: whether this host can place new flows.
     """
-
-    penalty: int
-    load: float
+    if not is_ready:
+        return Dropped(DropReason.NOT_READY)
+    is_warming_up = Exclusion.WARMING_UP in exclusions.values()
+    return Reset(ResetReason.WARMING_UP if is_warming_up else ResetReason.NO_TARGET)
--- a/packages/core/src/lacewingrudder_core/_tagging/target_index.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/target_index.py
@@ -99,6 +99,16 @@
         known = self._services.get(service)
         return _NO_CANDIDATES if known is None else known.candidates(now)
 
+    def peek_candidates(self, service: str, now: float) -> Candidates:
+        """Return what :meth:`candidates` would, without a change."""
+        known = self._services.get(service)
+        return _NO_CANDIDATES if known is None else known.peek(now)
+
+    def targets(self, service: str) -> list[tuple[int, TargetEntry]]:
+        """Return the tags and entries of all known lifetimes of a service, also of ended ones."""
+        rows = ((tag, target.entry) for tag, target in self._targets.items())
+        return [(tag, entry) for tag, entry in rows if entry.service == service]
+
     def exclusions(self, service: str, now: float) -> dict[int, Exclusion]:
         """Return the tags of the running targets that get no new flows of a service, and why."""
         known = self._services.get(service)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -17,6 +17,7 @@
     Update,
     ZonePeerCounts,
 )
+from lacewingrudder_core.explanations import ExplainReply, ExplainRequest
 from lacewingrudder_core.hashing import name_hash
 from lacewingrudder_core.tagging import (
     Dropped,
@@ -204,6 +205,9 @@
             self._answer_silence_query(sender, body)
         elif isinstance(body, ControlStarted):
             self._handle_control_start(sender)
+        elif isinstance(body, ExplainRequest):
+            explanation = self._forwarder.explain(body.flow, self._loop.time())
+            self._message_socket.send(sender, ExplainReply(body.flow, explanation))
         elif isinstance(body, FormerTargets):
             self._entry_events.record_target_changes(
                 self._forwarder.apply_former(sender, body, self._loop.time())
@@ -289,25 +293,10 @@
         self._schedule_silence_check()
 
     def _collect_metrics(self) -> MetricsSnapshot:
-        from .metrics import MetricsSnapshot
-
-        forwarder = self._forwarder
-        return MetricsSnapshot(
-            self._events.counts,
-            {
-                "flows": forwarder.flow_tracker.flow_count,
-                "version": forwarder.version,
-                "ready": self.is_ready,
-                "evacuated_zones": len(forwarder.evacuations.zones),
-            },
-            {
-                "message_bytes_sent": self._message_socket.sent_bytes,
-                "messages_rejected": self._message_socket.rejected_message_count,
-            },
-            {
-                "open_seconds": forwarder.open_seconds,
-                "answer_seconds": forwarder.flow_tracker.answer_seconds,
-            },
+        from .entry_metrics import collect_entry_metrics
+
+        return collect_entry_metrics(
+            self._forwarder, self._message_socket, self._events, self.is_ready
         )
 
     def _get_or_parse_address(self, endpoint: Endpoint) -> Address:
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/messages.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/messages.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from lacewingrudder_core import checkins
+from lacewingrudder_wire.explain_client import EXPLAIN_MESSAGES
 
 ENTRY_MESSAGES: dict[int, type[Any]] = {
     1: checkins.Subscription,
@@ -15,4 +16,5 @@
     6: checkins.TargetAnswered,
     7: checkins.ControlStarted,
     8: checkins.FormerTargets,
+    **EXPLAIN_MESSAGES,
 }
--- a/packages/wire/src/lacewingrudder_wire/exceptions.py
+++ b/packages/wire/src/lacewingrudder_wire/exceptions.py
@@ -14,6 +14,9 @@
     CONFLICT = 3
     REFUSED = 4
     UNKNOWN = 5
+    NO_ROUTE = 6
+    UNREACHABLE = 7
+    NO_VIEW = 8
 
 
 class LacewingrudderError(Exception):
@@ -53,6 +56,24 @@
     exit_code = ExitCode.REFUSED
 
 
+class NoRouteError(LacewingrudderError):
+    """No route leads to the address and port of the flow to explain."""
+
+    exit_code = ExitCode.NO_ROUTE
+
+
+class HostUnreachableError(LacewingrudderError):
+    """The entry host did not answer."""
+
+    exit_code = ExitCode.UNREACHABLE
+
+
+class NoViewError(LacewingrudderError):
+    """The entry host has no configuration yet, or no update from a control host."""
+
+    exit_code = ExitCode.NO_VIEW
+
+
 class FatalError(LacewingrudderError):
     """A component of the process failed, and the process can't continue without it."""
 
