--- a/packages/cli/src/lacewingrudder_cli/explain.py
+++ b/packages/cli/src/lacewingrudder_cli/explain.py
@@ -50,6 +50,8 @@
         "evacuated_zones": list(explanation.evacuated_zones),
         "route": route and _with_text_endpoint(route) | {"splits": _as_dicts(route.splits)},
         "service": explanation.service,
+        "left_out_count": explanation.left_out_count,
+        "target_count": explanation.target_count,
         "left_out": [
             _with_text_endpoint(row.target) | {"reason": row.reason} for row in explanation.left_out
         ],
@@ -74,6 +76,10 @@
         for row in sorted(explanation.targets, key=lambda row: (row.penalty, row.load_per_slot))
     ]
     lines += [_left_out_line(row) for row in explanation.left_out]
+    unlisted = explanation.target_count - len(explanation.targets)
+    unlisted_left_out = explanation.left_out_count - len(explanation.left_out)
+    if unlisted or unlisted_left_out:
+        lines.append(f"not listed {unlisted} more candidates, {unlisted_left_out} more left out")
     return "\n".join(lines)
 
 
--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -39,6 +39,7 @@
         LeftOutTarget(TARGETS[3], AvoidanceReason.DRAINING),
         LeftOutTarget(TARGETS[4], AvoidanceReason.EVACUATED),
     ),
+    2,
     (
         AssessedTarget(
             TARGETS[0], 3, TargetLoad(4, 0, 1), 1.25, 1.9, 1, (AvoidanceReason.EJECTED,), True
@@ -46,6 +47,7 @@
         AssessedTarget(TARGETS[1], 3, TargetLoad(2, 1, 0), 0.8, 1.72, 0, (), True),
         AssessedTarget(TARGETS[2], 3, TargetLoad(0, 0, 0), 1.0, 2.55, 0, (), False),
     ),
+    3,
     AdmissionVerdict(True, 12.5, 2),
     Forwarded(TARGETS[1].endpoint, 1, 1),
 )
@@ -62,6 +64,11 @@
     def test_text_names_the_target_and_the_reasons(self) -> None:
         self.assert_golden("explain.txt", self.run_explain(EXPLANATION).stdout)
 
+    def test_number_of_unlisted_targets_is_shown(self) -> None:
+        result = self.run_explain(EXPLANATION._replace(target_count=1003, left_out_count=4))
+        last_line = result.stdout.splitlines()[-1]
+        self.assertEqual(last_line, "not listed 1000 more candidates, 2 more left out")
+
     def test_refused_flow_has_its_reason(self) -> None:
         refused = EXPLANATION._replace(forwarded=None, admission=AdmissionVerdict(False, 2.0, 2))
         for answer, line in (
--- a/packages/core/src/lacewingrudder_core/_tagging/explanation.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/explanation.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
 from .._checkins.types import LifeState, TargetEntry
@@ -12,6 +12,7 @@
 from .candidates import Candidate, Exclusion
 from .ejections import Ejections
 from .explanation_types import (
+    MAX_LISTED_TARGETS,
     AdmissionVerdict,
     AssessedTarget,
     AvoidanceReason,
@@ -90,13 +91,16 @@
         candidates, (), lambda candidate: state.ejections.is_ejected(candidate, now), now
     )
     compared_tags = {candidate.tag for candidate in selection.compared}
+    left_out = _left_out_targets(state.target_index, service, now)
     explanation = explanation._replace(
         service=service,
-        left_out=_left_out_targets(state.target_index, service, now),
+        left_out=left_out[:MAX_LISTED_TARGETS],
+        left_out_count=len(left_out),
         targets=tuple(
             _assess(state, chooser, candidate, candidate.tag in compared_tags, now)
-            for candidate in candidates.targets
+            for candidate in _in_order(candidates.targets, selection, compared_tags)
         ),
+        target_count=len(candidates.targets),
         admission=AdmissionVerdict(is_admitted, limit, waiting),
     )
     if not is_admitted:
@@ -111,13 +115,24 @@
     return Forwarded(chosen.entry.endpoint, chosen.entry.identity, chosen.tag)
 
 
+def _in_order(
+    targets: Sequence[Candidate], selection: Selection, compared_tags: Collection[int]
+) -> Sequence[Candidate]:
+    """Return the targets to list: the chosen one first, then those that were compared."""
+    chosen_tag = None if selection.chosen is None else selection.chosen.tag
+    order = sorted(targets, key=lambda row: (row.tag != chosen_tag, row.tag not in compared_tags))
+    return order[:MAX_LISTED_TARGETS]
+
+
 def _left_out_targets(index: TargetIndex, service: str, now: float) -> tuple[LeftOutTarget, ...]:
+    """Return the targets that can't be chosen, those that still run first."""
     exclusions = index.exclusions(service, now)
-    found = (
-        (_identity(tag, entry), _left_out_reason(entry, exclusions.get(tag)))
+    left_out = [
+        (entry.state, _identity(tag, entry), reason)
         for tag, entry in index.targets(service)
-    )
-    return tuple(LeftOutTarget(target, reason) for target, reason in found if reason is not None)
+        if (reason := _left_out_reason(entry, exclusions.get(tag))) is not None
+    ]
+    return tuple(LeftOutTarget(target, reason) for _, target, reason in sorted(left_out))
 
 
 def _left_out_reason(entry: TargetEntry, exclusion: Exclusion | None) -> AvoidanceReason | None:
--- a/packages/core/src/lacewingrudder_core/_tagging/explanation_types.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/explanation_types.py
@@ -9,6 +9,10 @@
 from .flow_tracker import TargetLoad
 from .types import Decision, Dropped, DropReason, Forwarded, Reset, ResetReason, Route
 
+MAX_LISTED_TARGETS = 500
+"""Maximum length of each list of targets. An explanation delays the packets that arrive meanwhile:
+listing 5,000 targets and encoding them took 160 ms."""
+
 
 class AvoidanceReason(enum.StrEnum):
     """Why new flows avoid a target.
@@ -86,6 +90,10 @@
     :param version: version of the configuration in force, -1 for none.
     :param has_update: whether a control host has sent an update, with targets and evacuations.
     :param service: service of the split that would be taken, ``None`` if all weights are 0.
+    :param left_out: the targets of the service that can't be chosen, or the first of them.
+    :param left_out_count: the number of all of these.
+    :param targets: the targets of the service that can be chosen, or the first of them.
+    :param target_count: the number of all of these.
     :param admission: ``None`` if no service was chosen.
     """
 
@@ -95,7 +103,9 @@
     route: Route | None = None
     service: str | None = None
     left_out: tuple[LeftOutTarget, ...] = ()
+    left_out_count: int = 0
     targets: tuple[AssessedTarget, ...] = ()
+    target_count: int = 0
     admission: AdmissionVerdict | None = None
     forwarded: Forwarded | None = None
     drop_reason: DropReason | None = None
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
@@ -156,6 +156,9 @@
             self._flows[key].tag for key in expired if self._flows[key].is_counted
         )
 
+        if not tried and not abandoned:
+            return self.load
+
         def load(tag: int) -> TargetLoad:
             flows, openings, waiting = self.load(tag)
             return TargetLoad(flows, openings - tried[tag], waiting - abandoned[tag])
--- a/packages/core/src/lacewingrudder_core/explanations.py
+++ b/packages/core/src/lacewingrudder_core/explanations.py
@@ -1,5 +1,6 @@
 """Explanations of where new flows go, without the forwarding itself (:mod:`.tagging`)."""
 
+from ._tagging.explanation_types import MAX_LISTED_TARGETS as MAX_LISTED_TARGETS
 from ._tagging.explanation_types import AdmissionVerdict as AdmissionVerdict
 from ._tagging.explanation_types import AssessedTarget as AssessedTarget
 from ._tagging.explanation_types import AvoidanceReason as AvoidanceReason
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -17,7 +17,7 @@
     Update,
     ZonePeerCounts,
 )
-from lacewingrudder_core.explanations import ExplainReply, ExplainRequest
+from lacewingrudder_core.explanations import ExplainRequest
 from lacewingrudder_core.hashing import name_hash
 from lacewingrudder_core.tagging import (
     Dropped,
@@ -31,6 +31,7 @@
 from .adapters import ConfigurationReader, PacketAdapter
 from .entry_events import EntryEvents
 from .event_log import EventLog
+from .explanations import ExplanationResponder
 from .message_socket import MessageSocket, address_of
 from .messages import ENTRY_MESSAGES
 from .process import FleetProcess
@@ -95,6 +96,7 @@
         self._entry_events = EntryEvents(events)
         seed = name_hash(str(settings.messages))
         self._forwarder = TagForwarder(settings.zone, seed, entry.limits_warmup)
+        self._explanations = ExplanationResponder(self._forwarder)
         self._packet_socket = DatagramSocket(self._handle_packet)
         self._message_socket = MessageSocket(ENTRY_MESSAGES, events, self._handle_message)
         self._readiness_changed = asyncio.Event()
@@ -206,8 +208,9 @@
         elif isinstance(body, ControlStarted):
             self._handle_control_start(sender)
         elif isinstance(body, ExplainRequest):
-            explanation = self._forwarder.explain(body.flow, self._loop.time())
-            self._message_socket.send(sender, ExplainReply(body.flow, explanation))
+            reply = self._explanations.answer(body, self._loop.time())
+            if reply is not None:
+                self._message_socket.send(sender, reply)
         elif isinstance(body, FormerTargets):
             self._entry_events.record_target_changes(
                 self._forwarder.apply_former(sender, body, self._loop.time())
