--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -17,6 +17,7 @@
     Update,
     ZonePeerCounts,
 )
+from lacewingrudder_core.explanations import ExplainRequest
 from lacewingrudder_core.hashing import name_hash
 from lacewingrudder_core.tagging import (
     Dropped,
@@ -25,11 +26,13 @@
     TagForwarder,
 )
 from lacewingrudder_core.types import Endpoint, HostName
+from lacewingrudder_wire.explain_client import EXPLAIN_MESSAGES
 
 from .._packets.datagrams import Address, DatagramSocket
 from .adapters import ConfigurationReader, PacketAdapter
 from .entry_events import EntryEvents
 from .event_log import EventLog
+from .explanations import ExplanationResponder
 from .message_socket import MessageSocket, address_of
 from .messages import ENTRY_MESSAGES
 from .process import FleetProcess
@@ -94,8 +97,11 @@
         self._entry_events = EntryEvents(events)
         seed = name_hash(str(settings.messages))
         self._forwarder = TagForwarder(settings.zone, seed, entry.limits_warmup)
+        self._explanations = ExplanationResponder(self._forwarder)
         self._packet_socket = DatagramSocket(self._handle_packet)
-        self._message_socket = MessageSocket(ENTRY_MESSAGES, events, self._handle_message)
+        self._message_socket = MessageSocket(
+            ENTRY_MESSAGES | EXPLAIN_MESSAGES, events, self._handle_message
+        )
         self._readiness_changed = asyncio.Event()
         self._readiness_server: HttpServer | None = None
         self._controls: set[HostName] = set(settings.seeds)
@@ -204,6 +210,10 @@
             self._answer_silence_query(sender, body)
         elif isinstance(body, ControlStarted):
             self._handle_control_start(sender)
+        elif isinstance(body, ExplainRequest):
+            reply = self._explanations.answer(body, self._loop.time())
+            if reply is not None:
+                self._message_socket.send(sender, reply)
         elif isinstance(body, FormerTargets):
             self._entry_events.record_target_changes(
                 self._forwarder.apply_former(sender, body, self._loop.time())
@@ -289,25 +299,10 @@
         self._schedule_silence_check()
 
     def _collect_metrics(self) -> MetricsSnapshot:
-        from .metrics import MetricsSnapshot
-
-        forwarder = self._forwarder
-        return MetricsSnapshot(
-            self._events.counts,
-            {
-                "flows": forwarder.flow_tracker.flow_count,
-                "version": forwarder.version,
-                "ready": self.is_ready,
-                "evacuated_zones": len(forwarder.evacuations.zones),
-            },
-            {
-                "message_bytes_sent": self._message_socket.sent_bytes,
-                "messages_rejected": self._message_socket.rejected_message_count,
-            },
-            {
-                "open_seconds": forwarder.open_seconds,
-                "answer_seconds": forwarder.flow_tracker.answer_seconds,
-            },
+        from .entry_metrics import collect_entry_metrics
+
+        return collect_entry_metrics(
+            self._forwarder, self._message_socket, self._events, self.is_ready
         )
 
     def _get_or_parse_address(self, endpoint: Endpoint) -> Address:
