Obey zone orders in lacewingrudderd, and add lwr evacuate and restore-zone

Cause: the replicated log held zone orders, but only hosts that forward by flow tag obeyed them.

Placement tables leave out targets of evacuated zones; open flows stay, and a service without other targets refuses new flows at once. When a zone is restored, its targets start slowly, as after a drain. A host that starts places no flow before the control host that it follows has confirmed its catalogue, or for 3 s: hosts that start together agreed on a catalogue that lacked the latest orders. Operators get lwr evacuate, lwr restore-zone, the zones in lwr status, two metrics and two events.

--- a/packages/cli/src/lacewingrudder_cli/main.py
+++ b/packages/cli/src/lacewingrudder_cli/main.py
@@ -16,7 +16,7 @@
 from lacewingrudder_wire.exceptions import DocumentError, LacewingrudderError
 
 from .options import control_option, json_option
-from .orders import drain, restore, withdraw
+from .orders import drain, evacuate, restore, restore_zone, withdraw
 from .outcomes import EXIT_CODES, reply_text
 from .status import status
 from .timeline import timeline
@@ -39,8 +39,8 @@
     """Operate a lacewingrudder load balancer.
 
     Release notes describe services: check a note, submit it, and use status to see when it is in
-    force on all entry hosts. Orders drain, withdraw or restore a single target. The timeline shows
-    the events of all processes.
+    force on all entry hosts. Orders drain, withdraw or restore a single target, or evacuate
+    or restore a zone. The timeline shows the events of all processes.
 
     \b
     Exit codes: 0 done, 2 usage error or invalid input, 3 conflict, 4 refused (not accepted),
@@ -73,7 +73,7 @@
     _exit_with_reply(request(controls, SubmitNote(contents)), as_json)
 
 
-for command in (status, drain, withdraw, restore, timeline):
+for command in (status, drain, withdraw, restore, evacuate, restore_zone, timeline):
     cli.add_command(command)
 
 
--- a/packages/cli/src/lacewingrudder_cli/orders.py
+++ b/packages/cli/src/lacewingrudder_cli/orders.py
@@ -1,4 +1,4 @@
-"""``lwr drain``, ``lwr withdraw`` and ``lwr restore``: orders for a single target."""
+"""Commands for operators' orders: for single targets, and for all targets of a zone."""
 
 from __future__ import annotations
 
@@ -8,15 +8,21 @@
 from collections.abc import Callable
 
 import click
-from lacewingrudder_core.messages import OperatorReply, Status, StatusRequest, SubmitOrder
-from lacewingrudder_core.notes import SubmitReply, SubmitTag
+from lacewingrudder_core.messages import (
+    OperatorReply,
+    Status,
+    StatusRequest,
+    SubmitOrder,
+    SubmitZoneOrder,
+)
+from lacewingrudder_core.notes import SubmitReply, SubmitTag, ZoneAction, ZoneOrder
 from lacewingrudder_core.types import Endpoint, OrderAction, TargetOrder
 from lacewingrudder_wire.client import request
 from lacewingrudder_wire.exceptions import UnreachableError
 
 from .options import control_option, json_option
 from .outcomes import EXIT_CODES, reply_text
-from .status import confirmation_text
+from .status import confirmation_text, evacuation_text
 
 DEFAULT_WAIT_SECONDS = 3.0
 POLL_INTERVAL_SECONDS = 0.2
@@ -34,16 +40,13 @@
 def _make_order_command(action: OrderAction, explanation: str) -> click.Command:
     def run(target: str, controls: tuple[Endpoint, ...], wait: float, as_json: bool) -> None:
         order = SubmitOrder(TargetOrder(target, action))
-        answer: OperatorReply = request(controls, order)
-        last_status = None
-        if answer.reply.tag is SubmitTag.ACCEPTED and wait > 0:
-            last_status = wait_until_confirmed(controls, answer.reply.revision, wait)
+        reply, last_status = _submit(controls, order, wait)
         click.echo(
-            _format_json(answer.reply, last_status)
+            _format_json(reply, last_status)
             if as_json
-            else _format_text(answer.reply, last_status)
+            else "\n".join(_text_lines(reply, last_status, "send new flows to the target"))
         )
-        sys.exit(EXIT_CODES[answer.reply.tag])
+        sys.exit(EXIT_CODES[reply.tag])
 
     command: Callable[..., None] = run
     command = json_option(wait_option(control_option(click.argument("target")(command))))
@@ -69,6 +72,71 @@
 )
 
 
+def _make_zone_command(
+    name: str, action: ZoneAction, effect_before: str, explanation: str
+) -> click.Command:
+    """Return the command for a zone order.
+
+    :param effect_before: what hosts do that do not have the order yet, for the operator.
+    """
+
+    def run(zone: str, controls: tuple[Endpoint, ...], wait: float, as_json: bool) -> None:
+        order = SubmitZoneOrder(ZoneOrder(zone, action))
+        reply, last_status = _submit(controls, order, wait)
+        if as_json:
+            click.echo(_format_json(reply, last_status))
+        else:
+            lines = _text_lines(reply, last_status, effect_before)
+            if last_status is not None:
+                lines += _zone_lines(zone, last_status)
+            click.echo("\n".join(lines))
+        sys.exit(EXIT_CODES[reply.tag])
+
+    command: Callable[..., None] = run
+    argument = click.argument("zone", callback=_check_zone)
+    command = json_option(wait_option(control_option(argument(command))))
+    return click.command(name, help=explanation)(command)
+
+
+def _check_zone(context: click.Context, parameter: click.Parameter, value: str) -> str:
+    if not value.strip():
+        raise click.BadParameter("the name of a zone must not be empty")
+    return value
+
+
+evacuate = _make_zone_command(
+    "evacuate",
+    ZoneAction.EVACUATE,
+    "send new flows to the zone",
+    "Stop sending new flows to the targets of ZONE.\n\n"
+    "Open flows continue. A service all of whose targets are in evacuated zones refuses new flows. "
+    "Entry hosts that can't be reached are listed; they keep sending new flows to the zone until "
+    "they receive the order.",
+)
+restore_zone = _make_zone_command(
+    "restore-zone",
+    ZoneAction.RESTORE,
+    "send no new flows to the zone",
+    "End the evacuation of ZONE.\n\n"
+    "Its targets receive new flows again, as after a start: few at first. Orders for single "
+    "targets stay in force.",
+)
+
+
+def _submit(
+    controls: tuple[Endpoint, ...], order: SubmitOrder | SubmitZoneOrder, wait: float
+) -> tuple[SubmitReply, Status | None]:
+    """Submit an order and wait for the entry hosts to confirm it if it is accepted.
+
+    :param wait: maximum time to wait, in seconds.
+    :return: the answer, and the last status, or ``None`` if there was no wait or no status.
+    """
+    answer: OperatorReply = request(controls, order)
+    if answer.reply.tag is not SubmitTag.ACCEPTED or wait <= 0:
+        return answer.reply, None
+    return answer.reply, wait_until_confirmed(controls, answer.reply.revision, wait)
+
+
 def wait_until_confirmed(
     controls: tuple[Endpoint, ...], revision: int, seconds: float
 ) -> Status | None:
@@ -106,7 +174,7 @@
     return json.dumps(document)
 
 
-def _format_text(reply: SubmitReply, last_status: Status | None) -> str:
+def _text_lines(reply: SubmitReply, last_status: Status | None, effect_before: str) -> list[str]:
     lines = [reply_text(reply)]
     if reply.tag is SubmitTag.REFUSED:
         lines.append(
@@ -116,7 +184,18 @@
         lines.append(confirmation_text(last_status))
         if unconfirmed_hosts(last_status):
             lines.append(
-                "hosts that have not confirmed may still send new flows to the target; "
+                f"hosts that have not confirmed may still {effect_before}; "
                 "those in a partitioned zone do so until the zone is reachable again"
             )
-    return "\n".join(lines)
+    return lines
+
+
+def _zone_lines(zone: str, last_status: Status) -> list[str]:
+    """Return the evacuated zones, and a warning if the zone may be misspelt.
+
+    Control hosts accept any zone, because a zone may have targets but no entry host.
+    """
+    lines = [evacuation_text(last_status)]
+    if zone not in {host.zone for host in last_status.hosts}:
+        lines.append(f"warning: no entry host of zone {zone} has reported; check its name")
+    return lines
--- a/packages/cli/src/lacewingrudder_cli/status.py
+++ b/packages/cli/src/lacewingrudder_cli/status.py
@@ -36,6 +36,8 @@
 def status_text(answer: Status) -> str:
     """Format a status as text."""
     lines = [_first_line(answer)]
+    if answer.evacuated_zones:
+        lines.append(evacuation_text(answer))
     lines += [_control_line(control) for control in answer.controls]
     lines += [_host_line(host, answer) for host in answer.hosts]
     lines += [f"entry    {name:<16} no report to any control host" for name in answer.unheard]
@@ -53,6 +55,11 @@
     return f"{text}; not confirmed by: {', '.join(unconfirmed)}" if unconfirmed else text
 
 
+def evacuation_text(answer: Status) -> str:
+    """Format the names of the evacuated zones."""
+    return f"evacuated zones: {', '.join(answer.evacuated_zones) or 'none'}"
+
+
 def _first_line(answer: Status) -> str:
     if answer.accepting:
         return f"revision {answer.revision}, leader {answer.leader}, accepting"
--- a/packages/cli/tests/test_main.py
+++ b/packages/cli/tests/test_main.py
@@ -6,8 +6,8 @@
 
 from click.testing import Result
 from lacewingrudder_cli.testing import LwrRunner
-from lacewingrudder_core.messages import OperatorReply, SubmitOrder
-from lacewingrudder_core.notes import SubmitReply, SubmitTag
+from lacewingrudder_core.messages import OperatorReply, SubmitOrder, SubmitZoneOrder
+from lacewingrudder_core.notes import SubmitReply, SubmitTag, ZoneAction, ZoneOrder
 from lacewingrudder_core.types import OrderAction, TargetOrder
 
 NOTE = {"number": 1, "base": 0, "withdrawn": ["old"]}
@@ -56,3 +56,14 @@
             self.run_lwr(action, "10.0.0.1:80", "--wait", "0")
         orders = [SubmitOrder(TargetOrder("10.0.0.1:80", action)) for action in OrderAction]
         self.assertEqual(self.sent, orders)
+
+    def test_zone_orders_name_zone_and_action(self) -> None:
+        for command in ("evacuate", "restore-zone"):
+            self.run_lwr(command, "suame", "--wait", "0")
+        self.assertEqual(
+            self.sent, [SubmitZoneOrder(ZoneOrder("suame", action)) for action in ZoneAction]
+        )
+
+    def test_zone_without_a_name_is_not_sent(self) -> None:
+        done = self.run_lwr("evacuate", " ", "--wait", "0")
+        self.assertEqual((done.exit_code, self.sent), (2, []))
--- a/packages/core/src/lacewingrudder_core/_control/core.py
+++ b/packages/core/src/lacewingrudder_core/_control/core.py
@@ -306,7 +306,8 @@
     def _own_status(self, number: int, now: float) -> PeerStatusReply:
         leader = self._replica.leader(now)
         hosts = self._propagation.hosts(now)
-        return PeerStatusReply(number, self._catalogue.revision, leader, hosts)
+        catalogue = self._catalogue
+        return PeerStatusReply(number, catalogue.revision, leader, hosts, catalogue.evacuations)
 
     def _pop_finished_status_queries(self, now: float) -> list[ControlEffect]:
         return [Reply(token, status) for token, status in self._status_queries.pop_finished(now)]
--- a/packages/core/src/lacewingrudder_core/_entry/core.py
+++ b/packages/core/src/lacewingrudder_core/_entry/core.py
@@ -21,6 +21,7 @@
     PeerConfirmed,
 )
 from .._notes.catalogue import Catalogue
+from .._notes.evacuations import Evacuations
 from .._routing.health import HealthTracker
 from .._routing.placement import LoadAwarePlacement
 from .._routing.target_table import TableEffect, TargetTable
@@ -54,6 +55,7 @@
     ProbeRequest,
     SnapshotPull,
     Subscribe,
+    SubscribeReply,
     SwimMessage,
     TargetsInUse,
     TargetsPull,
@@ -113,7 +115,7 @@
         self._replication = CatalogueReplication(me, in_force, controls, persists, rng)
         self._membership = MembershipCore(me, peers, rng)
         self._has_seeds = bool(set(peers) - {me.name})
-        self._readiness = Readiness()
+        self._readiness = Readiness(bool(controls))
         self._targets = TargetTable(me, target_chart, in_force, rng)
         self._health = HealthTracker()
         placement = LoadAwarePlacement(me.zone, self._health)
@@ -129,6 +131,11 @@
         """The revision in force on this host."""
         return self._replication.catalogue.revision
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuated zones in force on this host."""
+        return self._replication.catalogue.evacuations
+
     @property
     def flow_count(self) -> int:
         """Number of flows in this host's flow table."""
@@ -173,6 +180,8 @@
             return self._handle_peer(event, now)
         if isinstance(event, ControlMessage):
             may_adopt = self._readiness.may_adopt_catalogue(now)
+            if isinstance(event.body, SubscribeReply) and event.sender == self.followed_control:
+                self._readiness.record_control_answer(self._replication.is_caught_up(event.body))
             return self._replication_effects(
                 self._replication.handle_control_message(event, may_adopt, now), now
             )
--- a/packages/core/src/lacewingrudder_core/_entry/readiness.py
+++ b/packages/core/src/lacewingrudder_core/_entry/readiness.py
@@ -4,6 +4,9 @@
 serves its open flows, but opens no new ones until another host has answered a new ping and their
 states agree. If no host answers, because there is none or the network is partitioned, it serves
 with the state it has after a bounded wait.
+
+A host that has just started also waits for a control host's answer, for as long at most: where all
+entry hosts start together, their states agree but may all lack the latest orders.
 """
 
 from __future__ import annotations
@@ -14,11 +17,16 @@
 
 
 class Readiness:
-    """Detects starts and pauses of this host, and decides when its state is current again."""
+    """Detects starts and pauses of this host, and decides when its state is current again.
+
+    :param has_controls: whether there are control hosts to wait for after the start.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, has_controls: bool = False) -> None:
         self._last_tick: float | None = None
         self._waiting_since: float | None = None
+        self._has_controls = has_controls
+        self._awaiting_control_since: float | None = None
         self._has_answer = False
         self._was_paused = False
         self._was_ready = False
@@ -34,6 +42,8 @@
         last = self._last_tick
         if last is not None and now - last <= MAX_TICK_GAP_SECONDS:
             return False
+        if last is None and self._has_controls:
+            self._awaiting_control_since = now
         self._last_tick = now
         self._has_answer = False
         self._was_paused = True
@@ -53,15 +63,22 @@
         if self._has_answer and is_caught_up:
             self._waiting_since = None
 
+    def record_control_answer(self, is_caught_up: bool) -> None:
+        """Record whether this host's catalogue is that of a control host that answered."""
+        if is_caught_up:
+            self._awaiting_control_since = None
+
     def may_adopt_catalogue(self, now: float) -> bool:
         """Return whether peers had time to report, so that a first catalogue may be adopted."""
-        return self._has_answer or self.is_ready(now)
+        return self._has_answer or not _is_pending(self._waiting_since, now)
 
     def is_ready(self, now: float) -> bool:
         """Return whether this host may choose targets for new flows."""
-        if self._waiting_since is not None and now - self._waiting_since > MAX_WAIT_SECONDS:
+        if not _is_pending(self._waiting_since, now):
             self._waiting_since = None
-        return self._waiting_since is None
+        if not _is_pending(self._awaiting_control_since, now):
+            self._awaiting_control_since = None
+        return self._waiting_since is None and self._awaiting_control_since is None
 
     def pop_changes(self, now: float) -> list[bool]:
         """Return the values that :meth:`is_ready` changed to since the last call, in order."""
@@ -73,3 +90,7 @@
             self._was_ready = True
             changes.append(True)
         return changes
+
+
+def _is_pending(since: float | None, now: float) -> bool:
+    return since is not None and now - since <= MAX_WAIT_SECONDS
--- a/packages/core/src/lacewingrudder_core/_follower/follower.py
+++ b/packages/core/src/lacewingrudder_core/_follower/follower.py
@@ -138,6 +138,12 @@
         """The control host that this host subscribes to, empty if there is none."""
         return self._controls[self._followed_index] if self._controls else ""
 
+    def is_caught_up(self, reply: SubscribeReply) -> bool:
+        """Return whether the catalogue in force is the replying host's, or newer."""
+        if reply.revision != self._catalogue.revision:
+            return reply.revision < self._catalogue.revision
+        return reply.digest == self._digests.of(self._catalogue)
+
     def handle(self, event: FollowerEvent, now: float) -> list[FollowerEffect]:
         """Handle an event and return its effects."""
         if isinstance(event, Tick):
--- a/packages/core/src/lacewingrudder_core/_follower/replication.py
+++ b/packages/core/src/lacewingrudder_core/_follower/replication.py
@@ -59,6 +59,10 @@
         """The control host that this host subscribes to, empty if there is none."""
         return self._follower.followed_control
 
+    def is_caught_up(self, reply: SubscribeReply) -> bool:
+        """Return whether the catalogue in force is the replying host's, or newer."""
+        return self._follower.is_caught_up(reply)
+
     def update_zones(self, zones: Mapping[HostName, ZoneName], now: float) -> None:
         """Update the zones of hosts, which determine the preferred control host."""
         self._follower.handle(ZonesChanged(zones), now)
--- a/packages/core/src/lacewingrudder_core/_propagation/snapshots.py
+++ b/packages/core/src/lacewingrudder_core/_propagation/snapshots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .._notes.catalogue import Catalogue
+from .._notes.evacuations import Evacuations
 from ..hashing import name_hash
 from ..messages import SnapshotPart
 
@@ -10,8 +11,15 @@
 
 
 def catalogue_digest(catalogue: Catalogue) -> int:
-    """Return a hash of the services and orders of a catalogue, and of nothing else in it."""
-    return name_hash(repr((catalogue.services, sorted(catalogue.orders)))) >> 1
+    """Return a hash of the services, orders and evacuations of a catalogue, and of nothing else.
+
+    Evacuations are left out where no zone was ever evacuated: the digest is then that of earlier
+    releases, whose hosts would otherwise be sent a snapshot with each renewal of a subscription.
+    """
+    contents: tuple[object, ...] = (catalogue.services, sorted(catalogue.orders))
+    if catalogue.evacuations.revision:
+        contents = (*contents, tuple(catalogue.evacuations))
+    return name_hash(repr(contents)) >> 1
 
 
 class DigestCache:
@@ -52,6 +60,7 @@
         part_count(catalogue),
         catalogue.services[items],
         catalogue.orders[items],
+        Evacuations() if index else catalogue.evacuations,
     )
 
 
@@ -87,5 +96,6 @@
             parts[0].revision,
             tuple(service for part in parts for service in part.services),
             tuple(order for part in parts for order in part.orders),
+            evacuations=parts[0].evacuations,
         )
         return catalogue if catalogue_digest(catalogue) == parts[0].digest else None
--- a/packages/core/src/lacewingrudder_core/_propagation/status_queries.py
+++ b/packages/core/src/lacewingrudder_core/_propagation/status_queries.py
@@ -99,7 +99,8 @@
 
     def _collect(self, query: _StatusQuery) -> CollectedStatus:
         replies = {self._name: query.own, **query.replies}
-        revision = max(reply.revision for reply in replies.values())
+        newest = max(replies.values(), key=lambda reply: reply.revision)
+        revision, evacuated_zones = newest.revision, newest.evacuations.zones
         hosts = self._merge_hosts(replies.values())
         missing = tuple(host.name for host in hosts if not _confirms(host, revision))
         unheard = tuple(sorted(self._expected_hosts - {host.name for host in hosts}))
@@ -110,7 +111,9 @@
         leader = query.own.leader
         return CollectedStatus(
             query.token,
-            Status(revision, leader, bool(leader), hosts, missing, unheard, controls),
+            Status(
+                revision, leader, bool(leader), hosts, missing, unheard, controls, evacuated_zones
+            ),
         )
 
     def _merge_hosts(self, replies: Iterable[PeerStatusReply]) -> tuple[HostStatus, ...]:
--- a/packages/core/src/lacewingrudder_core/_routing/view.py
+++ b/packages/core/src/lacewingrudder_core/_routing/view.py
@@ -100,15 +100,19 @@
     :param stopped: the targets that an order drains or withdraws.
     :param hosts: the live hosts.
     :param zones: the zones of the live hosts.
+    :param evacuated: the zones that an order evacuates.
     """
 
-    stopped: frozenset[TargetName]
-    hosts: frozenset[HostName]
-    zones: frozenset[ZoneName]
+    stopped: frozenset[TargetName] = frozenset()
+    hosts: frozenset[HostName] = frozenset()
+    zones: frozenset[ZoneName] = frozenset()
+    evacuated: frozenset[ZoneName] = frozenset()
 
     def accepts_flows(self, record: TargetRecord) -> bool:
         if record.state not in ACCEPTING_STATES or record.target.name in self.stopped:
             return False
+        if record.target.zone in self.evacuated:
+            return False
         return record.target.zone in self.zones or record.owner in self.hosts
 
 
@@ -118,7 +122,7 @@
     def __init__(self) -> None:
         self._members: tuple[Member, ...] = ()
         self._homes = HomeTable(())
-        self._eligibility = _Eligibility(frozenset(), frozenset(), frozenset())
+        self._eligibility = _Eligibility()
         self._services: dict[str, _ServiceRoutes] = {}
         self._tables: dict[tuple[WeightedTarget, ...], PlacementTable] = {}
 
@@ -145,16 +149,18 @@
             frozenset(order.target for order in catalogue.orders if order.action in stop_actions),
             frozenset(member.name for member in self._members),
             frozenset(member.zone for member in self._members),
+            frozenset(catalogue.evacuations.zones),
         )
         before, self._eligibility = self._eligibility, eligibility
         if (before.hosts, before.zones) != (eligibility.hosts, eligibility.zones):
             self._services = {}
-        changed = before.stopped ^ eligibility.stopped
-        if changed:
+        targets = before.stopped ^ eligibility.stopped
+        zones = before.evacuated ^ eligibility.evacuated
+        if targets or zones:
             self._services = {
                 name: part
                 for name, part in self._services.items()
-                if not any(record.target.name in changed for record in part.records)
+                if not any(r.target.name in targets or r.target.zone in zones for r in part.records)
             }
 
     def _combine(
--- a/packages/core/src/lacewingrudder_core/_targets/core.py
+++ b/packages/core/src/lacewingrudder_core/_targets/core.py
@@ -238,15 +238,15 @@
 
     def _change_catalogue(self, catalogue: Catalogue, now: float) -> list[TargetEffect]:
         self._validator.keep_former_keys(self._catalogue, catalogue, now)
-        before = {order.target: order.action for order in self._catalogue.orders}
-        self._catalogue = catalogue
-        stop_actions = (OrderAction.DRAIN, OrderAction.WITHDRAW)
-        restored = [
-            self._restore(name, now)
-            for name, action in before.items()
-            if action in stop_actions and catalogue.order(name) not in stop_actions
-        ]
-        return self._write(filter(None, restored), now)
+        before, self._catalogue = self._catalogue, catalogue
+        restored_zones = set(before.evacuations.zones) - set(catalogue.evacuations.zones)
+        restored = _stopped_targets(before) - _stopped_targets(catalogue)
+        restored |= {
+            record.target.name
+            for record in self._records.records
+            if record.target.zone in restored_zones
+        }
+        return self._write(filter(None, (self._restore(n, now) for n in sorted(restored))), now)
 
     def _restore(self, name: TargetName, now: float) -> TargetRecord | None:
         record = self._records.get(name)
@@ -318,3 +318,9 @@
     def _rank_in_zone(self) -> int:
         zone_hosts = [name for name, zone in self._hosts.items() if zone == self._zone]
         return sorted(zone_hosts).index(self._name)
+
+
+def _stopped_targets(catalogue: Catalogue) -> set[TargetName]:
+    """Return the targets that an operator's order drains or withdraws."""
+    stop_actions = (OrderAction.DRAIN, OrderAction.WITHDRAW)
+    return {order.target for order in catalogue.orders if order.action in stop_actions}
--- a/packages/core/src/lacewingrudder_core/messages.py
+++ b/packages/core/src/lacewingrudder_core/messages.py
@@ -7,7 +7,7 @@
 
 from ._notes.catalogue import Change, Note, SubmitReply
 from ._notes.configurations import StoredConfiguration
-from ._notes.evacuations import ZoneOrder
+from ._notes.evacuations import Evacuations, ZoneOrder
 from .types import (
     HostName,
     Member,
@@ -186,6 +186,7 @@
     :param digest: hash of the contents of the complete catalogue.
     :param part: index of this part, from 0.
     :param parts: the total number of parts.
+    :param evacuations: set in the first part only.
     """
 
     revision: int
@@ -194,6 +195,7 @@
     parts: int
     services: tuple[Service, ...]
     orders: tuple[TargetOrder, ...]
+    evacuations: Evacuations = Evacuations()
 
 
 class SnapshotPull(NamedTuple):
@@ -284,6 +286,7 @@
     :param missing: those entry hosts that have not confirmed the revision, or not recently.
     :param unheard: expected entry hosts that have not reported to any control host.
     :param controls: all control hosts, including the answering one.
+    :param evacuated_zones: the zones whose targets get no new flows, as of the revision.
     """
 
     revision: int
@@ -293,6 +296,7 @@
     missing: tuple[HostName, ...]
     unheard: tuple[HostName, ...]
     controls: tuple[ControlStatus, ...]
+    evacuated_zones: tuple[ZoneName, ...] = ()
 
 
 class PeerStatusRequest(NamedTuple):
@@ -316,6 +320,7 @@
     revision: int
     leader: HostName
     hosts: tuple[HostStatus, ...]
+    evacuations: Evacuations = Evacuations()
 
 
 class OperatorReply(NamedTuple):
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -34,6 +34,7 @@
 from ._storage.log_store import ReplicaStore
 from .control_task import ControlTask, make_first_number
 from .entry_task import EntryTask
+from .evacuation_log import EvacuationLog
 from .http import announcement_app, metrics_app, start_app
 from .metrics import ProcessMetrics
 from .recorder import TimelineWriter
@@ -56,7 +57,7 @@
     m.Pins,
 )
 _PROPAGATION_MESSAGES = (m.SubscribeReply, m.Changes, m.SnapshotPart)
-_OPERATOR_MESSAGES = (m.SubmitNote, m.SubmitOrder, m.StatusRequest)
+_OPERATOR_MESSAGES = (m.SubmitNote, m.SubmitOrder, m.SubmitZoneOrder, m.StatusRequest)
 _REPLICA_MESSAGES = (
     r.PreVoteRequest,
     r.PreVoteReply,
@@ -178,7 +179,16 @@
         )
         core = control.ControlCore(name, replica, self._settings.controls, make_first_number())
         core.handle(control.ExpectedHostsChanged(frozenset(self._settings.entries)), 0.0)
-        return ControlTask(core, store, self._timeline, self._hub.send, self._hub.answer)
+        log = EvacuationLog(self._timeline, "evacuations_committed")
+        log.record(core.catalogue.evacuations)
+        return ControlTask(
+            core,
+            store,
+            self._timeline,
+            self._hub.send,
+            self._hub.answer,
+            lambda catalogue: log.record(catalogue.evacuations),
+        )
 
     def _make_entry_task(self, settings: EntrySettings) -> EntryTask:
         local_member = Member(
--- a/packages/daemon/src/lacewingrudder_daemon/entry_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/entry_task.py
@@ -30,6 +30,7 @@
 from ._packets import segments as packets
 from ._packets.datagrams import Address, DatagramSocket
 from ._storage.catalogue_store import CatalogueStore
+from .evacuation_log import EvacuationLog
 from .recorder import TimelineWriter
 from .settings import EntrySettings
 
@@ -66,6 +67,7 @@
         self._send = send
         self._on_members_changed = on_members_changed
         self._store = store
+        self._evacuation_log = EvacuationLog(timeline, "evacuations_in_force")
         self._persist_tasks: set[asyncio.Task[None]] = set()
         self._fabric = _address(settings.fabric)
         self._members: dict[HostName, Address] = {}
@@ -93,11 +95,12 @@
         return len(self._core.ejected_targets(asyncio.get_running_loop().time()))
 
     async def start(self) -> None:
-        """Open the packet socket.
+        """Open the packet socket, and report the evacuations that were persisted.
 
         :raises OSError: if the endpoint cannot be bound.
         """
         self._socket.open(_address(self._settings.data))
+        self._evacuation_log.record(self._core.evacuations)
 
     async def run(self) -> None:
         """Send ticks and load measurements to the core until cancelled."""
@@ -214,6 +217,7 @@
                 self._pending_announcements.pop(token).set_result(outcome)
             case CatalogueInForce(catalogue, _):
                 self._timeline.record("in_force", revision=catalogue.revision)
+                self._evacuation_log.record(catalogue.evacuations)
             case flows.VerdictReached(key, target, verdict, reason):
                 self._record_verdict(key, target, verdict, reason)
             case MembersChanged(members):
--- a/packages/daemon/src/lacewingrudder_daemon/metrics.py
+++ b/packages/daemon/src/lacewingrudder_daemon/metrics.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from lacewingrudder_core.notes import Evacuations
 from prometheus_client import CollectorRegistry
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
@@ -52,6 +53,7 @@
         yield GaugeMetricFamily(
             "lwr_members", "Live entry hosts.", value=self._entry.core.member_count
         )
+        yield _evacuated_zones("lwr_zone_evacuated", "in force", self._entry.core.evacuations)
         yield GaugeMetricFamily(
             "lwr_serving_targets",
             "Targets that take new flows.",
@@ -112,6 +114,18 @@
         "lwr_control_revision", "Revision committed.", value=replica.catalogue.revision
     )
     yield GaugeMetricFamily("lwr_control_term", "Term of the log.", value=replica.state.term)
+    yield _evacuated_zones(
+        "lwr_control_zone_evacuated", "committed", control.core.catalogue.evacuations
+    )
     roles = GaugeMetricFamily("lwr_control_role", "1 for the present role.", labels=["role"])
     roles.add_metric([replica.role], 1)
     yield roles
+
+
+def _evacuated_zones(name: str, state: str, evacuations: Evacuations) -> Metric:
+    """Return a gauge with one sample for each evacuated zone, and none for other zones."""
+    documentation = f"1 for each zone whose evacuation is {state}."
+    family = GaugeMetricFamily(name, documentation, labels=["zone"])
+    for zone in evacuations.zones:
+        family.add_metric([zone], 1)
+    return family
--- a/packages/daemon/tests/test_composition.py
+++ b/packages/daemon/tests/test_composition.py
@@ -6,8 +6,14 @@
 from typing import Any
 from unittest import mock
 
-from lacewingrudder_core.messages import OperatorReply, OperatorRequest, StatusRequest, SubmitOrder
-from lacewingrudder_core.notes import SubmitTag
+from lacewingrudder_core.messages import (
+    OperatorReply,
+    OperatorRequest,
+    StatusRequest,
+    SubmitOrder,
+    SubmitZoneOrder,
+)
+from lacewingrudder_core.notes import SubmitTag, ZoneAction, ZoneOrder
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from lacewingrudder_daemon._links.hub import Incoming
 from lacewingrudder_daemon.composition import Process
@@ -52,7 +58,9 @@
         return answers[0].reply.tag
 
     def test_request_at_an_entry_host_is_refused_at_once(self) -> None:
-        self.assertEqual(self.deliver_and_get_tag(ORDER), SubmitTag.REFUSED)
+        zone_order = SubmitZoneOrder(ZoneOrder("suame", ZoneAction.EVACUATE))
+        for request in (ORDER, zone_order):
+            self.assertEqual(self.deliver_and_get_tag(request), SubmitTag.REFUSED)
 
     def test_status_request_at_an_entry_host_is_refused_at_once(self) -> None:
         self.assertEqual(self.deliver_and_get_tag(StatusRequest()), SubmitTag.REFUSED)
--- a/packages/wire/src/lacewingrudder_wire/codec.py
+++ b/packages/wire/src/lacewingrudder_wire/codec.py
@@ -32,6 +32,7 @@
     21: m.Changes,
     30: m.SubmitNote,
     31: m.SubmitOrder,
+    38: m.SubmitZoneOrder,
     35: m.SubmitConfiguration,
     36: m.ReadConfiguration,
     37: m.ConfigurationReply,
--- a/packages/wire/tests/test_codec.py
+++ b/packages/wire/tests/test_codec.py
@@ -4,6 +4,7 @@
 import cbor2
 from lacewingrudder_core import messages as m
 from lacewingrudder_core.clock import HybridTime
+from lacewingrudder_core.notes import Evacuations, ZoneAction, ZoneOrder
 from lacewingrudder_core.types import Endpoint, Member
 from lacewingrudder_wire.codec import Envelope, decode, encode
 from lacewingrudder_wire.exceptions import CodecError
@@ -48,3 +49,21 @@
             member = MEMBER._replace(data=Endpoint(*bad))
             with self.subTest(bad), self.assertRaises(CodecError):
                 decode(encode(Envelope(TIME, PING._replace(member=member))))
+
+    def test_zone_order_and_evacuations_round_trip(self) -> None:
+        order = m.SubmitZoneOrder(ZoneOrder("suame", ZoneAction.EVACUATE))
+        part = m.SnapshotPart(3, 4, 0, 1, (), (), Evacuations(3, ("suame",)))
+        for body in (order, part):
+            self.assertEqual(decode(encode(Envelope(TIME, body))).body, body)
+
+    # Guards against status and snapshots of hosts of an earlier release that are rejected.
+    def test_messages_without_evacuations_are_decoded(self) -> None:
+        bodies = (
+            m.SnapshotPart(3, 4, 0, 1, (), ()),
+            m.Status(3, "c1", True, (), (), (), ()),
+            m.PeerStatusReply(1, 3, "c1", ()),
+        )
+        for body in bodies:
+            wall, counter, tag, fields = cbor2.loads(encode(Envelope(TIME, body)))
+            earlier = cbor2.dumps([wall, counter, tag, fields[:-1]])
+            self.assertEqual(decode(earlier).body, body)
