--- a/packages/wire/src/lacewingrudder_wire/values.py
+++ b/packages/wire/src/lacewingrudder_wire/values.py
@@ -43,14 +43,29 @@
 
 
 def to_builtins(value: Any) -> Any:
-    """Convert a named tuple to the lists and scalars that CBOR can represent."""
+    """Convert a named tuple to the lists and scalars that CBOR can represent.
+
+    Trailing fields with their defaults are left out, so that earlier releases, which don't know the
+    newest fields, read what does without these.
+    """
     if isinstance(value, tuple):
-        return [to_builtins(part) for part in value]
+        return [to_builtins(part) for part in value[: _written_count(value)]]
     if isinstance(value, enum.Enum):
         return value.value
     return value
 
 
+def _written_count(value: tuple[Any, ...]) -> int:
+    """Return the number of fields to write."""
+    defaults: dict[str, Any] = getattr(value, "_field_defaults", {})
+    count = len(value)
+    for default in reversed(defaults.values()):
+        if value[count - 1] != default:
+            break
+        count -= 1
+    return count
+
+
 _DECODERS: dict[Any, _Decoder] = {}
 
 
