--- a/packages/core/src/lacewingrudder_core/_tagging/candidates.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/candidates.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import bisect
-import copy
 import enum
 import heapq
 from collections.abc import Sequence
@@ -89,7 +88,7 @@
 
     def copy(self) -> _OrderedCandidates:
         """Return a copy that changes independently."""
-        ordered = copy.copy(self)
+        ordered = _OrderedCandidates(self._seed)
         ordered._keys, ordered.rows = list(self._keys), list(self.rows)
         return ordered
 
@@ -141,7 +140,8 @@
 
     def peek(self, now: float) -> Candidates:
         """Return what :meth:`candidates` would, without a change."""
-        trial = copy.copy(self)
+        trial = ServiceCandidates(self._zone, 0, self._rules)
+        trial._running = self._running
         trial._all, trial._local = self._all.copy(), self._local.copy()
         trial._warmup_ends = list(self._warmup_ends)
         return trial.candidates(now)
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import copy
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
@@ -112,8 +111,8 @@
 
     def preview(self, load: Callable[[int], TargetLoad]) -> TargetChooser:
         """Return a chooser that chooses as this one would next, given other loads."""
-        chooser = copy.copy(self)
-        chooser._load = load
+        chooser = TargetChooser(self._zone, load, self._answer_times)
+        chooser._next_index = self._next_index
         return chooser
 
     def choose(
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -17,7 +17,6 @@
     Update,
     ZonePeerCounts,
 )
-from lacewingrudder_core.explanations import ExplainRequest
 from lacewingrudder_core.hashing import name_hash
 from lacewingrudder_core.tagging import (
     Dropped,
@@ -26,19 +25,18 @@
     TagForwarder,
 )
 from lacewingrudder_core.types import Endpoint, HostName
-from lacewingrudder_wire.explain_client import EXPLAIN_MESSAGES
 
 from .._packets.datagrams import Address, DatagramSocket
 from .adapters import ConfigurationReader, PacketAdapter
 from .entry_events import EntryEvents
 from .event_log import EventLog
-from .explanations import ExplanationResponder
 from .message_socket import MessageSocket, address_of
 from .messages import ENTRY_MESSAGES
 from .process import FleetProcess
 from .settings import FleetSettings, SettingsFile, TagEntrySettings
 
 if TYPE_CHECKING:
+    from .explanations import ExplanationResponder
     from .http import HttpServer
     from .metrics import MetricsSnapshot
 
@@ -97,11 +95,9 @@
         self._entry_events = EntryEvents(events)
         seed = name_hash(str(settings.messages))
         self._forwarder = TagForwarder(settings.zone, seed, entry.limits_warmup)
-        self._explanations = ExplanationResponder(self._forwarder)
+        self._explanations: ExplanationResponder | None = None
         self._packet_socket = DatagramSocket(self._handle_packet)
-        self._message_socket = MessageSocket(
-            ENTRY_MESSAGES | EXPLAIN_MESSAGES, events, self._handle_message
-        )
+        self._message_socket = MessageSocket(ENTRY_MESSAGES, events, self._handle_message)
         self._readiness_changed = asyncio.Event()
         self._readiness_server: HttpServer | None = None
         self._controls: set[HostName] = set(settings.seeds)
@@ -132,12 +128,14 @@
         await self._serve_readiness()
 
     async def _serve_readiness(self) -> None:
-        """Serve readiness probes; imports the server only now, so that forwarding starts first."""
+        """Serve readiness probes and operators; imported now, so that forwarding starts first."""
+        from .explanations import ExplanationResponder
         from .http import HttpServer
         from .readiness import ReadinessHandler
 
         self._readiness_server = HttpServer(ReadinessHandler(lambda: self.is_ready), self._events)
         await self._readiness_server.start(self._entry.readiness)
+        self._explanations = ExplanationResponder(self._forwarder, self._message_socket)
 
     async def _leave(self) -> None:
         """Wait until the shutdown policy permits it, then report not ready.
@@ -210,14 +208,12 @@
             self._answer_silence_query(sender, body)
         elif isinstance(body, ControlStarted):
             self._handle_control_start(sender)
-        elif isinstance(body, ExplainRequest):
-            reply = self._explanations.answer(body, self._loop.time())
-            if reply is not None:
-                self._message_socket.send(sender, reply)
         elif isinstance(body, FormerTargets):
             self._entry_events.record_target_changes(
                 self._forwarder.apply_former(sender, body, self._loop.time())
             )
+        elif self._explanations is not None:
+            self._explanations.handle(sender, body, self._loop.time())
 
     def _handle_control_start(self, control: HostName) -> None:
         """Poll a control host at once: it may be the only one that runs, or knows more targets."""
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 from lacewingrudder_core.checkins import KnownTarget, LifeState, Lifetime, ZonePeerCounts
-from lacewingrudder_core.notes import Evacuations
 from lacewingrudder_core.tagging import (
     EJECTION_FAILURE_COUNT,
     Ejection,
@@ -17,6 +17,9 @@
 
 from ..event_sink import EventSink
 
+if TYPE_CHECKING:
+    from lacewingrudder_core.notes import Evacuations
+
 
 class EntryEvents:
     """Reports decisions as timeline events, with the facts that each was based on.
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/message_socket.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/message_socket.py
@@ -42,6 +42,10 @@
         """
         self._socket.open(address_of(str(endpoint)))
 
+    def accept(self, tags: Mapping[int, type[Any]]) -> None:
+        """Accept and send further types of messages."""
+        self._codec.add_types(tags)
+
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
--- a/packages/daemon/tests/test_explain.py
+++ b/packages/daemon/tests/test_explain.py
@@ -107,9 +107,11 @@
 
     # Guards against requests that keep an entry host from forwarding.
     async def test_rate_of_replies_is_limited(self) -> None:
-        responder = ExplanationResponder(self.process._forwarder)
-        replies = [responder.answer(ExplainRequest(FLOW), 7.0) for _ in range(50)]
-        self.assertEqual(sum(row is not None for row in replies), MAX_BURST_REPLIES)
+        message_socket = mock.Mock()
+        responder = ExplanationResponder(self.process._forwarder, message_socket)
+        for _ in range(50):
+            responder.handle(self.name, ExplainRequest(FLOW), 7.0)
+        self.assertEqual(message_socket.send.call_count, MAX_BURST_REPLIES)
 
     async def test_host_without_a_view_is_told_apart_from_an_unknown_route(self) -> None:
         await self.assert_error(NoViewError, 8)
--- a/packages/wire/src/lacewingrudder_wire/datagram_codec.py
+++ b/packages/wire/src/lacewingrudder_wire/datagram_codec.py
@@ -50,13 +50,19 @@
     """
 
     def __init__(self, tags: Mapping[int, type[Any]]) -> None:
-        self._types = dict(tags)
-        self._tags = {cls: tag for tag, cls in tags.items()}
+        self._types: dict[int, type[Any]] = {}
+        self._tags: dict[type[Any], int] = {}
+        self.add_types(tags)
         # A sender that restarts must not reuse the identifiers of fragments that may still arrive.
         self._last_message_id = secrets.randbits(MESSAGE_ID_BITS)
         self._partial_messages: collections.OrderedDict[_FragmentKey, dict[int, bytes]]
         self._partial_messages = collections.OrderedDict()
 
+    def add_types(self, tags: Mapping[int, type[Any]]) -> None:
+        """Add message types by their tags."""
+        self._types |= tags
+        self._tags |= {cls: tag for tag, cls in tags.items()}
+
     def encode(self, body: Any) -> list[bytes]:
         """Encode a message as one or more datagrams."""
         data = cbor2.dumps([self._tags[type(body)], to_builtins(body)])
