Let an entry host start without the handling of check-ins

Cause: an entry host imported what control hosts do with check-ins, though it only needs the messages that subscribers exchange with them. These have a public module of their own now.

--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -6,7 +6,8 @@
 import contextlib
 from typing import TYPE_CHECKING, Any
 
-from lacewingrudder_core.checkins import (
+from lacewingrudder_core.hashing import name_hash
+from lacewingrudder_core.subscriptions import (
     ConfigurationUpdate,
     ControlStarted,
     FormerTargets,
@@ -17,7 +18,6 @@
     Update,
     ZonePeerCounts,
 )
-from lacewingrudder_core.hashing import name_hash
 from lacewingrudder_core.tagging import (
     Dropped,
     Forwarded,
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry_events.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from lacewingrudder_core.checkins import KnownTarget, LifeState, Lifetime, ZonePeerCounts
+from lacewingrudder_core.subscriptions import KnownTarget, LifeState, Lifetime, ZonePeerCounts
 from lacewingrudder_core.tagging import (
     EJECTION_FAILURE_COUNT,
     Ejection,
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/messages.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/messages.py
@@ -4,15 +4,15 @@
 
 from typing import Any
 
-from lacewingrudder_core import checkins
+from lacewingrudder_core import subscriptions
 
 ENTRY_MESSAGES: dict[int, type[Any]] = {
-    1: checkins.Subscription,
-    2: checkins.Update,
-    3: checkins.ConfigurationUpdate,
-    4: checkins.SilenceReport,
-    5: checkins.SilenceQuery,
-    6: checkins.TargetAnswered,
-    7: checkins.ControlStarted,
-    8: checkins.FormerTargets,
+    1: subscriptions.Subscription,
+    2: subscriptions.Update,
+    3: subscriptions.ConfigurationUpdate,
+    4: subscriptions.SilenceReport,
+    5: subscriptions.SilenceQuery,
+    6: subscriptions.TargetAnswered,
+    7: subscriptions.ControlStarted,
+    8: subscriptions.FormerTargets,
 }
