Give targets with short names that start together different flow tags

What callers saw: targets with names such as i-1 to i-7d0 that start within 50 ms got no new flows, since lifetimes whose flow tags collide are not used. Cause: xxh3 of a few bytes takes little more than the sum of the input and its seed, and the start time was the seed.

The tag is now the xxh3 hash of the name followed by the eight bytes of the start time. Open flows carry the tag of the version before, so an index of targets also finds a target by its former tag, for packets of open flows alone; such flows keep the former tag in what is forwarded, which hosts that are not upgraded yet know. A former tag that is the tag of a known lifetime names that one if it is the only one, and one that several targets had names none. Candidates have their own tag only.

Not covered: a host of the version before drops packets of flows that an upgraded host opened, as it does not know their tags; callers repeat them until an upgraded host forwards them.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -305,8 +305,15 @@
     def _forward_packet(self, segment: TagSegment, objective: float | None, now: float) -> Decision:
         """Forward a packet of an open flow to the target that its tag names.
 
+        Packets with the former tag of their target keep it: hosts of the version before may forward
+        later packets of the flow, and do not know the new one.
+
         :param objective: latency objective of the flow's requests in seconds, or ``None``.
         """
+        echoed = segment.tag
+        named = self._target_index.own_tag(echoed)
+        if named != echoed:
+            segment = segment._replace(tag=named)
         tag = self._target_index.current_tag(self._find_tag(segment))
         entry = self._target_index.entry(tag)
         if entry is None:
@@ -334,4 +341,4 @@
             self._answer_times.service(entry.service).record(tag, seconds, now)
         if seconds is not None and objective is not None:
             self._admission.record_answer(entry.service, tag, seconds, objective, now)
-        return Forwarded(entry.endpoint, entry.identity, tag)
+        return Forwarded(entry.endpoint, entry.identity, echoed if tag == named else tag)
--- a/packages/core/src/lacewingrudder_core/_tagging/target_index.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/target_index.py
@@ -9,7 +9,7 @@
 from .._checkins.views import KnownTarget
 from ..types import Endpoint, TargetName, ZoneName
 from .candidates import Candidate, Candidates, Exclusion, PlacementRules, ServiceCandidates
-from .tags import flow_tag
+from .tags import FormerTags, flow_tag, former_flow_tag
 from .types import WarmupLimit
 
 _KeyT = TypeVar("_KeyT", int, TargetName, Endpoint)
@@ -46,10 +46,15 @@
     :param seed: determines the order in which this host considers targets. If all hosts had the
         same one, hosts with few flows would put them all on the same targets.
     :param make_tag: returns the tag of a lifetime.
+    :param make_former_tag: returns the tag that earlier versions gave to a lifetime.
     """
 
     def __init__(
-        self, zone: ZoneName, seed: int, make_tag: Callable[[Lifetime], int] = flow_tag
+        self,
+        zone: ZoneName,
+        seed: int,
+        make_tag: Callable[[Lifetime], int] = flow_tag,
+        make_former_tag: Callable[[Lifetime], int] = former_flow_tag,
     ) -> None:
         self._zone = zone
         self._seed = seed
@@ -57,6 +62,7 @@
         self._known: dict[Lifetime, KnownTarget] = {}
         self._tags: dict[Lifetime, int] = {}
         self._by_tag: dict[int, set[Lifetime]] = {}
+        self._former_tags = FormerTags(make_former_tag)
         self._by_name: dict[TargetName, set[Lifetime]] = {}
         self._by_endpoint: dict[Endpoint, set[Lifetime]] = {}
         self._targets: dict[int, KnownTarget] = {}
@@ -89,6 +95,17 @@
             return tag
         return self._running.get(_location(entry), tag)
 
+    def own_tag(self, tag: int) -> int:
+        """Return the tag of the lifetime that a packet's tag or former tag names.
+
+        A tag of any known lifetime is no former tag. One that is neither, or is the former tag of
+        several lifetimes, is returned unchanged.
+        """
+        if tag in self._by_tag:
+            return tag
+        lifetime = self._former_tags.find(tag)
+        return tag if lifetime is None else self._tags[lifetime]
+
     def has_ended(self, tag: int) -> bool:
         """Return whether the lifetime with a tag is known to have ended."""
         entry = self.entry(tag)
@@ -187,11 +204,13 @@
         tag = self._make_tag(lifetime)
         self._known[lifetime], self._tags[lifetime] = target, tag
         self._by_tag.setdefault(tag, set()).add(lifetime)
+        self._former_tags.add(lifetime)
         self._by_name.setdefault(lifetime.target, set()).add(lifetime)
         self._by_endpoint.setdefault(target.entry.endpoint, set()).add(lifetime)
 
     def _unlink(self, lifetime: Lifetime, target: KnownTarget) -> None:
         del self._known[lifetime]
+        self._former_tags.remove(lifetime)
         _discard(self._by_tag, self._tags.pop(lifetime), lifetime)
         _discard(self._by_name, lifetime.target, lifetime)
         _discard(self._by_endpoint, target.entry.endpoint, lifetime)
