Keep entries of one lifetime with different services, zones or addresses apart

What callers saw: open flows of a living target were dropped or reset after another writer's check-in under the target's own identifier and start time, but of a service that is not in use, had reached a control host that did not hear the target. Cause: hosts merged the two entries as one lifetime. A drain of the copy replaced the target's entry at its own control host (Registry.merge_remote), and the state or sequence number of the copy won in subscribers' views (Views.get).

Control hosts now keep an entry, its heartbeats and its sequence numbers for each service, zone and address of a lifetime (EntryKey), and publish them side by side. Entry hosts use one of them: the one whose service is in use, then one that is heard, then one that has not ended, then the one that they used before. A deregistration names no service, so it drains all entries of its lifetime, also those that other control hosts publish. A check-in that contradicts an entry which the control host hears is refused as before, but counts once it is repeated after half a heartbeat (0.6 s): otherwise a target would stay out where a copy came first.

Where the two cannot be told apart, since both services are in use and both are heard: an entry host believes the one that it used before, and one that starts believes the one that it learned first, until that one misses three heartbeats (3.6 s) or, if its control host fails, until the view of that host is invalid (4 s). If both go on checking in, that lasts. While the target is not heard and a copy for a service in use is, packets of its flows go to the copy; they go to the target again once the copy misses three heartbeats.

Tests that change with the interface: Registry is given all entries of a lifetime that others publish (three tests), and MemoryTest looks at ContestedCalls in place of its former dictionary.

--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -137,7 +137,7 @@
     def _handle_deregistration(self, event: Deregistered, now: float) -> list[CheckInEffect]:
         leaving = self._registry.find_leaving(event.target, event.started_ms)
         outcome = self._registry.deregister(event.target, event.started_ms, now)
-        lifetime = None if leaving is None else leaving.lifetime
+        lifetime = leaving[0].lifetime if leaving else None
         return self._publish_removal(event.token, outcome, now, lifetime)
 
     def _publish_removal(
--- a/packages/core/src/lacewingrudder_core/_checkins/departures.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/departures.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from .types import Lifetime
+from .types import EntryKey, Lifetime
 
 EXIT_GRACE_HEARTBEATS = 1.25
 """Heartbeat intervals after which a target with the confirmation of its deregistration has exited.
@@ -22,7 +22,7 @@
     :param is_confirmed: whether it received the confirmation.
     """
 
-    lifetime: Lifetime
+    key: EntryKey
     is_confirmed: bool
 
 
@@ -32,7 +32,7 @@
 
 
 class Departures:
-    """The lifetimes that deregistered and may still run.
+    """The targets that deregistered and may still run.
 
     A target exits when it has the confirmation, which may be lost or late although it was sent. A
     target that calls again, here or at another control host, runs on without one.
@@ -42,29 +42,30 @@
 
     def __init__(self, heartbeat_seconds: float) -> None:
         self._exit_grace_seconds = EXIT_GRACE_HEARTBEATS * heartbeat_seconds
-        self._deadlines: dict[Lifetime, _Deadline] = {}
+        self._deadlines: dict[EntryKey, _Deadline] = {}
 
     def __len__(self) -> int:
         return len(self._deadlines)
 
-    def __contains__(self, lifetime: Lifetime) -> bool:
-        return lifetime in self._deadlines
+    def __contains__(self, key: EntryKey) -> bool:
+        return key in self._deadlines
 
-    def record_call(self, lifetime: Lifetime, now: float) -> None:
+    def record_call(self, key: EntryKey, now: float) -> None:
         """Record that a target deregisters, or calls again and thus has no confirmation yet."""
-        self._deadlines[lifetime] = _Deadline(now + MAX_LEAVING_SECONDS, False)
+        self._deadlines[key] = _Deadline(now + MAX_LEAVING_SECONDS, False)
 
     def record_confirmation(self, lifetime: Lifetime, now: float) -> None:
         """Record that a target received the confirmation, if it deregistered."""
-        if lifetime in self._deadlines:
-            self._deadlines[lifetime] = _Deadline(now + self._exit_grace_seconds, True)
+        for key in self._deadlines:
+            if key.lifetime == lifetime:
+                self._deadlines[key] = _Deadline(now + self._exit_grace_seconds, True)
 
-    def remove(self, lifetime: Lifetime) -> None:
+    def remove(self, key: EntryKey) -> None:
         """Forget a target that has ended."""
-        self._deadlines.pop(lifetime, None)
+        self._deadlines.pop(key, None)
 
     def pop_ended(
-        self, now: float, is_heard_elsewhere: Callable[[Lifetime], bool]
+        self, now: float, is_heard_elsewhere: Callable[[EntryKey], bool]
     ) -> list[Departure]:
         """Remove and return the targets that have exited.
 
@@ -72,10 +73,10 @@
             It may still run then, even if it received the confirmation.
         """
         ended = [
-            Departure(lifetime, row.is_confirmed)
-            for lifetime, row in self._deadlines.items()
-            if row.ends_at <= now and not is_heard_elsewhere(lifetime)
+            Departure(key, row.is_confirmed)
+            for key, row in self._deadlines.items()
+            if row.ends_at <= now and not is_heard_elsewhere(key)
         ]
         for departure in ended:
-            del self._deadlines[departure.lifetime]
+            del self._deadlines[departure.key]
         return ended
--- a/packages/core/src/lacewingrudder_core/_checkins/lifetime_index.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/lifetime_index.py
@@ -1,40 +1,46 @@
-"""Lifetimes by what two of them may share: the target's name and its address."""
+"""Entries by what two of them may share: the lifetime, the target's name and its address."""
 
 from __future__ import annotations
 
 from ..types import Endpoint, TargetName
-from .types import Lifetime, TargetEntry
+from .types import EntryKey, Lifetime, TargetEntry
 
 
 class LifetimeIndex:
-    """Finds the lifetimes that share a name or an address, ended ones included."""
+    """Finds the entries that share a lifetime, a name or an address, ended ones included."""
 
     def __init__(self) -> None:
-        self._by_name: dict[TargetName, set[Lifetime]] = {}
-        self._by_endpoint: dict[Endpoint, set[Lifetime]] = {}
+        # The values of these are ordered sets: the order in which entries are looked at must not
+        # depend on the hashes of strings.
+        self._by_name: dict[TargetName, dict[EntryKey, None]] = {}
+        self._by_endpoint: dict[Endpoint, dict[EntryKey, None]] = {}
 
     def add(self, entry: TargetEntry) -> None:
-        """Add a lifetime; one that is known already has no effect."""
-        self._by_name.setdefault(entry.lifetime.target, set()).add(entry.lifetime)
-        self._by_endpoint.setdefault(entry.endpoint, set()).add(entry.lifetime)
+        """Add an entry; one that is known already has no effect."""
+        self._by_name.setdefault(entry.lifetime.target, {}).setdefault(entry.key)
+        self._by_endpoint.setdefault(entry.endpoint, {}).setdefault(entry.key)
 
     def remove(self, entry: TargetEntry) -> None:
-        """Remove a lifetime that was added."""
+        """Remove an entry that was added."""
         named = self._by_name[entry.lifetime.target]
-        named.discard(entry.lifetime)
+        named.pop(entry.key, None)
         if not named:
             del self._by_name[entry.lifetime.target]
         located = self._by_endpoint[entry.endpoint]
-        located.discard(entry.lifetime)
+        located.pop(entry.key, None)
         if not located:
             del self._by_endpoint[entry.endpoint]
 
     def newest_start(self, target: TargetName) -> int | None:
         """Return the latest start time of a name in milliseconds, or ``None`` if it is unknown."""
-        starts = (lifetime.started_ms for lifetime in self._by_name.get(target, ()))
+        starts = (key.lifetime.started_ms for key in self._by_name.get(target, ()))
         return max(starts, default=None)
 
-    def rivals(self, lifetime: Lifetime, endpoint: Endpoint) -> set[Lifetime]:
-        """Return the other lifetimes with the name of a lifetime or at its address."""
-        named = self._by_name.get(lifetime.target, set())
-        return (named | self._by_endpoint.get(endpoint, set())) - {lifetime}
+    def of_lifetime(self, lifetime: Lifetime) -> list[EntryKey]:
+        """Return the entries of a lifetime, the first known one first."""
+        return [key for key in self._by_name.get(lifetime.target, ()) if key.lifetime == lifetime]
+
+    def rivals(self, lifetime: Lifetime, endpoint: Endpoint) -> list[EntryKey]:
+        """Return the entries of other lifetimes with the name of a lifetime or at its address."""
+        found = self._by_name.get(lifetime.target, {}) | self._by_endpoint.get(endpoint, {})
+        return [key for key in found if key.lifetime != lifetime]
--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -5,15 +5,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from ..types import Endpoint, TargetName
+from .contested_calls import ContestedCalls
 from .departures import Departures
 from .events import Departed
 from .heartbeats import Heartbeats
 from .lifetime_index import LifetimeIndex
 from .silence_marks import SilenceMarks
-from .types import CheckIn, CheckInOutcome, LifeState, Lifetime, Position, TargetEntry
+from .types import CheckIn, CheckInOutcome, EntryKey, LifeState, Lifetime, Position, TargetEntry
 from .versioned_entries import VersionedEntries
 from .views import KnownTarget
 from .warmups import Warmups
@@ -21,10 +22,6 @@
 MAX_MISSED_HEARTBEATS = 3
 """Consecutive heartbeats that a target may miss before it counts as unreachable."""
 
-MIN_REPEAT_HEARTBEATS = 0.5
-"""Heartbeats between two check-ins that show that their target still runs: calls that were delayed
-arrive together."""
-
 MAX_SILENCE_SECONDS = 120.0
 """How long a target that no control host hears may be unreachable before it is taken for ended, if
 it drains or a later one at its address checks in: twice the age at which flows may be dropped."""
@@ -39,30 +36,31 @@
 
     A later lifetime of a target ends the earlier one if it is of the same service: the target has
     restarted. Another one at the same address ends none, as it may come from a writer that is no
-    target; hosts that know which services are in use decide what to believe.
+    target; hosts that know which services are in use decide what to believe. They also decide
+    between entries of one lifetime with different services, zones or addresses, which never merge.
+    While this host hears one of these, another counts once its check-in is repeated.
 
     :param epoch: identifies this start of the host.
     :param heartbeat_seconds: interval at which targets check in.
-    :param find_elsewhere: returns what the other control hosts publish of a lifetime, or ``None``.
+    :param find_elsewhere: returns the entries of a lifetime that other control hosts publish.
     """
 
     def __init__(
         self,
         epoch: int,
         heartbeat_seconds: float,
-        find_elsewhere: Callable[[Lifetime], KnownTarget | None] = lambda _: None,
+        find_elsewhere: Callable[[Lifetime], Sequence[KnownTarget]] = lambda _: (),
     ) -> None:
         self._entries = VersionedEntries(epoch)
         self._lifetimes = LifetimeIndex()
         self._find_elsewhere = find_elsewhere
         self._heartbeats = Heartbeats(MAX_MISSED_HEARTBEATS * heartbeat_seconds)
-        self._min_repeat_seconds = MIN_REPEAT_HEARTBEATS * heartbeat_seconds
-        self._sequences: dict[Lifetime, int] = {}
+        self._sequences: dict[EntryKey, int] = {}
         self._silence_marks = SilenceMarks(self._heartbeats.expiry_seconds)
         self._departures = Departures(heartbeat_seconds)
         self._warmups = Warmups()
-        self._contested_since: dict[Lifetime, float] = {}
-        self._silent_since: dict[Lifetime, float] = {}
+        self._contested = ContestedCalls(heartbeat_seconds, self._heartbeats.expiry_seconds)
+        self._silent_since: dict[EntryKey, float] = {}
 
     @property
     def position(self) -> Position:
@@ -100,29 +98,29 @@
             self._put(entry, now)
             if entry.state is LifeState.GONE:
                 continue
-            self._sequences[entry.lifetime] = entry.sequence
-            self._warmups.record(entry.lifetime, entry.warmup_remaining_ms, now)
+            self._sequences[entry.key] = entry.sequence
+            self._warmups.record(entry.key, entry.warmup_remaining_ms, now)
             if entry.has_recent_heartbeat:
-                self._heartbeats.record(entry.lifetime, now)
+                self._heartbeats.record(entry.key, now)
 
     def check_in(self, call: CheckIn, now: float) -> CheckInOutcome:
         """Process the check-in of a target."""
-        lifetime = call.lifetime
-        known = self._entries.get(lifetime)
-        if known is not None and not call.matches(known):
+        key = call.key
+        known = self._entries.get(key)
+        if known is None and self._is_conflicting(key, now):
             return CheckInOutcome.CONFLICTING
         if self._is_outdated(call, known, now):
             return CheckInOutcome.OUTDATED
-        if call.sequence <= self._sequences.get(lifetime, -1):
+        if call.sequence <= self._sequences.get(key, -1):
             return CheckInOutcome.OUTDATED
-        self._sequences[lifetime] = call.sequence
-        self._silence_marks.record_heartbeat(lifetime, now)
-        self._heartbeats.record(lifetime, now)
-        self._silent_since.pop(lifetime, None)
-        if lifetime in self._departures:
-            self._departures.record_call(lifetime, now)
+        self._sequences[key] = call.sequence
+        self._silence_marks.record_heartbeat(key, now)
+        self._heartbeats.record(key, now)
+        self._silent_since.pop(key, None)
+        if key in self._departures:
+            self._departures.record_call(key, now)
         self._end_predecessors(call, now)
-        is_cold_again = self._warmups.record(lifetime, call.warmup_remaining_ms, now)
+        is_cold_again = self._warmups.record(key, call.warmup_remaining_ms, now)
         if call.repeats(known) and not is_cold_again:
             return CheckInOutcome.RENEWED
         state = call.state if known is None else max(known.state, call.state)
@@ -141,29 +139,36 @@
             lifetime.
         """
         leaving = self.find_leaving(target, started_ms)
-        if leaving is None:
-            return CheckInOutcome.OUTDATED
-        if leaving.state is LifeState.READY:
-            self._put(leaving._replace(state=LifeState.DRAINING), now)
-        self._departures.record_call(leaving.lifetime, now)
-        return CheckInOutcome.ENDED
+        for entry in leaving:
+            if entry.state is LifeState.READY:
+                self._put(entry._replace(state=LifeState.DRAINING), now)
+            self._departures.record_call(entry.key, now)
+        return CheckInOutcome.ENDED if leaving else CheckInOutcome.OUTDATED
 
-    def find_leaving(self, target: TargetName, started_ms: int | None) -> TargetEntry | None:
-        """Return the entry that a deregistration is for; ``None`` if it is outdated."""
+    def find_leaving(self, target: TargetName, started_ms: int | None) -> list[TargetEntry]:
+        """Return the entries that a deregistration is for; none if it is outdated.
+
+        It names no service, zone or address, so it is for all entries of its lifetime.
+        """
         if started_ms is not None:
-            known = self._find(Lifetime(target, started_ms))
-            return None if known is None or known.state is LifeState.GONE else known
+            found = self._find_all(Lifetime(target, started_ms))
+            return [entry for entry in found if entry.state is not LifeState.GONE]
         newest = self._lifetimes.newest_start(target)
-        known = None if newest is None else self._entries.get(Lifetime(target, newest))
-        return None if known is None or known.state is not LifeState.DRAINING else known
-
-    def _find(self, lifetime: Lifetime) -> TargetEntry | None:
-        """Return the entry of a lifetime, of another control host if only that hears it."""
-        known = self._entries.get(lifetime)
-        if known is not None:
-            return known
-        found = self._find_elsewhere(lifetime)
-        return None if found is None else found.entry._replace(has_recent_heartbeat=False)
+        known = [] if newest is None else self._find_own(Lifetime(target, newest))
+        return [entry for entry in known if entry.state is LifeState.DRAINING]
+
+    def _find_own(self, lifetime: Lifetime) -> list[TargetEntry]:
+        return self._entries.get_all(self._lifetimes.of_lifetime(lifetime))
+
+    def _find_all(self, lifetime: Lifetime) -> list[TargetEntry]:
+        """Return the entries of a lifetime, and those that only other control hosts have."""
+        own = self._find_own(lifetime)
+        keys = {entry.key for entry in own}
+        return own + [
+            row.entry._replace(has_recent_heartbeat=False)
+            for row in self._find_elsewhere(lifetime)
+            if row.entry.key not in keys
+        ]
 
     def confirm_departure(self, lifetime: Lifetime, now: float) -> None:
         """Record that a target received the reply to its deregistration."""
@@ -172,8 +177,8 @@
     def end_departed(self, now: float) -> list[Departed]:
         """End the targets that deregistered and have had the time to exit; return them."""
         departed: list[Departed] = []
-        for lifetime, is_confirmed in self._departures.pop_ended(now, self._is_heard_elsewhere):
-            known = self._entries.get(lifetime)
+        for key, is_confirmed in self._departures.pop_ended(now, self._is_heard_elsewhere):
+            known = self._entries.get(key)
             if known is not None and known.state is not LifeState.GONE:
                 self._end(known, now)
                 departed.append(Departed(known, is_confirmed))
@@ -188,7 +193,7 @@
         for entry in entries:
             if entry.state is LifeState.READY:
                 continue
-            known = self._entries.get(entry.lifetime)
+            known = self._entries.get(entry.key)
             if known is not None and known.state >= entry.state:
                 continue
             has_recent_heartbeat = (
@@ -202,15 +207,22 @@
 
     def heard_at(self, lifetime: Lifetime) -> float | None:
         """Return the time of a target's last heartbeat, or ``None`` if it is unreachable."""
-        return self._heartbeats.received_at(lifetime)
+        known = self.get(lifetime)
+        return None if known is None else self._heartbeats.received_at(known.key)
 
-    def _is_heard_elsewhere(self, lifetime: Lifetime) -> bool:
-        found = self._find_elsewhere(lifetime)
-        return found is not None and found.has_recent_heartbeat
+    def _is_heard_elsewhere(self, key: EntryKey) -> bool:
+        return any(
+            row.has_recent_heartbeat and row.entry.key == key
+            for row in self._find_elsewhere(key.lifetime)
+        )
 
     def get(self, lifetime: Lifetime) -> TargetEntry | None:
-        """Return the entry of a lifetime, or ``None``."""
-        return self._entries.get(lifetime)
+        """Return the entry of a lifetime, of several one that is heard here, or ``None``."""
+        return max(
+            self._find_own(lifetime),
+            key=lambda entry: (entry.key in self._heartbeats, -entry.state),
+            default=None,
+        )
 
     def mark_silent(self, lifetime: Lifetime, now: float) -> TargetEntry | None:
         """Mark a target that entry hosts report as unreachable until its next heartbeat.
@@ -218,21 +230,22 @@
         :return: its entry, or ``None`` if it isn't marked since too many of its service are, or
             since an earlier report was wrong.
         """
-        known = self._entries.get(lifetime)
+        known = self.get(lifetime)
         if known is None or known.state is not LifeState.READY:
             return None
-        if lifetime not in self._heartbeats:
+        key = known.key
+        if key not in self._heartbeats:
             return None
         ready = [
-            entry.lifetime
+            entry.key
             for entry in self._entries.entries()
             if entry.service == known.service and entry.state is LifeState.READY
         ]
         if not self._silence_marks.may_mark(ready, now):
             return None
-        self._heartbeats.remove(lifetime)
-        self._silence_marks.record(lifetime, now)
-        last = self._sequences.get(lifetime, known.sequence)
+        self._heartbeats.remove(key)
+        self._silence_marks.record(key, now)
+        last = self._sequences.get(key, known.sequence)
         entry = known._replace(has_recent_heartbeat=False, sequence=last)
         self._put(entry, now, is_removal=True)
         return entry
@@ -243,24 +256,20 @@
         It also ends those that are unreachable for so long that they can't run any more.
         """
         stale: list[TargetEntry] = []
-        for lifetime in self._heartbeats.pop_overdue(now):
-            known = self._entries.get(lifetime)
+        for key in self._heartbeats.pop_overdue(now):
+            known = self._entries.get(key)
             if (
                 known is not None
                 and known.has_recent_heartbeat
                 and known.state is not LifeState.GONE
             ):
-                last = self._sequences.get(lifetime, known.sequence)
+                last = self._sequences.get(key, known.sequence)
                 stale.append(known._replace(has_recent_heartbeat=False, sequence=last))
                 self._put(stale[-1], now)
         self._end_long_silent(now)
         for entry in self._entries.remove_ended(now):
             self._remove(entry)
-        self._contested_since = {
-            lifetime: since
-            for lifetime, since in self._contested_since.items()
-            if now - since <= self._heartbeats.expiry_seconds
-        }
+        self._contested.expire(now)
         return stale
 
     def _put(self, entry: TargetEntry, now: float, is_removal: bool = False) -> None:
@@ -268,9 +277,14 @@
         self._entries.put(entry, now, is_removal)
         self._lifetimes.add(entry)
         if entry.state is LifeState.GONE or entry.has_recent_heartbeat:
-            self._silent_since.pop(entry.lifetime, None)
+            self._silent_since.pop(entry.key, None)
         else:
-            self._silent_since.setdefault(entry.lifetime, now)
+            self._silent_since.setdefault(entry.key, now)
+
+    def _is_conflicting(self, key: EntryKey, now: float) -> bool:
+        """Return whether a check-in contradicts a target of the same lifetime that is heard."""
+        is_heard = any(row in self._heartbeats for row in self._lifetimes.of_lifetime(key.lifetime))
+        return is_heard and not self._contested.is_repeated(key, now)
 
     def _is_outdated(self, call: CheckIn, known: TargetEntry | None, now: float) -> bool:
         if known is not None and known.state is LifeState.GONE:
@@ -282,19 +296,13 @@
             return True
         # A drain of a target that has ended already does no harm.
         is_contested = bool(later) and call.state is LifeState.READY
-        return is_contested and not self._still_runs(lifetime, now)
-
-    def _still_runs(self, lifetime: Lifetime, now: float) -> bool:
-        """Return whether a target whose address a later one has goes on checking in."""
-        if lifetime in self._heartbeats:
-            return True
-        since = self._contested_since.setdefault(lifetime, now)
-        return now - since >= self._min_repeat_seconds
+        if not is_contested or call.key in self._heartbeats:
+            return False
+        return not self._contested.is_repeated(call.key, now)
 
     def _find_rivals(self, lifetime: Lifetime, endpoint: Endpoint) -> list[TargetEntry]:
         """Return the entries of other lifetimes with the same name or address."""
-        found = map(self._entries.get, self._lifetimes.rivals(lifetime, endpoint))
-        return [rival for rival in found if rival is not None]
+        return self._entries.get_all(self._lifetimes.rivals(lifetime, endpoint))
 
     def _end_predecessors(self, call: CheckIn, now: float) -> None:
         """End the earlier lifetimes of a target that has restarted."""
@@ -307,35 +315,35 @@
     def _end_long_silent(self, now: float) -> None:
         """End targets that nobody has heard for long and that have left or been replaced."""
         while self._silent_since:
-            lifetime, since = next(iter(self._silent_since.items()))
+            key, since = next(iter(self._silent_since.items()))
             if now - since <= MAX_SILENCE_SECONDS:
                 return
-            del self._silent_since[lifetime]
-            known = self._entries.get(lifetime)
+            del self._silent_since[key]
+            known = self._entries.get(key)
             if known is None:
                 continue
-            if self._is_heard_elsewhere(lifetime) or not self._has_left(known):
-                self._silent_since[lifetime] = now
+            if self._is_heard_elsewhere(key) or not self._has_left(known):
+                self._silent_since[key] = now
             else:
                 self._end(known, now)
 
     def _has_left(self, entry: TargetEntry) -> bool:
         """Return whether a silent target drains, or a later one checks in at its address."""
         return entry.state is LifeState.DRAINING or any(
-            rival.lifetime in self._heartbeats
+            rival.key in self._heartbeats
             and rival.endpoint == entry.endpoint
             and rival.lifetime.started_ms > entry.lifetime.started_ms
             for rival in self._find_rivals(entry.lifetime, entry.endpoint)
         )
 
     def _end(self, known: TargetEntry, now: float) -> None:
-        self._heartbeats.remove(known.lifetime)
-        self._departures.remove(known.lifetime)
+        self._heartbeats.remove(known.key)
+        self._departures.remove(known.key)
         self._put(known._replace(state=LifeState.GONE, has_recent_heartbeat=False), now)
 
     def _remove(self, entry: TargetEntry) -> None:
         self._lifetimes.remove(entry)
-        self._sequences.pop(entry.lifetime, None)
-        self._silence_marks.remove(entry.lifetime)
-        self._departures.remove(entry.lifetime)
-        self._warmups.forget(entry.lifetime)
+        self._sequences.pop(entry.key, None)
+        self._silence_marks.remove(entry.key)
+        self._departures.remove(entry.key)
+        self._warmups.forget(entry.key)
--- a/packages/core/src/lacewingrudder_core/_checkins/silence_marks.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/silence_marks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Collection
 
-from .types import Lifetime
+from .types import EntryKey
 
 MAX_REPORTED_SHARE = 1 / 3
 """Share of a service's targets that may count as unreachable because of reports alone, though at
@@ -23,23 +23,23 @@
 
     def __init__(self, expiry_seconds: float) -> None:
         self._expiry_seconds = expiry_seconds
-        self._marked_at: dict[Lifetime, float] = {}
+        self._marked_at: dict[EntryKey, float] = {}
         self._trusts_reports_from = float("-inf")
 
-    def record(self, lifetime: Lifetime, now: float) -> None:
+    def record(self, key: EntryKey, now: float) -> None:
         """Record that a target was marked."""
-        self._marked_at[lifetime] = now
+        self._marked_at[key] = now
 
-    def record_heartbeat(self, lifetime: Lifetime, now: float) -> None:
+    def record_heartbeat(self, key: EntryKey, now: float) -> None:
         """Remove the mark of a target that checks in: the report was wrong."""
-        if self._marked_at.pop(lifetime, None) is not None:
+        if self._marked_at.pop(key, None) is not None:
             self._trusts_reports_from = now + FALSE_ALARM_BACKOFF_SECONDS
 
-    def remove(self, lifetime: Lifetime) -> None:
+    def remove(self, key: EntryKey) -> None:
         """Forget a target."""
-        self._marked_at.pop(lifetime, None)
+        self._marked_at.pop(key, None)
 
-    def may_mark(self, ready: Collection[Lifetime], now: float) -> bool:
+    def may_mark(self, ready: Collection[EntryKey], now: float) -> bool:
         """Return whether one more of a service's targets may be marked.
 
         :param ready: all targets of the service that accept new flows.
@@ -47,9 +47,7 @@
         if now < self._trusts_reports_from:
             return False
         self._marked_at = {
-            lifetime: at
-            for lifetime, at in self._marked_at.items()
-            if now - at <= self._expiry_seconds
+            key: at for key, at in self._marked_at.items() if now - at <= self._expiry_seconds
         }
-        marked = sum(lifetime in self._marked_at for lifetime in ready)
+        marked = sum(key in self._marked_at for key in ready)
         return marked + 1 <= max(1, int(MAX_REPORTED_SHARE * len(ready)))
--- a/packages/core/src/lacewingrudder_core/_checkins/types.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/types.py
@@ -28,6 +28,19 @@
     started_ms: int
 
 
+class EntryKey(NamedTuple):
+    """Identifies an entry: check-ins of one lifetime that differ in the rest are not merged.
+
+    A target has the same service, zone and address throughout its lifetime, so another check-in
+    under its identifier and start time comes from another writer.
+    """
+
+    lifetime: Lifetime
+    service: str
+    zone: ZoneName
+    endpoint: Endpoint
+
+
 class CheckIn(NamedTuple):
     """Registration request of a target, repeated as its heartbeat.
 
@@ -47,13 +60,10 @@
     sequence: int
     warmup_remaining_ms: int
 
-    def matches(self, known: TargetEntry) -> bool:
-        """Return whether the call has the service, address and zone of its lifetime."""
-        return (known.service, known.endpoint, known.zone) == (
-            self.service,
-            self.endpoint,
-            self.zone,
-        )
+    @property
+    def key(self) -> EntryKey:
+        """What identifies the entry that the call renews."""
+        return EntryKey(self.lifetime, self.service, self.zone, self.endpoint)
 
     def repeats(self, known: TargetEntry | None) -> bool:
         """Return whether the call only repeats what is published of its lifetime."""
@@ -98,6 +108,11 @@
     warmup_remaining_ms: int
     has_recent_heartbeat: bool
 
+    @property
+    def key(self) -> EntryKey:
+        """What identifies the entry."""
+        return EntryKey(self.lifetime, self.service, self.zone, self.endpoint)
+
     @classmethod
     def from_check_in(cls, call: CheckIn, state: LifeState) -> TargetEntry:
         """Return the entry of a target whose check-in has just arrived."""
--- a/packages/core/src/lacewingrudder_core/_checkins/versioned_entries.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/versioned_entries.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Iterable
 from typing import NamedTuple
 
-from .types import LifeState, Lifetime, Position, TargetEntry
+from .types import EntryKey, LifeState, Position, TargetEntry
 
 ENDED_RETENTION_SECONDS = 120.0
 """How long the entry of an ended lifetime is kept after its last change: twice the age at which
@@ -30,8 +31,8 @@
         self._epoch = epoch
         self._number = 0
         self._last_removal = 0
-        self._entries: dict[Lifetime, _NumberedEntry] = {}
-        self._ended_at: dict[Lifetime, float] = {}
+        self._entries: dict[EntryKey, _NumberedEntry] = {}
+        self._ended_at: dict[EntryKey, float] = {}
 
     @property
     def position(self) -> Position:
@@ -46,26 +47,31 @@
         """
         return self._last_removal
 
-    def get(self, lifetime: Lifetime) -> TargetEntry | None:
-        """Return the entry of a lifetime, or ``None``."""
-        found = self._entries.get(lifetime)
+    def get(self, key: EntryKey) -> TargetEntry | None:
+        """Return an entry, or ``None``."""
+        found = self._entries.get(key)
         return None if found is None else found.entry
 
+    def get_all(self, keys: Iterable[EntryKey]) -> list[TargetEntry]:
+        """Return those of some entries that are known."""
+        found = (self._entries.get(key) for key in keys)
+        return [row.entry for row in found if row is not None]
+
     def entries(self) -> list[TargetEntry]:
         """Return all entries."""
         return [row.entry for row in self._entries.values()]
 
     def put(self, entry: TargetEntry, now: float, is_removal: bool = False) -> None:
-        """Store an entry under the next number, replacing the previous one of its lifetime.
+        """Store an entry under the next number, replacing the previous one with its key.
 
         :param is_removal: whether it counts as a removal although its state is ready.
         """
         self._number += 1
-        self._entries.pop(entry.lifetime, None)
-        self._entries[entry.lifetime] = _NumberedEntry(self._number, entry)
-        self._ended_at.pop(entry.lifetime, None)
+        self._entries.pop(entry.key, None)
+        self._entries[entry.key] = _NumberedEntry(self._number, entry)
+        self._ended_at.pop(entry.key, None)
         if entry.state is LifeState.GONE:
-            self._ended_at[entry.lifetime] = now
+            self._ended_at[entry.key] = now
         if is_removal or entry.state is not LifeState.READY:
             self._last_removal = self._number
 
@@ -87,9 +93,9 @@
         """Remove the entries of lifetimes that ended long ago, and return them."""
         ended: list[TargetEntry] = []
         while self._ended_at:
-            lifetime, ended_at = next(iter(self._ended_at.items()))
+            key, ended_at = next(iter(self._ended_at.items()))
             if now - ended_at <= ENDED_RETENTION_SECONDS:
                 break
-            del self._ended_at[lifetime]
-            ended.append(self._entries.pop(lifetime).entry)
+            del self._ended_at[key]
+            ended.append(self._entries.pop(key).entry)
         return ended
--- a/packages/core/src/lacewingrudder_core/_checkins/views.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/views.py
@@ -39,6 +39,10 @@
     is_previous_valid: bool
 
 
+_Entries = dict[Lifetime, tuple[TargetEntry, ...]]
+"""The entries of each lifetime, with different keys; almost always one."""
+
+
 class _View:
     """View of one control host: the entries that it published.
 
@@ -48,9 +52,9 @@
 
     def __init__(self) -> None:
         self.position = Position(0, 0)
-        self.entries: dict[Lifetime, TargetEntry] = {}
+        self.entries: _Entries = {}
         self.last_received_at = float("-inf")
-        self.previous_entries: dict[Lifetime, TargetEntry] = {}
+        self.previous_entries: _Entries = {}
         self.previous_valid_until = float("-inf")
         self.past_epochs: set[int] = set()
         self.validity = _Validity(True, False)
@@ -86,6 +90,18 @@
 
     def __init__(self) -> None:
         self._views: dict[HostName, _View] = {}
+        self._used_services: frozenset[str] | None = None
+        self._contested: set[Lifetime] = set()
+
+    def use_services(self, services: frozenset[str]) -> set[Lifetime]:
+        """Set the services that flows are placed on; return the lifetimes that may look different.
+
+        Until the first call, all services count.
+        """
+        if services == self._used_services:
+            return set()
+        self._used_services = services
+        return set(self._contested)
 
     @property
     def last_received_at(self) -> float:
@@ -117,8 +133,8 @@
         if update.since > view.position.number or number <= view.position.number:
             return changed
         for entry in update.entries:
-            if view.entries.get(entry.lifetime) != entry:
-                view.entries[entry.lifetime] = entry
+            if entry not in view.entries.get(entry.lifetime, ()):
+                _put(view.entries, entry)
                 changed.add(entry.lifetime)
         view.position = update.position
         return changed
@@ -129,7 +145,10 @@
         They count from the next refresh on.
         """
         view = self._views.setdefault(control, _View())
-        view.previous_entries = {row.lifetime: row for row in entries} | view.previous_entries
+        previous_entries = view.previous_entries
+        view.previous_entries = {}
+        for entry in (*entries, *(row for rows in previous_entries.values() for row in rows)):
+            _put(view.previous_entries, entry)
         view.previous_valid_until = now + VIEW_VALIDITY_SECONDS
 
     def refresh(self, now: float) -> set[Lifetime]:
@@ -153,36 +172,85 @@
                 changed |= view.change_validity(validity)
         return changed
 
-    def get(self, lifetime: Lifetime) -> KnownTarget | None:
-        """Return a lifetime as merged from all views as of the last refresh, or ``None``."""
-        merged: KnownTarget | None = None
+    def find(self, lifetime: Lifetime) -> list[KnownTarget]:
+        """Return the entries of a lifetime as merged from all views as of the last refresh.
+
+        Entries with different services, zones or addresses are not merged.
+        """
+        merged: list[KnownTarget] = []
         for view in self._views.values():
             is_valid, is_previous_valid = view.validity
-            merged = _merge(merged, view.previous_entries.get(lifetime), is_previous_valid)
-            merged = _merge(merged, view.entries.get(lifetime), is_valid)
+            for entry in view.previous_entries.get(lifetime, ()):
+                _merge(merged, entry, is_previous_valid)
+            for entry in view.entries.get(lifetime, ()):
+                _merge(merged, entry, is_valid)
         return merged
 
+    def get(self, lifetime: Lifetime, current: TargetEntry | None = None) -> KnownTarget | None:
+        """Return the entry of a lifetime that is in use, or ``None`` if there is none.
+
+        Of several entries, only one is that of the target. It is taken to be the one whose service
+        is in use; of several of these, one that is heard, and one that has not ended; and if that
+        does not tell them apart, the one that was used before.
+
+        :param current: the entry that was used before.
+        """
+        found = self.find(lifetime)
+        if len(found) <= 1:
+            self._contested.discard(lifetime)
+            return found[0] if found else None
+        self._contested.add(lifetime)
+        return max(found, key=lambda target: self._credibility(target, current))
+
+    def _credibility(
+        self, target: KnownTarget, current: TargetEntry | None
+    ) -> tuple[bool, bool, bool, bool]:
+        entry = target.entry
+        return (
+            self._used_services is None or entry.service in self._used_services,
+            target.has_recent_heartbeat,
+            entry.state is not LifeState.GONE,
+            current is not None and entry.key == current.key,
+        )
+
     def merge(self, now: float) -> dict[Lifetime, KnownTarget]:
-        """Merge all views."""
-        self.refresh(now)
-        lifetimes = {lifetime for view in self._views.values() for lifetime in view.lifetimes()}
-        merged = {lifetime: self.get(lifetime) for lifetime in lifetimes}
+        """Merge all views; of several entries of a lifetime, return the one in use."""
+        merged = {lifetime: self.get(lifetime) for lifetime in self._refreshed_lifetimes(now)}
         return {lifetime: target for lifetime, target in merged.items() if target is not None}
 
+    def merge_entries(self, now: float) -> list[KnownTarget]:
+        """Merge all views; return all entries of each lifetime."""
+        return [row for lifetime in self._refreshed_lifetimes(now) for row in self.find(lifetime)]
+
+    def _refreshed_lifetimes(self, now: float) -> set[Lifetime]:
+        self.refresh(now)
+        return {lifetime for view in self._views.values() for lifetime in view.lifetimes()}
+
+
+def _put(entries: _Entries, entry: TargetEntry) -> None:
+    """Add an entry in place of the one with its key."""
+    known = entries.get(entry.lifetime, ())
+    others = tuple(row for row in known if not _has_same_key(row, entry)) if known else ()
+    entries[entry.lifetime] = (*others, entry)
+
 
-def _merge(
-    known: KnownTarget | None, entry: TargetEntry | None, is_valid: bool
-) -> KnownTarget | None:
-    """Merge what one view says of a lifetime into what is known of it."""
-    if entry is None:
-        return known
+def _merge(merged: list[KnownTarget], entry: TargetEntry, is_valid: bool) -> None:
+    """Merge an entry of one view into what is known of its lifetime."""
     has_recent_heartbeat = (
         is_valid and entry.has_recent_heartbeat and entry.state is not LifeState.GONE
     )
-    if known is None:
-        return KnownTarget(entry, has_recent_heartbeat)
-    latest = entry if _rank(entry) > _rank(known.entry) else known.entry
-    return KnownTarget(latest, has_recent_heartbeat or known.has_recent_heartbeat)
+    for position, known in enumerate(merged):
+        if _has_same_key(known.entry, entry):
+            latest = entry if _rank(entry) > _rank(known.entry) else known.entry
+            has_recent_heartbeat = has_recent_heartbeat or known.has_recent_heartbeat
+            merged[position] = KnownTarget(latest, has_recent_heartbeat)
+            return
+    merged.append(KnownTarget(entry, has_recent_heartbeat))
+
+
+def _has_same_key(left: TargetEntry, right: TargetEntry) -> bool:
+    """Return whether two entries of one lifetime have the same key."""
+    return (left.endpoint, left.service, left.zone) == (right.endpoint, right.service, right.zone)
 
 
 def _rank(entry: TargetEntry) -> tuple[int, int]:
--- a/packages/core/src/lacewingrudder_core/_checkins/warmups.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/warmups.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .types import Lifetime, TargetEntry
+from .types import EntryKey, TargetEntry
 
 MILLISECONDS_PER_SECOND = 1000
 
@@ -15,24 +15,24 @@
     """When the targets that warm up will have completed it."""
 
     def __init__(self) -> None:
-        self._ends: dict[Lifetime, float] = {}
+        self._ends: dict[EntryKey, float] = {}
 
-    def record(self, lifetime: Lifetime, remaining_ms: int, now: float) -> bool:
+    def record(self, key: EntryKey, remaining_ms: int, now: float) -> bool:
         """Record the remaining warm-up of a target; return whether a new one has begun."""
         if remaining_ms <= 0:
             return False
         end = now + remaining_ms / MILLISECONDS_PER_SECOND
-        before = self._ends.get(lifetime, now)
-        self._ends[lifetime] = end
+        before = self._ends.get(key, now)
+        self._ends[key] = end
         return end > before + RESTART_TOLERANCE_SECONDS
 
     def refresh(self, entry: TargetEntry, now: float) -> TargetEntry:
         """Return an entry with the warm-up that remains now."""
         if not entry.warmup_remaining_ms:
             return entry
-        seconds = max(0.0, self._ends.get(entry.lifetime, now) - now)
+        seconds = max(0.0, self._ends.get(entry.key, now) - now)
         return entry._replace(warmup_remaining_ms=round(seconds * MILLISECONDS_PER_SECOND))
 
-    def forget(self, lifetime: Lifetime) -> None:
-        """Forget a lifetime that is no longer published."""
-        self._ends.pop(lifetime, None)
+    def forget(self, key: EntryKey) -> None:
+        """Forget an entry that is no longer published."""
+        self._ends.pop(key, None)
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -148,7 +148,9 @@
         self._admission.configure(configuration)
         if self._limits_warmup:
             self._target_index.limit_warmups(configuration.warmups, now)
-        self._unreported += self._target_index.use_services(self._admission.services, now)
+        services = self._admission.services
+        self._unreported += self._target_index.use_services(services, now)
+        self._unreported = self._apply_changes(self._views.use_services(services), now)
         return True
 
     def apply_update(self, update: Update, now: float) -> list[KnownTarget]:
@@ -192,9 +194,12 @@
     def _apply_changes(self, lifetimes: set[Lifetime], now: float) -> list[KnownTarget]:
         unreported, self._unreported = self._unreported, []
         return unreported + self._target_index.apply(
-            ((lifetime, self._views.get(lifetime)) for lifetime in lifetimes), now
+            ((lifetime, self._find_target(lifetime)) for lifetime in lifetimes), now
         )
 
+    def _find_target(self, lifetime: Lifetime) -> KnownTarget | None:
+        return self._views.get(lifetime, self._target_index.entry_of(lifetime))
+
     def decide(self, segment: TagSegment, now: float) -> Decision:
         """Return whether to forward, drop or reset a packet of a caller."""
         configuration = self._configuration
--- a/packages/core/src/lacewingrudder_core/_tagging/target_index.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/target_index.py
@@ -95,6 +95,11 @@
             return tag
         return self._running.get(_location(entry), tag)
 
+    def entry_of(self, lifetime: Lifetime) -> TargetEntry | None:
+        """Return the last applied entry of a lifetime, or ``None``."""
+        known = self._known.get(lifetime)
+        return None if known is None else known.entry
+
     def own_tag(self, tag: int) -> int:
         """Return the tag of the lifetime that a packet's tag or former tag names.
 
--- a/packages/core/tests/test_checkins.py
+++ b/packages/core/tests/test_checkins.py
@@ -351,7 +351,7 @@
         lifetime_seconds = MAX_LEAVING_SECONDS + ENDED_RETENTION_SECONDS
         kept = registry._lifetimes._by_endpoint[check_in(1).endpoint]
         self.assertEqual(len(kept), lifetime_seconds + 1)
-        self.assertEqual(registry._contested_since, {})
+        self.assertEqual(len(registry._contested), 0)
         self.assertEqual(len(registry._departures), MAX_LEAVING_SECONDS)
         self.assertLess(len(registry._silent_since), 10)
 
--- a/packages/core/tests/test_deregistration.py
+++ b/packages/core/tests/test_deregistration.py
@@ -40,7 +40,8 @@
 
     def setUp(self) -> None:
         self.elsewhere: dict[Lifetime, KnownTarget] = {}
-        self.core = CheckInCore(ME, "adum", Registry(7, HEARTBEAT_SECONDS, self.elsewhere.get))
+        registry = Registry(7, HEARTBEAT_SECONDS, self.find_elsewhere)
+        self.core = CheckInCore(ME, "adum", registry)
         self.forwarder = TagForwarder("adum")
         self.forwarder.configure(configuration())
         self.acknowledging = {ENTRY, PAUSED, PEER}
@@ -52,6 +53,9 @@
         self.pass_event(CheckedIn(1, check_in(1)), 0.0)
         self.run_until(1.0)
 
+    def find_elsewhere(self, lifetime: Lifetime) -> list[KnownTarget]:
+        return [self.elsewhere[lifetime]] if lifetime in self.elsewhere else []
+
     def subscribe(self, host: str, position: Position, now: float) -> None:
         subscription = Subscription(host, "adum", host == PEER, position, -1, False)
         self.pass_event(Subscribed(subscription), now)
--- a/packages/core/tests/test_other_writers.py
+++ b/packages/core/tests/test_other_writers.py
@@ -85,8 +85,8 @@
 
     # Guards against the end of a target that another control host hears.
     def test_silent_target_that_another_control_host_hears_does_not_end(self) -> None:
-        heard = {Lifetime("i-1", 1000): KnownTarget(entry(1), True)}
-        registry = Registry(7, HEARTBEAT_SECONDS, heard.get)
+        heard = [KnownTarget(entry(1), True)]
+        registry = Registry(7, HEARTBEAT_SECONDS, lambda _: heard)
         registry.check_in(check_in(1, 1), 0.0)
         for step in range(400):
             registry.check_in(check_in(2, step, 2000, address=1), 1.0 + step)
@@ -102,6 +102,36 @@
             self.registry.expire(1.0 + step)
         self.assertEqual(self.get_state(1), LifeState.READY)
 
+    # Guards against a drain or an end of a living target by the removal of a copy of its entry.
+    def test_removal_of_a_copy_that_another_control_host_publishes_changes_nothing(self) -> None:
+        self.registry.check_in(check_in(1, 1), 0.0)
+        for state in (LifeState.DRAINING, LifeState.GONE):
+            self.registry.merge_remote([entry(1, state, service=METRICS, sequence=9)], 0.5)
+            self.assertEqual(self.get_state(1), LifeState.READY)
+        self.assertEqual(self.registry.check_in(check_in(1, 2), 1.2), CheckInOutcome.RENEWED)
+
+    # Guards against a target that stays out of use at a control host that heard a copy first.
+    def test_target_that_goes_on_checking_in_is_published_beside_a_copy(self) -> None:
+        self.registry.check_in(check_in(1, 1 << 40, service=METRICS), 0.0)
+        outcomes = [
+            self.registry.check_in(check_in(1, sequence), at)
+            for sequence, at in ((1, 0.5), (2, 0.6), (3, 0.5 + HEARTBEAT_SECONDS))
+        ]
+        refused = CheckInOutcome.CONFLICTING
+        self.assertEqual(outcomes, [refused, refused, CheckInOutcome.REGISTERED])
+        services = {row.service for row in self.registry.entries()}
+        self.assertEqual(services, {METRICS, "proofdesk"})
+
+    # Guards against a confirmed removal that drains a copy in place of the target.
+    def test_deregistration_drains_all_entries_of_its_lifetime(self) -> None:
+        elsewhere = [KnownTarget(entry(1), True), KnownTarget(entry(1, zone="suame"), True)]
+        registry = Registry(7, HEARTBEAT_SECONDS, lambda _: elsewhere)
+        registry.check_in(check_in(1, 1, service=METRICS), 0.0)
+        self.assertEqual(registry.deregister("i-1", 1000, 0.5), CheckInOutcome.ENDED)
+        states = {row.key: row.state for row in registry.entries()}
+        keys = [check_in(1, service=METRICS).key, *(row.entry.key for row in elsewhere)]
+        self.assertEqual(states, dict.fromkeys(keys, LifeState.DRAINING))
+
 
 class ForwarderTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -148,3 +178,40 @@
         self.assertIn(LifeState.GONE, {target.entry.state for target in reported})
         self.forwarder.configure(configuration(3), 3.0)
         self.check_in_use(3.0)
+
+    def apply_copy(self, copy, control: str = "10.0.0.2:7720", number: int = 1) -> None:
+        body = update(copy, control=control, number=number, since=number - 1)
+        self.forwarder.apply_update(body, 1.0)
+
+    # Guards against the use of a copy, or the end of its target, while the target's heartbeats are
+    # late: its own control host may have failed.
+    def test_copy_for_a_service_that_is_not_in_use_is_never_used(self) -> None:
+        self.apply(entry(1, address=9, has_recent_heartbeat=False))
+        for number, state in enumerate(LifeState, 1):
+            self.apply_copy(entry(1, state, service=METRICS, sequence=99), number=number)
+            self.check_in_use(1.0)
+
+    # Guards against the use of a copy for a service in use in place of the target that is heard.
+    def test_of_two_entries_that_are_heard_the_one_used_before_stays_in_use(self) -> None:
+        copy = entry(1, zone="suame", sequence=99, address=5)
+        self.apply_copy(copy, "10.0.0.0:7720")
+        self.check_in_use(1.0)
+        self.apply(entry(1, address=9, has_recent_heartbeat=False))
+        found = self.forwarder.decide(data(40001, self.tag), 1.0)
+        self.assertEqual(found, Forwarded(copy.endpoint, 1, self.tag))
+        self.apply(entry(1, address=9, sequence=2))
+        self.assertEqual(self.forwarder.decide(data(40001, self.tag), 1.0), found)
+        self.apply_copy(copy._replace(has_recent_heartbeat=False), "10.0.0.0:7720", 2)
+        self.check_in_use(1.0)
+
+    # Guards against a target that stays out of use after its route is configured.
+    def test_entry_comes_into_use_with_its_service(self) -> None:
+        copy = entry(1, service=METRICS, address=5)
+        self.apply_copy(copy)
+        self.check_in_use(1.0)
+        metrics = Route(SHEETS, (Split(METRICS, 1),), True, 7)
+        self.forwarder.configure(configuration(2, metrics), 2.0)
+        found = self.forwarder.decide(data(40001, self.tag), 2.0)
+        self.assertEqual(found, Reset(ResetReason.NO_ROUTE))
+        placed = self.forwarder.decide(syn(40002, service=SHEETS), 2.0)
+        self.assertEqual(placed, Forwarded(copy.endpoint, 1, self.tag))
--- a/packages/core/tests/test_random_writers.py
+++ b/packages/core/tests/test_random_writers.py
@@ -36,7 +36,7 @@
         self.registry = self.make_registry()
 
     def make_registry(self) -> Registry:
-        return Registry(self.epoch, HEARTBEAT_SECONDS, self.views.get)
+        return Registry(self.epoch, HEARTBEAT_SECONDS, self.views.find)
 
     def restart(self, keeps_disk: bool, is_outdated: bool, now: float) -> None:
         stored = self.registry.entries() if keeps_disk else []
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -224,7 +224,7 @@
 
     def _restore_registry(self, stored: StoredRegistry) -> Registry:
         epoch = _wall_milliseconds()
-        registry = Registry(epoch, self._settings.heartbeat_seconds, self._views.get)
+        registry = Registry(epoch, self._settings.heartbeat_seconds, self._views.find)
         entries = stored.current_entries(epoch)
         registry.restore(entries, stored.is_outdated(epoch), time.monotonic())
         return registry
@@ -309,13 +309,14 @@
 
     def _find_peer_entries(self) -> tuple[TargetEntry, ...]:
         """Return the reachable targets that checked in with other control hosts only."""
-        merged = self._views.merge(self._loop.time())
+        merged = self._views.merge_entries(self._loop.time())
+        find_own = self._checkins.registry.get
         return tuple(
             entry._replace(warmup_remaining_ms=0)
-            for entry, has_recent_heartbeat in merged.values()
+            for entry, has_recent_heartbeat in merged
             if has_recent_heartbeat
             and entry.state is checkins.LifeState.READY
-            and self._checkins.registry.get(entry.lifetime) is None
+            and ((own := find_own(entry.lifetime)) is None or own.key != entry.key)
         )
 
     def _apply_update(self, sender: HostName, update: Update) -> None:
