Remove a voter that lost its disk before another learner is admitted

What callers saw: after two disks were lost in turn the control cluster had no leader any more, so that all submissions failed. Cause: a leader of three voters, of which one had lost its disk, admitted a learner of another name in the second before it took the lost voter for unresponsive. The learner had lost its own disk 0.3 s before, which nobody knew. Two of four voters were left.

A learner that answers under the name of a voter, while that voter has not answered since the leader began to replicate to the learner, shows that the voter's disk is lost. Such a voter is now removed once it has been unresponsive for a lease, without waiting until its successor has caught up, and no learner is admitted before. A majority of the voters without it needs no more of the others than before, and the loss of a learner's disk changes nothing for it.

Not covered: the same while the host that lost its disk has not yet answered as a learner.

--- a/packages/core/src/lacewingrudder_core/_replica/leadership.py
+++ b/packages/core/src/lacewingrudder_core/_replica/leadership.py
@@ -236,13 +236,22 @@
 
         A learner has caught up if it has all entries that were committed at the last check. It
         needn't have the newest ones, since those may come faster than its answers.
+        A voter whose disk is lost leaves before any learner is admitted.
         """
         log = self._state.log
         if not self._can_change_voters:
             return None
-        for row in self._progress.learners(log.voters):
-            has_caught_up = row.match_index >= self._checked_commit_index
-            if not has_caught_up or self._is_unresponsive(row.replica, now):
+        learners = [
+            row
+            for row in self._progress.learners(log.voters)
+            if not self._is_unresponsive(row.replica, now)
+        ]
+        lost = next((row for row in map(self._find_lost, learners) if row is not None), None)
+        if lost is not None:
+            remaining = tuple(voter for voter in log.voters if voter != lost)
+            return remaining if self._is_unresponsive(lost, now) else None
+        for row in learners:
+            if row.match_index < self._checked_commit_index:
                 continue
             voters = self._policy.after_admission(
                 log.voters, row.replica, lambda voter: self._is_unresponsive(voter, now)
@@ -254,6 +263,20 @@
             lambda voter: self._is_unresponsive(voter, now, VOTER_REMOVAL_TIMEOUT_SECONDS),
         )
 
+    def _find_lost(self, learner: Progress) -> ReplicaId | None:
+        """Return the voter with a learner's name if the learner shows that its disk is lost.
+
+        That voter does not come back. With one more voter before it is removed, the loss of that
+        one's disk could end the quorum, though it may be lost before it is known to be a voter.
+        """
+        if not learner.has_answered:
+            return None
+        for voter in self._state.log.voters:
+            row = self._progress.get(voter.identity)
+            if row is not None and voter.name == learner.replica.name:
+                return voter if row.last_contact < learner.tracked_since else None
+        return None
+
     @property
     def _can_change_voters(self) -> bool:
         """Whether the last change of the voters and an entry of this term are committed."""
--- a/packages/core/src/lacewingrudder_core/_replica/progress.py
+++ b/packages/core/src/lacewingrudder_core/_replica/progress.py
@@ -15,6 +15,8 @@
 
     :param next_index: index of the next entry to send.
     :param now: initial value of the time of last contact.
+    :ivar tracked_since: when the leader began to replicate to the replica.
+    :ivar has_answered: whether it has answered since.
     :ivar leave_requested_at: when the replica last said that it shuts down.
     """
 
@@ -22,7 +24,8 @@
         self.replica = replica
         self.match_index = 0
         self.next_index = next_index
-        self.last_contact = now
+        self.tracked_since = self.last_contact = now
+        self.has_answered = False
         self.leave_requested_at = float("-inf")
         self._snapshot_index = 0
         self._parts: tuple[LogSnapshotPart, ...] = ()
@@ -60,6 +63,7 @@
     def record_contact(self, sent_at: float) -> None:
         """Record an answer; the contact counts from when its request was sent."""
         self.last_contact = max(self.last_contact, sent_at)
+        self.has_answered = True
 
 
 class ProgressTable:
--- a/packages/core/tests/test_replica_schedules.py
+++ b/packages/core/tests/test_replica_schedules.py
@@ -45,3 +45,8 @@
     def test_four_hosts_of_which_three_are_seeds(self) -> None:
         for seed in FOUR_DISCOVERED_HOSTS_RANDOM_SEEDS:
             self.explore(4, seed, SEED_HOST_COUNT)
+
+    # Guards against a learner that is admitted beside a voter whose disk is lost, and has lost its
+    # own by then.
+    def test_long_schedule_with_a_learner_that_loses_its_disk(self) -> None:
+        Schedule(4, 104_407, SEED_HOST_COUNT).run(600)
--- a/packages/core/tests/test_voter_changes.py
+++ b/packages/core/tests/test_voter_changes.py
@@ -69,6 +69,28 @@
         self.cluster.check_convergence()
 
 
+class LostDiskTest(unittest.TestCase):
+    """A voter that lost its disk, beside a learner that has caught up."""
+
+    # Guards against four voters of which two have lost their disks: that of a learner may be lost
+    # before it is known that its admission was decided.
+    def test_voter_that_lost_its_disk_is_removed_before_a_learner_is_admitted(self) -> None:
+        cluster = Cluster(4, seeds=3)
+        learner = cluster.hosts["c4"]
+        learner.is_up = False
+        leader = cluster.elect()
+        lost = next(host for host in cluster.running_hosts() if host is not leader)
+        former = lost.replica_id
+        cluster.lose_disk(lost)
+        learner.start()
+        end = cluster.now + RECOVERY_SECONDS
+        while cluster.now < end:
+            cluster.run(REQUEST_INTERVAL_SECONDS)
+            voters = leader.core.state.log.voters
+            self.assertFalse({former, learner.replica_id} <= set(voters), voters)
+        cluster.check_convergence()
+
+
 class PlannedStopTest(unittest.TestCase):
     """Voters that shut down for good, and disks that are lost soon after."""
 
