--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -153,7 +153,9 @@
         self._admission.configure(configuration)
         if self._limits_warmup:
             self._target_index.limit_warmups(configuration.warmups, now)
-        self._unreported += self._target_index.use_services(self._admission.services, now)
+        services = self._admission.services
+        self._unreported += self._target_index.use_services(services, now)
+        self._unreported = self._apply_changes(self._views.use_services(services), now)
         return True
 
     def apply_update(self, update: Update, now: float) -> list[KnownTarget]:
@@ -197,9 +199,12 @@
     def _apply_changes(self, lifetimes: set[Lifetime], now: float) -> list[KnownTarget]:
         unreported, self._unreported = self._unreported, []
         return unreported + self._target_index.apply(
-            ((lifetime, self._views.get(lifetime)) for lifetime in lifetimes), now
+            ((lifetime, self._find_target(lifetime)) for lifetime in lifetimes), now
         )
 
+    def _find_target(self, lifetime: Lifetime) -> KnownTarget | None:
+        return self._views.get(lifetime, self._target_index.entry_of(lifetime))
+
     def decide(self, segment: TagSegment, now: float) -> Decision:
         """Return whether to forward, drop or reset a packet of a caller."""
         configuration = self._configuration
@@ -321,8 +326,15 @@
     def _forward_packet(self, segment: TagSegment, objective: float | None, now: float) -> Decision:
         """Forward a packet of an open flow to the target that its tag names.
 
+        Packets with the former tag of their target keep it: hosts of the version before may forward
+        later packets of the flow, and do not know the new one.
+
         :param objective: latency objective of the flow's requests in seconds, or ``None``.
         """
+        echoed = segment.tag
+        named = self._target_index.own_tag(echoed)
+        if named != echoed:
+            segment = segment._replace(tag=named)
         tag = self._target_index.current_tag(self._find_tag(segment))
         entry = self._target_index.entry(tag)
         if entry is None:
@@ -350,4 +362,4 @@
             self._answer_times.service(entry.service).record(tag, seconds, now)
         if seconds is not None and objective is not None:
             self._admission.record_answer(entry.service, tag, seconds, objective, now)
-        return Forwarded(entry.endpoint, entry.identity, tag)
+        return Forwarded(entry.endpoint, entry.identity, echoed if tag == named else tag)
