Keep an open flow at its target on hosts that did not see its SYNs

Cause: a host told the tag of a flow from that of a second target that answered late only by the SYNs that it had sent itself.

A host now keeps the target of the first packet that it saw of a flow, while the sequence numbers of the caller's packets go on. A port that is used again starts at another number, so that its flow follows its own tag.

What is left: a host whose first packet of a flow carries the wrong tag has nothing to tell it by.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -311,7 +311,7 @@
         """
         echoed = segment.tag
         named = self._target_index.own_tag(echoed)
-        tag = self._open_flows.find_tag(segment.flow, named)
+        tag = self._open_flows.find_tag(segment, named)
         entry = self._target_index.entry(tag)
         if entry is None:
             return Dropped(DropReason.UNKNOWN_TAG if tag else DropReason.UNTAGGED)
@@ -325,9 +325,7 @@
         if tag != segment.tag:
             segment = segment._replace(tag=tag)
         max_waiting = None if objective is None else MAX_WAITING_OBJECTIVES * objective
-        observation = self._flow_tracker.record_packet(
-            segment, now, max_waiting, () if opening is None else opening.tried_tags
-        )
+        observation = self._flow_tracker.record_packet(segment, now, max_waiting)
         if observation.answer_status is AnswerStatus.ANSWERED:
             self._ejections.record_answer(tag, entry.zone)
         elif observation.answer_status is AnswerStatus.RETRANSMITTED:
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
@@ -9,7 +9,7 @@
 import collections
 import enum
 import heapq
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..latencies import LatencyHistogram
@@ -19,6 +19,12 @@
 MAX_OPENING_SECONDS = 2.0
 """How long an unanswered flow is tracked after its first SYN; callers give up after 1.4 s."""
 
+SEQUENCE_WINDOW_BYTES = 1 << 18
+"""Packets of one flow have sequence numbers that differ by less than this: more than callers send
+between two packets that one host sees. Those of a later flow from the same port are random."""
+
+SEQUENCE_COUNT = 1 << 32
+
 MAX_TRACKED_FLOWS = 50_000
 """Maximum number of tracked flows; the least recently seen are dropped first."""
 
@@ -42,7 +48,6 @@
 class _Flow:
     """A flow of which this host has seen a packet after the SYN.
 
-    :param other_tags: tags of other targets that SYNs of the flow were sent to.
     :ivar opened_at: time of that packet.
     :ivar is_waiting: whether its request awaits an answer.
     :ivar is_counted: whether that request counts as load of the target.
@@ -55,15 +60,15 @@
         "is_retransmitted",
         "is_waiting",
         "opened_at",
-        "other_tags",
         "seen_at",
+        "seen_sequence",
         "sequence",
         "tag",
     )
 
-    def __init__(self, tag: int, other_tags: frozenset[int], now: float) -> None:
+    def __init__(self, tag: int, now: float) -> None:
         self.tag = tag
-        self.other_tags = other_tags
+        self.seen_sequence = 0
         self.opened_at = self.seen_at = now
         self.sequence = -1
         self.acknowledged = -1
@@ -191,15 +196,17 @@
                 self._opening_counts[tag] -= 1
         return opening
 
-    def opened_tag(self, key: FlowKey, named: int) -> int | None:
-        """Return the tag of the target that a flow opened at, ``None`` if it isn't known.
-
-        It is only told apart from the tag of another target that a SYN of the flow was sent to.
+    def opened_tag(self, segment: TagSegment) -> int | None:
+        """Return the tag of the target that holds a packet's flow, ``None`` if it isn't known.
 
-        :param named: tag of the target that a packet of the flow names.
+        It isn't known of the first packet of a flow, nor if a port is used for another flow.
         """
-        flow = self._flows.get(key)
-        return None if flow is None or named not in flow.other_tags else flow.tag
+        flow = self._flows.get(segment.flow)
+        if flow is None:
+            return None
+        distance = (segment.sequence - flow.seen_sequence) % SEQUENCE_COUNT
+        is_continued = min(distance, SEQUENCE_COUNT - distance) < SEQUENCE_WINDOW_BYTES
+        return flow.tag if is_continued else None
 
     def recently_opened_tag(self, flow: FlowKey, now: float) -> int | None:
         """Return the tag of a flow that is not older than the SYNs of an unanswered one."""
@@ -213,23 +220,20 @@
         segment: TagSegment,
         now: float,
         max_waiting_seconds: float | None = None,
-        tried_tags: Iterable[int] = (),
     ) -> Observation:
         """Process a packet of an open flow; return what it reveals about its target.
 
         :param max_waiting_seconds: how long a request of the flow counts as load of its target at
             most, see :meth:`forget_abandoned_requests`; ``None`` for no limit.
-        :param tried_tags: tags of the targets that SYNs of the flow were sent to.
         """
         flow = self._flows.get(segment.flow)
         if flow is None or flow.tag != segment.tag:
             self._remove(segment.flow)
-            other_tags = frozenset(tried_tags) - {segment.tag}
-            flow = self._flows[segment.flow] = _Flow(segment.tag, other_tags, now)
+            flow = self._flows[segment.flow] = _Flow(segment.tag, now)
             self._open_counts[segment.tag] += 1
             if len(self._flows) > MAX_TRACKED_FLOWS:
                 self._remove(next(iter(self._flows)))
-        flow.seen_at = now
+        flow.seen_at, flow.seen_sequence = now, segment.sequence
         self._flows.move_to_end(segment.flow)
         observation = self._observe(flow, segment, now)
         if flow.is_waiting and flow.requested_at == now and max_waiting_seconds is not None:
--- a/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
@@ -6,7 +6,7 @@
 from ..types import FlowKey
 from .flow_tracker import FlowTracker
 from .target_index import TargetIndex
-from .types import Forwarded
+from .types import Forwarded, TagSegment
 
 
 class OpenFlows:
@@ -31,11 +31,11 @@
             return None
         return Forwarded(entry.endpoint, entry.identity, tag)
 
-    def find_tag(self, flow: FlowKey, named: int) -> int:
+    def find_tag(self, segment: TagSegment, named: int) -> int:
         """Return the tag of the target that a packet of an open flow goes to.
 
         :param named: tag of the target that the packet names.
         """
-        opened = self._flow_tracker.opened_tag(flow, named)
+        opened = self._flow_tracker.opened_tag(segment)
         is_elsewhere = opened is not None and not self._target_index.has_ended(opened)
         return self._target_index.current_tag(opened if is_elsewhere and opened else named)
