Learn the speed of targets from few samples, by a setting of entry hosts

Servers of one service differ in speed, and the relative response time mixed kinds of work and forgot within a second. LearnedSpeeds normalises response times by route and combines them with a prior; the former rule stays the default.

--- a/packages/core/src/lacewingrudder_core/_routing/loads.py
+++ b/packages/core/src/lacewingrudder_core/_routing/loads.py
@@ -4,8 +4,8 @@
 
 from typing import NamedTuple
 
+from ..speeds import WaitingTimes
 from ..types import TargetName
-from .answer_times import AnswerTimes
 
 
 class TargetLoad(NamedTuple):
@@ -25,10 +25,10 @@
     def __init__(self) -> None:
         self._flows: dict[TargetName, int] = {}
         self._busy: dict[TargetName, int] = {}
-        self._answer_times = AnswerTimes()
+        self._answer_times = WaitingTimes()
 
     @property
-    def answer_times(self) -> AnswerTimes:
+    def answer_times(self) -> WaitingTimes:
         """The response times of the targets."""
         return self._answer_times
 
--- /dev/null
+++ b/packages/core/src/lacewingrudder_core/_speeds/__init__.py
@@ -0,0 +1,1 @@
+"""Private modules of :mod:`lacewingrudder_core.speeds`."""
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -18,9 +18,9 @@
 from .._checkins.views import KnownTarget, Views
 from .._notes.evacuations import Evacuations
 from ..latencies import LatencyHistogram
+from ..speeds import AverageSpeeds, LearnedSpeeds, SpeedsByService
 from ..types import Endpoint, FlowKey, HostName, ZoneName
 from .admission import FlowAdmission
-from .answer_times import AnswerTimes
 from .candidates import Candidate, Exclusion
 from .ejections import Ejections
 from .flow_tracker import AnswerStatus, FlowTracker
@@ -58,16 +58,23 @@
     :param seed: differs between hosts, so that they break ties between equal targets differently.
     :param limits_warmup: whether targets that warm up get no new flows, if the configuration says
         how long they do.
+    :param learns_speeds: whether targets are chosen by their learned speed.
     """
 
-    def __init__(self, zone: ZoneName, seed: int = 0, limits_warmup: bool = False) -> None:
+    def __init__(
+        self,
+        zone: ZoneName,
+        seed: int = 0,
+        limits_warmup: bool = False,
+        learns_speeds: bool = False,
+    ) -> None:
         self._zone = zone
         self._limits_warmup = limits_warmup
         self._views = Views()
         self._target_index = TargetIndex(zone, seed)
         self._flow_tracker = FlowTracker()
-        self._answer_times = AnswerTimes()
-        self._chooser = TargetChooser(zone, self._flow_tracker.load, self._answer_times)
+        self._speeds = SpeedsByService(LearnedSpeeds if learns_speeds else AverageSpeeds)
+        self._chooser = TargetChooser(zone, self._flow_tracker.load, self._speeds)
         self._ejections = Ejections(zone)
         self._evacuations = Evacuations()
         self._unreported: list[KnownTarget] = []
@@ -181,7 +188,7 @@
         )
         self._flow_tracker.expire(idle, now)
         self._route_lag.expire(idle, now)
-        self._answer_times.expire(now)
+        self._speeds.expire(now)
         self._ejections.retain_known(self._is_known)
         self._silence.retain_known(self._is_known)
         return self._apply_changes(self._views.refresh(now), now)
@@ -331,7 +338,9 @@
         seconds = observation.answer_seconds
         if seconds is not None:
             self._silence.record_answer(tag, now - seconds)
-            self._answer_times.service(entry.service).record(tag, seconds, now)
+            kind = segment.flow.service, segment.flow.service_port
+            speeds = self._speeds.service(entry.service)
+            speeds.record(tag, kind, seconds, now, segment.flow.caller)
         if seconds is not None and objective is not None:
             self._admission.record_answer(entry.service, tag, seconds, objective, now)
         return Forwarded(entry.endpoint, entry.identity, tag)
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
+from ..speeds import SpeedsByService
 from ..types import ZoneName
-from .answer_times import AnswerTimes
 from .candidates import Candidate, Candidates
 from .flow_tracker import TargetLoad
 from .types import Split
@@ -70,15 +70,15 @@
 
     :param zone: zone of this host.
     :param load: returns the load of the target with a tag.
-    :param answer_times: response times by service.
+    :param speeds: speeds of the targets, by service.
     """
 
     def __init__(
-        self, zone: ZoneName, load: Callable[[int], TargetLoad], answer_times: AnswerTimes
+        self, zone: ZoneName, load: Callable[[int], TargetLoad], speeds: SpeedsByService
     ) -> None:
         self._zone = zone
         self._load = load
-        self._answer_times = answer_times
+        self._speeds = speeds
         self._next_index = 0
 
     def choose(
@@ -127,10 +127,10 @@
         return load if candidate.entry.zone == self._zone else load + REMOTE_ZONE_LOAD
 
     def _relative_answer_time(self, candidate: Candidate, now: float) -> float:
-        times = self._answer_times.service(candidate.entry.service)
-        if now < candidate.warmed_up_at and not times.has_samples(candidate.tag):
+        speeds = self._speeds.service(candidate.entry.service)
+        if now < candidate.warmed_up_at and not speeds.has_samples(candidate.tag):
             return WARMUP_FACTOR
-        return times.ratio(candidate.tag, now)
+        return speeds.ratio(candidate.tag, now)
 
     def _next_sample(self, local_targets: Sequence[Candidate]) -> Sequence[Candidate]:
         """Return the candidates to compare: the next few in rotation."""
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/settings.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/settings.py
@@ -19,11 +19,13 @@
     :param readiness: HTTP endpoint for readiness probes.
     :param limits_warmup: whether targets that warm up get no new flows while others run, for
         services whose configuration says how long they do.
+    :param learns_speeds: whether targets are chosen by their learned speed.
     """
 
     packets: Endpoint
     readiness: Endpoint
     limits_warmup: bool = False
+    learns_speeds: bool = False
 
 
 class RegistrarSettings(NamedTuple):
@@ -139,6 +141,7 @@
         reader.endpoint("packets"),
         reader.endpoint("readiness"),
         reader.boolean("limit_warmup") if reader.has("limit_warmup") else False,
+        reader.boolean("learn_speeds") if reader.has("learn_speeds") else False,
     )
 
 
