--- a/packages/core/src/lacewingrudder_core/_speeds/learned.py
+++ b/packages/core/src/lacewingrudder_core/_speeds/learned.py
@@ -12,9 +12,10 @@
 """Time constant with which samples lose weight. A host with few flows sends only a few to the same
 target in this time."""
 
-PRIOR_WEIGHT = 0.3
-"""Weight of the assumption that a target is like an unknown one, in samples: the variance of a
-sample over that between targets."""
+PRIOR_WEIGHT = 0.8
+"""Weight of the assumption that a target is like an unknown one, in samples. A single sample shows
+the queue at its target as much as the speed; with 0.3, hosts with few flows crowd at the targets of
+their fastest samples."""
 
 MAX_WEIGHT = 2.0
 """Maximum weight of past samples when a new one arrives, so that a target that became slow is
@@ -171,8 +172,10 @@
     def record_end(self, target: Hashable, request: Hashable) -> None:
         """Record that a request no longer waits, with or without an answer."""
         waiting = self._waiting.get(target)
-        if waiting is not None and waiting.pop(request, None) and not waiting:
-            del self._waiting[target]
+        if waiting is not None:
+            waiting.pop(request, None)
+            if not waiting:
+                del self._waiting[target]
 
     def ratio(self, target: Hashable, now: float) -> float:
         """Return the expected response time relative to the service, 1.0 for an unknown target."""
@@ -202,7 +205,7 @@
                 self.record_end(target, request)
 
     def _record_rejection(self, target: Hashable, now: float) -> None:
-        """Replace what is known of a target that rejects a request, unless it is known as slower."""
+        """Replace what is known of a target that rejects, unless it is known as slower."""
         mean = self._decayed(target, now)
         if mean.shrunk(PRIOR_WEIGHT, UNKNOWN_DELAY) < REJECTION_DELAY:
             self._targets[target] = _Mean(1.0, REJECTION_DELAY, now)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -93,7 +93,9 @@
         self._reader = reader
         self._entry_events = EntryEvents(events)
         seed = name_hash(str(settings.messages))
-        self._forwarder = TagForwarder(settings.zone, seed, entry.limits_warmup, entry.learns_speeds)
+        self._forwarder = TagForwarder(
+            settings.zone, seed, entry.limits_warmup, entry.learns_speeds
+        )
         self._packet_socket = DatagramSocket(self._handle_packet)
         self._message_socket = MessageSocket(ENTRY_MESSAGES, events, self._handle_message)
         self._readiness_changed = asyncio.Event()
--- a/packages/daemon/tests/test_fleet_settings.py
+++ b/packages/daemon/tests/test_fleet_settings.py
@@ -46,6 +46,12 @@
         self.assertEqual(settings.messages_bind, Endpoint.parse("10.9.0.1:7720"))
         self.assertEqual(self.read().messages_bind, self.read().messages)
 
+    # Guards against hosts that learn speeds without being told to, or don't although they are.
+    def test_speeds_are_learned_only_if_the_settings_say_so(self) -> None:
+        self.assertFalse(self.read().entry.learns_speeds)
+        self.assertFalse(self.read(learn_speeds=False).entry.learns_speeds)
+        self.assertTrue(self.read(learn_speeds=True).entry.learns_speeds)
+
     def test_errors_name_file_field_and_reason(self) -> None:
         cases: list[tuple[str, Any]] = [
             ("name", ""),
