--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -19,10 +19,10 @@
 )
 from .._checkins.views import KnownTarget, Views
 from .._notes.evacuations import Evacuations
+from .._speeds.target_speeds import SpeedsByService, make_speeds
 from ..latencies import LatencyHistogram
 from ..types import Endpoint, FlowKey, HostName, ZoneName
 from .admission import FlowAdmission
-from .answer_times import AnswerTimes
 from .candidates import Candidate
 from .ejections import Ejections
 from .flow_tracker import AnswerStatus, FlowTracker
@@ -30,6 +30,7 @@
 from .route_lag import RouteLag
 from .selection import TargetChooser, WeightedRoundRobin, refusal
 from .silence_detector import SilenceDetector
+from .speed_samples import record_speed
 from .tags import flow_tag
 from .target_index import TargetIndex
 from .types import (
@@ -64,16 +65,23 @@
     :param seed: differs between hosts, so that they break ties between equal targets differently.
     :param limits_warmup: whether targets that warm up get no new flows, if the configuration says
         how long they do.
+    :param learns_speeds: whether targets are chosen by their learned speed.
     """
 
-    def __init__(self, zone: ZoneName, seed: int = 0, limits_warmup: bool = False) -> None:
+    def __init__(
+        self,
+        zone: ZoneName,
+        seed: int = 0,
+        limits_warmup: bool = False,
+        learns_speeds: bool = False,
+    ) -> None:
         self._zone = zone
         self._limits_warmup = limits_warmup
         self._views = Views()
         self._target_index = TargetIndex(zone, seed)
         self._flow_tracker = FlowTracker()
-        self._answer_times = AnswerTimes()
-        self._chooser = TargetChooser(zone, self._flow_tracker.load, self._answer_times)
+        self._speeds = SpeedsByService(make_speeds(learns_speeds))
+        self._chooser = TargetChooser(zone, self._flow_tracker.load, self._speeds, learns_speeds)
         self._open_flows = OpenFlows(self._target_index, self._flow_tracker)
         self._ejections = Ejections(zone)
         self._evacuations = Evacuations()
@@ -190,7 +198,7 @@
         )
         self._flow_tracker.expire(idle, now)
         self._route_lag.expire(idle, now)
-        self._answer_times.expire(now)
+        self._speeds.expire(now)
         self._ejections.retain_known(self._is_known)
         self._silence.retain_known(self._is_known)
         return self._apply_changes(self._views.refresh(now), now)
@@ -333,7 +341,7 @@
         seconds = observation.answer_seconds
         if seconds is not None:
             self._silence.record_answer(tag, now - seconds)
-            self._answer_times.service(entry.service).record(tag, seconds, now)
+        record_speed(self._speeds.service(entry.service), segment, observation, now)
         if seconds is not None and objective is not None:
             self._admission.record_answer(entry.service, tag, seconds, objective, now)
         return Forwarded(entry.endpoint, entry.identity, echoed if tag == named else tag)
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
+from .._speeds.target_speeds import SpeedsByService
 from ..types import ZoneName
-from .answer_times import AnswerTimes
 from .candidates import Candidate, Candidates, Exclusion
 from .flow_tracker import TargetLoad
 from .types import Dropped, DropReason, Reset, ResetReason, Split
@@ -37,6 +37,10 @@
 (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001), and comparing all
 would take milliseconds per SYN at a host with 1,000 targets."""
 
+MAX_COMPARED_LEARNED_COUNT = 32
+"""The same for learned speeds. A host with few flows has recent samples of only a few targets; with
+fewer compared, none of these is among them for many flows."""
+
 WARMUP_FACTOR = 1.6
 """Expected response time of a target that warms up, relative to its service, until this host has
 measured it."""
@@ -98,20 +102,27 @@
 
     :param zone: zone of this host.
     :param load: returns the load of the target with a tag.
-    :param answer_times: response times by service.
+    :param speeds: speeds of the targets, by service.
+    :param learns_speeds: whether these are learned.
     """
 
     def __init__(
-        self, zone: ZoneName, load: Callable[[int], TargetLoad], answer_times: AnswerTimes
+        self,
+        zone: ZoneName,
+        load: Callable[[int], TargetLoad],
+        speeds: SpeedsByService,
+        learns_speeds: bool = False,
     ) -> None:
         self._zone = zone
         self._load = load
-        self._answer_times = answer_times
+        self._speeds = speeds
+        self._max_compared = MAX_COMPARED_LEARNED_COUNT if learns_speeds else MAX_COMPARED_COUNT
         self._next_index = 0
 
     def preview(self, load: Callable[[int], TargetLoad]) -> TargetChooser:
         """Return a chooser that chooses as this one would next, given other loads."""
-        chooser = TargetChooser(self._zone, load, self._answer_times)
+        chooser = TargetChooser(self._zone, load, self._speeds)
+        chooser._max_compared = self._max_compared
         chooser._next_index = self._next_index
         return chooser
 
@@ -167,10 +178,10 @@
 
     def relative_answer_time(self, candidate: Candidate, now: float) -> float:
         """Return the expected response time of a target relative to that of its service."""
-        times = self._answer_times.find(candidate.entry.service)
-        if now < candidate.warmed_up_at and not times.has_samples(candidate.tag):
+        speeds = self._speeds.find(candidate.entry.service)
+        if now < candidate.warmed_up_at and not speeds.has_samples(candidate.tag):
             return WARMUP_FACTOR
-        return times.ratio(candidate.tag, now)
+        return speeds.ratio(candidate.tag, now)
 
     def _load_per_slot(self, candidate: Candidate, now: float) -> float:
         flows, opening, waiting = self._load(candidate.tag)
@@ -181,12 +192,12 @@
 
     def _next_sample(self, local_targets: Sequence[Candidate]) -> Sequence[Candidate]:
         """Return the candidates to compare: the next few in rotation."""
-        if len(local_targets) <= MAX_COMPARED_COUNT:
+        if len(local_targets) <= self._max_compared:
             return local_targets
         start = self._next_index % len(local_targets)
-        self._next_index = start + MAX_COMPARED_COUNT
+        self._next_index = start + self._max_compared
         return [
-            *local_targets[start : start + MAX_COMPARED_COUNT],
+            *local_targets[start : start + self._max_compared],
             *local_targets[: max(0, self._next_index - len(local_targets))],
         ]
 
