--- a/measure/fleet_cores.py
+++ b/measure/fleet_cores.py
@@ -23,6 +23,7 @@
     Tick,
     Update,
 )
+from lacewingrudder_core.notes import Evacuations
 from lacewingrudder_core.tagging import Configuration, Route, Split, TagForwarder, TagSegment
 from lacewingrudder_core.types import Endpoint, FlowKey
 
@@ -95,7 +96,7 @@
 def measure_entry_host(size: FleetSize) -> None:
     """Print the cost of a SYN, a tick and a change of one target on an entry host.
 
-    Also print that of the loss of all control hosts but one.
+    Also print that of the evacuation of a zone and of the loss of all control hosts but one.
     """
     forwarder = TagForwarder(LOCAL_ZONE)
     route = Route(ROUTE_ENDPOINT, (Split(SERVICE, 1),), False, 0)
@@ -125,6 +126,12 @@
         )
         forwarder.apply_update(message, 2.0)
 
+    def evacuate_zone(number: int) -> None:
+        evacuations = Evacuations(1 + number, () if number % 2 else (LOCAL_ZONE,))
+        host = "10.0.0.0:1"
+        message = Update(host, Position(1, 0), 0, (), -1, (host,), evacuations=evacuations)
+        forwarder.apply_update(message, 2.0)
+
     def lose_controls(number: int) -> None:
         forwarder.apply_update(
             Update("10.0.0.0:1", Position(1, number), 0, (), -1, ("10.0.0.0:1",)), 9.0
@@ -135,6 +142,7 @@
     print(f"entry_syn_us_{name}={_mean_microseconds(open_flow):.0f}")
     print(f"entry_tick_us_{name}={_mean_microseconds(lambda n: forwarder.tick(1.0)):.0f}")
     print(f"entry_change_us_{name}={_mean_microseconds(drain_target, 10):.0f}")
+    print(f"entry_evacuation_us_{name}={_mean_microseconds(evacuate_zone, 2):.0f}")
     print(f"entry_control_loss_us_{name}={_mean_microseconds(lose_controls, 1):.0f}", flush=True)
 
 
