Soak: late answers to SYNs, callers that echo the newest tag, and resets by targets

An open flow moved to another target when two targets answered its SYN, and the soak did not see it: stand-ins answered SYNs at once, callers ignored late SYN+ACKs, and resets by targets were not counted. Two in five targets now delay half of their SYN+ACKs by 0.15 to 0.5 s, callers echo the tag received last, and a reset by another target breaks a guarantee if the flow's own target holds it open. Processes of a soak inherit PYTHONPATH, so that they run the code of the worktree under test.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -83,6 +83,18 @@
     was_reset: bool
 
 
+class Arrival(NamedTuple):
+    """A packet that a caller received.
+
+    :param is_genuine: whether a target wrote it; false for a reset by the system.
+    :param sender: address that sent it: that of a target or of an entry host.
+    """
+
+    packet: Packet
+    is_genuine: bool
+    sender: Address
+
+
 class CallerSocket:
     """Owns the socket of all callers, and puts each received packet into the queue of its port.
 
@@ -102,20 +114,17 @@
         self._check = check
         self._random = random.Random(seed)
         self._last_port = FIRST_CALLER_PORT
-        self._queues: dict[int, asyncio.Queue[tuple[Packet, bool]]] = {}
+        self._queues: dict[int, asyncio.Queue[Arrival]] = {}
         self._send = open_socket(address, self._handle_datagram)
 
     def send(self, host: str, packet: Packet) -> None:
         """Send a packet to an entry host."""
         self._send(packet.pack(), self._packets[host])
 
-    def allocate_port(self) -> tuple[int, asyncio.Queue[tuple[Packet, bool]]]:
-        """Return an unused port and its queue of received packets.
-
-        Each packet is paired with whether a target wrote it; false for a reset by the system.
-        """
+    def allocate_port(self) -> tuple[int, asyncio.Queue[Arrival]]:
+        """Return an unused port and its queue of received packets."""
         self._last_port += 1
-        queue: asyncio.Queue[tuple[Packet, bool]] = asyncio.Queue()
+        queue: asyncio.Queue[Arrival] = asyncio.Queue()
         self._queues[self._last_port] = queue
         return self._last_port, queue
 
@@ -126,7 +135,7 @@
     async def open_flow(
         self,
         port: int,
-        queue: asyncio.Queue[tuple[Packet, bool]],
+        queue: asyncio.Queue[Arrival],
         service_port: int,
         select_host: Callable[[], str],
     ) -> SynResult:
@@ -137,10 +146,9 @@
             self.send(select_host(), syn)
             received = await _next_packet(queue, wait)
             if received is not None:
-                packet, is_genuine = received
-                if packet.flags & RST:
-                    return SynResult(None, not is_genuine)
-                return SynResult(packet, False)
+                if received.packet.flags & RST:
+                    return SynResult(None, not received.is_genuine)
+                return SynResult(received.packet, False)
         return SynResult(None, False)
 
     def _handle_datagram(self, data: bytes, sender: Address) -> None:
@@ -150,7 +158,7 @@
         self._check(Guarantee.PACKETS_UNCHANGED, is_genuine or is_reset, detail)
         queue = self._queues.get(packet.destination_port)
         if queue is not None:
-            queue.put_nowait((packet, is_genuine))
+            queue.put_nowait(Arrival(packet, is_genuine, sender))
 
 
 class RequestResults:
@@ -206,7 +214,7 @@
                 self._caller_socket.release_port(port)
             await asyncio.sleep(REOPEN_DELAY_SECONDS)
 
-    async def _run_flow(self, port: int, queue: asyncio.Queue[tuple[Packet, bool]]) -> None:
+    async def _run_flow(self, port: int, queue: asyncio.Queue[Arrival]) -> None:
         def select_host() -> str:
             return self._routers.select_host((port, self._service_port))
 
@@ -218,14 +226,15 @@
             return
         syn_ack = syn_result.syn_ack
         sequence, acknowledged, tag = syn_ack.acknowledged, syn_ack.sequence + 1, syn_ack.echo
+        has_answer = False
         for _ in range(self._random.randint(*REQUEST_COUNT_RANGE)):
             request = self._make_packet(port, ACK, sequence, acknowledged, tag, b"request")
-            reply = await self._request(port, queue, select_host, request)
-            self._results.record(self._now(), reply is not None)
-            if reply is None:
+            tag, was_answered = await self._request(queue, select_host, request, has_answer)
+            self._results.record(self._now(), was_answered)
+            if not was_answered:
                 return
+            has_answer = True
             sequence += len(request.data)
-            tag = reply.echo
             await asyncio.sleep(self._random.uniform(*REQUEST_PAUSE_RANGE_SECONDS))
         self._caller_socket.send(
             select_host(), self._make_packet(port, FIN | ACK, sequence, acknowledged, tag)
@@ -233,32 +242,49 @@
 
     async def _request(
         self,
-        port: int,
-        queue: asyncio.Queue[tuple[Packet, bool]],
+        queue: asyncio.Queue[Arrival],
         select_host: Callable[[], str],
         request: Packet,
-    ) -> Packet | None:
-        """Send a request, resend it on timeout, and return the answer.
+        has_answer: bool,
+    ) -> tuple[int, bool]:
+        """Send a request, resend it on timeout, and return the newest tag and whether it succeeded.
+
+        Each packet echoes the tag that was received last, also that of a late SYN+ACK of a target
+        that does not hold the flow. The request fails if the flow is reset or no answer comes.
 
-        ``None`` if the flow was reset or no answer came.
+        :param has_answer: whether a request of the flow was answered before.
         """
+        port, end = request.source_port, request.sequence + len(request.data)
+        tag = request.echo
         for wait in REQUEST_TIMEOUTS_SECONDS:
             was_open = self._has_open_flow(port, self._service_port)
-            self._caller_socket.send(select_host(), request)
+            while not queue.empty():
+                arrival = queue.get_nowait()
+                if arrival.packet.flags & RST:
+                    self._check_reset(arrival, was_open or has_answer)
+                    return tag, False
+                tag = arrival.packet.echo
+            self._caller_socket.send(select_host(), request._replace(echo=tag))
             while (received := await _next_packet(queue, wait)) is not None:
-                packet, is_genuine = received
-                if packet.flags & RST:
-                    self._check_reset(port, was_open, is_genuine)
-                    return None
-                if packet.data and packet.acknowledged == request.sequence + len(request.data):
-                    return packet
-        return None
-
-    def _check_reset(self, port: int, was_open: bool, is_genuine: bool) -> None:
-        if is_genuine:
-            return
+                if received.packet.flags & RST:
+                    self._check_reset(received, was_open)
+                    return tag, False
+                tag = received.packet.echo
+                if received.packet.data and received.packet.acknowledged == end:
+                    return tag, True
+        return tag, False
+
+    def _check_reset(self, arrival: Arrival, was_open: bool) -> None:
+        """Check that the target of a flow that was reset has ended, or does not hold the flow.
+
+        A reset of a target counts as well: one that doesn't hold the flow sends it when it receives
+        a packet of it, although the target that holds the flow is healthy.
+        """
+        port = arrival.packet.destination_port
         is_open = was_open and self._has_open_flow(port, self._service_port)
-        self._check(Guarantee.NO_RESET, not is_open, f"port {port} to {self._service_port}")
+        origin = "a target" if arrival.is_genuine else "an entry host"
+        detail = f"port {port} to {self._service_port}, reset of {origin} at {arrival.sender}"
+        self._check(Guarantee.NO_RESET, not is_open, detail)
 
     def _make_packet(
         self, port: int, flags: int, sequence: int, acknowledged: int, tag: int, data: bytes = b""
@@ -276,9 +302,7 @@
         )
 
 
-async def _next_packet(
-    queue: asyncio.Queue[tuple[Packet, bool]], wait: float
-) -> tuple[Packet, bool] | None:
+async def _next_packet(queue: asyncio.Queue[Arrival], wait: float) -> Arrival | None:
     try:
         async with asyncio.timeout(wait):
             return await queue.get()
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -40,6 +40,15 @@
 HEARTBEAT_JITTER_FACTORS = (0.9, 1.1)
 SLOT_COUNT = 3
 
+SLOW_SYN_TARGET_SHARE = 0.4
+"""Share of the targets that delay some of their answers to SYNs."""
+
+SLOW_SYN_SHARE = 0.5
+"""Share of the answers to SYNs that such a target delays."""
+
+SLOW_SYN_DELAY_RANGE_SECONDS = (0.15, 0.5)
+"""Mostly longer than a caller's first SYN timeout, so that two targets answer the same flow."""
+
 FlowKey = tuple[str, int, int]
 """Address and port of the caller, and port of the service."""
 
@@ -99,6 +108,7 @@
         self.is_alive = True
         self._environment = environment
         self._random = random.Random(seed)
+        self._delays_syn_acks = self._random.random() < SLOW_SYN_TARGET_SHARE
         self._sequences = itertools.count(1)
         self._half_open: dict[FlowKey, int] = {}
         self._flow_tags: dict[FlowKey, int] = {}
@@ -207,7 +217,16 @@
         self._check_drain_delay(detail, sender)
         isn = self._half_open.setdefault(flow, self._random.getrandbits(31))
         self._flow_tags[flow] = packet.echo
-        reply(_make_reply(packet, SYN | ACK, isn, packet.sequence + 1, packet.echo))
+        syn_ack = _make_reply(packet, SYN | ACK, isn, packet.sequence + 1, packet.echo)
+        if self._delays_syn_acks and self._random.random() < SLOW_SYN_SHARE:
+            delay = self._random.uniform(*SLOW_SYN_DELAY_RANGE_SECONDS)
+            asyncio.get_running_loop().call_later(delay, self._reply_if_alive, syn_ack, reply)
+        else:
+            reply(syn_ack)
+
+    def _reply_if_alive(self, packet: Packet, reply: Callable[[Packet], None]) -> None:
+        if self.is_alive:
+            reply(packet)
 
     def _check_drain_delay(self, detail: str, sender: str) -> None:
         if self.drain_confirmed_at is None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -195,7 +195,9 @@
     """Start a process with a settings file, in the folder of that file."""
     environment = {
         **os.environ,
-        "PYTHONPATH": str(ROOT / "platform"),
+        "PYTHONPATH": os.pathsep.join(
+            path for path in (str(ROOT / "platform"), os.environ.get("PYTHONPATH")) if path
+        ),
         "LACEWINGRUDDER_NODE_FILE": str(settings),
     }
     command = [sys.executable, "-m", "lacewingrudder_platform"]
