Soak: evacuated zones, cold targets, and a profile of a larger deployment

No soak evacuated a zone, no target was cold, and no soak had more than a few entry hosts. The orders are drawn apart, so that the other faults of a seed stay as they were.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 PACKAGES := core wire daemon cli
 SOURCES := packages platform standins measure soak tools tests
 SEED ?= 1
+PROFILE ?= default
 MINUTES ?= 0
 
 .PHONY: test demo measure soak report lint format install
@@ -24,7 +25,7 @@
 	$(PYTHON) -m standins.demo
 
 soak: install
-	$(PYTHON) -m soak --seed $(SEED) --minutes $(MINUTES)
+	$(PYTHON) -m soak --profile $(PROFILE) --seed $(SEED) --minutes $(MINUTES)
 
 measure: install
 	$(PYTHON) -m measure
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,9 +13,10 @@
 import click
 
 from .hosts import MAX_HOST_COUNT
+from .profiles import PROFILES
 from .run import Outcome, run_soak
 
-CONTROL_HOST_COUNT = 3
+MAX_CONTROL_COUNT = max(profile.control_count for profile in PROFILES.values())
 
 
 @click.command()
@@ -35,9 +36,15 @@
 @click.option("--seconds", type=float, default=22.0, help="How long a soak starts new faults.")
 @click.option(
     "--entries",
-    type=click.IntRange(1, MAX_HOST_COUNT - CONTROL_HOST_COUNT),
-    default=4,
-    help="Number of entry hosts.",
+    type=click.IntRange(1, MAX_HOST_COUNT - MAX_CONTROL_COUNT),
+    help="Number of entry hosts, instead of the profile's.",
+)
+@click.option(
+    "--profile",
+    "profile_name",
+    type=click.Choice(list(PROFILES)),
+    default="default",
+    help="Size of the deployment, with its plan of faults.",
 )
 @click.option(
     "--keep",
@@ -46,7 +53,13 @@
     help="Folder for the logs of soaks with findings.",
 )
 def main(
-    seeds: tuple[int, ...], count: int, minutes: float, seconds: float, entries: int, keep: Path
+    seeds: tuple[int, ...],
+    count: int,
+    minutes: float,
+    seconds: float,
+    entries: int | None,
+    profile_name: str,
+    keep: Path,
 ) -> None:
     """Run the system's processes under random faults and check its guarantees to users.
 
@@ -54,11 +67,14 @@
     """
     signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
+    profile = PROFILES[profile_name]
+    if entries is not None:
+        profile = profile._replace(entry_count=entries)
     first_seeds = list(seeds) or [random.SystemRandom().getrandbits(31)]
     deadline = time.monotonic() + 60 * minutes
     outcomes: list[Outcome] = []
     for seed in _iter_seeds(first_seeds, count, deadline if minutes else None):
-        outcomes.append(asyncio.run(run_soak(seed, seconds, entries, keep)))
+        outcomes.append(asyncio.run(run_soak(seed, seconds, profile, keep)))
         _print_outcome(outcomes[-1])
     failed_seeds = [outcome.seed for outcome in outcomes if outcome.findings]
     click.echo(
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import resource
 import shutil
@@ -80,6 +81,16 @@
         """Return a host's incarnation: the number of its starts so far."""
         return self._incarnations.get(name, 0)
 
+    def find_leader(self) -> str:
+        """Return the control host that logged the newest term as leader, or the first one."""
+        newest = (0, self._topology.controls[0])
+        for name in self._topology.controls:
+            for line in (self._folder / f"{name}.log").read_text(errors="replace").splitlines():
+                if '"control_leader"' in line:
+                    term = int(json.loads(line)["detail"].removeprefix("term "))
+                    newest = max(newest, (term, name))
+        return newest[1]
+
     def is_running(self, name: str) -> bool:
         """Return whether a host has a process, paused or not."""
         return name in self._processes
@@ -207,10 +218,15 @@
         messages, bind = f"{public}:{MESSAGE_PORT}", f"{bound}:{MESSAGE_PORT}"
         if name in self._topology.controls:
             addresses = ProcessAddresses(messages, bind, f"{bound}:{CALL_PORT}")
+            extra: dict[str, object] = {"zones": list(self._topology.zones)}
         else:
+            extra = {"limit_warmup": True}
             ready = f"{bound}:{READY_PORT}"
             addresses = ProcessAddresses(messages, bind, f"{bound}:{PACKET_PORT}", ready)
         seeds = [f"{self.addresses[host].public}:{CALL_PORT}" for host in self._topology.controls]
         folder = self._folder / f"data-{name}"
         zone = self._topology.zone_of(name)
-        return process_settings(name, zone, addresses, seeds, is_bootstrap, folder)
+        return {
+            **process_settings(name, zone, addresses, seeds, is_bootstrap, folder),
+            **extra,
+        }
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from typing import Any
 
 from standins.wire import Address
 
+from .evacuations import ZoneOperator
 from .guarantees import Guarantee
 from .hosts import HostProcesses
 from .plan import CATCH_UP_SECONDS, DisturbanceTracker, Fault, FaultKind, Topology
@@ -34,6 +37,9 @@
 START_RELOAD_DELAYS_SECONDS = (0.0, 0.02, 0.05, 0.1)
 """Pauses before the signals to reload that a starting host gets one after the other."""
 
+CONTROL_DOWNTIME_SECONDS = 0.5
+"""Downtime of each control host that is restarted in series."""
+
 FIRST_TARGET_PORT = 29_000
 
 
@@ -83,6 +89,9 @@
             await asyncio.sleep(SAME_NAME_RESTART_DELAY_SECONDS)
             self._add_target(lifetime.number, lifetime.service, lifetime.zone, target.address)
             return
+        if kind is FaultKind.TARGET_COLD:
+            await target.check_in_cold()
+            return
         self.start(lifetime.service, lifetime.zone)
         if kind is FaultKind.TARGET_DRAIN:
             await target.drain()
@@ -96,6 +105,12 @@
             other_service = "b" if lifetime.service == "a" else "a"
             self._add_target(next(self._numbers), other_service, lifetime.zone, target.address)
 
+    def chill(self, zone: str) -> None:
+        """Let all targets of a zone become cold again under their identifiers."""
+        for target in self._targets.alive_targets:
+            if target.lifetime.zone == zone:
+                self._spawn(target.check_in_cold())
+
     def close(self) -> None:
         """Cancel the tasks of all targets."""
         for task in self._tasks:
@@ -105,7 +120,10 @@
         lifetime = Lifetime(number, next(self._start_times), service, zone)
         target = Target(lifetime, address, self._environment, self._random.getrandbits(32))
         self._targets.add(target)
-        task = asyncio.create_task(target.run())
+        self._spawn(target.run())
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -123,6 +141,7 @@
         datagram_proxy: DatagramProxy,
         call_proxies: dict[str, CallProxy],
         target_injector: TargetInjector,
+        zone_operator: ZoneOperator,
         disturbances: DisturbanceTracker,
         partitioned_zones: list[str],
         check: Callable[[Guarantee, bool, str], bool],
@@ -133,10 +152,12 @@
         self._datagram_proxy = datagram_proxy
         self._call_proxies = call_proxies
         self._target_injector = target_injector
+        self._zone_operator = zone_operator
         self._disturbances = disturbances
         self._partitioned_zones = partitioned_zones
         self._check = check
         self._now = now
+        self._evacuation_count = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._handlers: dict[FaultKind, Callable[[Fault], Awaitable[None]]] = {
             FaultKind.PAUSE: self._pause,
@@ -154,6 +175,10 @@
             FaultKind.CALLS_RESET: self._reset_calls,
             FaultKind.CALLS_SILENT: self._silence_calls,
             FaultKind.ANSWERS_LOST: self._drop_responses,
+            FaultKind.ZONE_EVACUATION: self._evacuate_zone,
+            FaultKind.LEADER_KILL: self._kill_leader,
+            FaultKind.CONTROLS_RESTART: self._restart_controls,
+            FaultKind.ENTRIES_RESTART: self._restart_entries,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -218,6 +243,29 @@
         for host in all_hosts:
             self._restart(host)
 
+    async def _evacuate_zone(self, fault: Fault) -> None:
+        """Evacuate a zone; before every second restore, its targets become cold again."""
+        self._evacuation_count += 1
+        chill = functools.partial(self._target_injector.chill, fault.subject)
+        prepare_restore = chill if self._evacuation_count % 2 else None
+        await self._zone_operator.evacuate(fault.subject, fault.duration_seconds, prepare_restore)
+
+    async def _kill_leader(self, fault: Fault) -> None:
+        await self._kill(fault._replace(subject=self._hosts.find_leader()))
+
+    async def _restart_controls(self, fault: Fault) -> None:
+        for host in self._topology.controls:
+            await self._stop(
+                fault._replace(subject=host, duration_seconds=CONTROL_DOWNTIME_SECONDS)
+            )
+
+    async def _restart_entries(self, fault: Fault) -> None:
+        """Restart all entry hosts of a zone together."""
+        hosts = [
+            host for host in self._topology.entries if self._topology.zone_of(host) == fault.subject
+        ]
+        await asyncio.gather(*(self._stop(fault._replace(subject=host)) for host in hosts))
+
     async def _fill_disk(self, fault: Fault) -> None:
         self._record_disturbance([fault.subject], fault.duration_seconds)
         self._hosts.set_disk_full(fault.subject, True)
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -19,6 +19,7 @@
 from .callers import SERVICE_ADDRESS
 from .guarantees import Guarantee
 from .http_client import HttpClient, Response
+from .warmups import COLD_SECONDS
 
 CONFIGURATION_PATH = "/lacewingrudder/config"
 BASE_ROUTES = {8080: "a", 8443: "b"}
@@ -169,6 +170,8 @@
         routes += [ManifestRoute(SERVICE_ADDRESS, port, "a") for port in sorted(markers)]
         document = manifest(version, routes, set(BASE_ROUTES.values()) if is_valid else {"a"})
         document["services"].sort(key=lambda service: service["name"])
+        for service in document["services"]:
+            service |= {"cold-start-s": COLD_SECONDS, "cold-per-s": 0.0}
         if is_valid:
             self._sent[version] = SentConfiguration(document, markers)
         return document
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -26,6 +26,11 @@
 """Length of a phase with planned maintenance only; long enough for time bounds to hold again."""
 
 MAX_FAULT_SECONDS = 5.0
+EVACUATION_RANGE_SECONDS = (6.5, 9.0)
+"""Duration of an evacuation; 5 s of it pass before its guarantee holds."""
+
+MAX_ORDER_GAP_SECONDS = 2.5
+"""Maximum time from one evacuation until the next."""
 
 
 class FaultKind(enum.StrEnum):
@@ -50,6 +55,11 @@
     TARGET_CRASH = "target_crash"
     TARGET_SAME_NAME = "target_same_name"
     TARGET_REUSE = "target_reuse"
+    ZONE_EVACUATION = "zone_evacuation"
+    TARGET_COLD = "target_cold"
+    LEADER_KILL = "leader_kill"
+    CONTROLS_RESTART = "controls_restart"
+    ENTRIES_RESTART = "entries_restart"
 
 
 class Fault(NamedTuple):
@@ -90,13 +100,27 @@
     @classmethod
     def with_entry_hosts(cls, entries: int) -> Topology:
         """Return three control hosts and a number of entry hosts across three zones."""
+        return cls.with_hosts(3, entries)
+
+    @classmethod
+    def with_hosts(cls, controls: int, entries: int) -> Topology:
+        """Return numbers of control hosts and entry hosts across three zones."""
         return cls(
-            ("c1", "c2", "c3"),
+            tuple(f"c{number}" for number in range(1, controls + 1)),
             tuple(f"e{number}" for number in range(1, entries + 1)),
             ("za", "zb", "zc"),
         )
 
 
+ORDER_KINDS = frozenset({FaultKind.ZONE_EVACUATION, FaultKind.TARGET_COLD})
+"""Kinds that are drawn by themselves, so that the faults of a seed stay as they were."""
+
+GROWN_KINDS = frozenset(
+    {FaultKind.LEADER_KILL, FaultKind.CONTROLS_RESTART, FaultKind.ENTRIES_RESTART}
+)
+"""Kinds of the profile of a larger deployment alone."""
+
+_FAULT_KINDS = tuple(kind for kind in FaultKind if kind not in ORDER_KINDS | GROWN_KINDS)
 _MAINTENANCE_KINDS = (
     FaultKind.TARGET_DRAIN,
     FaultKind.TARGET_DRAIN,
@@ -154,11 +178,26 @@
             next_wipe_at = fault.ends_at + CATCH_UP_SECONDS + MAX_RECOVERY_SECONDS
         faults.append(fault)
         starts_at += MIN_GAP_SECONDS + rng.expovariate(1 / MEAN_EXTRA_GAP_SECONDS)
-    return faults
+    return sorted(faults + make_orders(seed, seconds, topology))
+
+
+def make_orders(seed: int, seconds: float, topology: Topology) -> list[Fault]:
+    """Return the evacuations of zones, one at a time, and the targets that become cold again."""
+    rng = random.Random(f"{seed}/orders")
+    orders: list[Fault] = []
+    starts_at = rng.uniform(0.5, MAX_ORDER_GAP_SECONDS)
+    while starts_at < seconds:
+        duration = rng.uniform(*EVACUATION_RANGE_SECONDS)
+        zone = rng.choice(topology.zones)
+        orders.append(Fault(starts_at, FaultKind.ZONE_EVACUATION, zone, "", duration))
+        cold_at = rng.uniform(starts_at, starts_at + duration)
+        orders.append(Fault(cold_at, FaultKind.TARGET_COLD, "", "", 0.0))
+        starts_at += duration + rng.uniform(0.5, MAX_ORDER_GAP_SECONDS)
+    return [order for order in orders if order.ends_at < seconds]
 
 
 def _random_fault(rng: random.Random, starts_at: float, topology: Topology) -> Fault:
-    kind = rng.choice(list(FaultKind))
+    kind = rng.choice(_FAULT_KINDS)
     subject = rng.choice(_possible_subjects(kind, topology))
     peers = [host for host in (*topology.controls, *topology.entries) if host != subject]
     peer = rng.choice(peers) if kind in _LINK_KINDS else ""
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,13 +14,15 @@
 from standins.wire import Address
 
 from .callers import CallerSocket, FlowCaller, RequestResults, Routers
+from .evacuations import ZoneOperator
 from .guarantees import Finding, Guarantee, GuaranteeTracker
 from .hosts import HostProcesses
 from .http_client import HttpClient
 from .injector import Injector, TargetInjector
 from .operators import BASE_ROUTES, Operators
-from .plan import MAX_RECOVERY_SECONDS, DisturbanceTracker, Topology, make_plan
+from .plan import MAX_RECOVERY_SECONDS, DisturbanceTracker
 from .probes import RouteProber
+from .profiles import Profile
 from .proxies import CallProxy, DatagramProxy
 from .targets import TargetEnvironment, Targets
 
@@ -30,8 +32,6 @@
 CALLERS_OCTET = 250
 """Last octets of addresses in the claimed network; hosts use lower ones."""
 
-FLOWS_PER_SERVICE = 8
-TARGETS_PER_SERVICE = 6
 OPERATOR_COUNT = 2
 MEAN_OPERATION_GAP_SECONDS = 0.4
 RECOVERY_MEASURE_SECONDS = 3.0
@@ -57,11 +57,12 @@
 class Soak:
     """Assembles and runs one soak; use :func:`run_soak`."""
 
-    def __init__(self, seed: int, seconds: float, topology: Topology, folder: Path) -> None:
+    def __init__(self, seed: int, seconds: float, profile: Profile, folder: Path) -> None:
         self._random = random.Random(seed)
         self._seconds = seconds
-        self._topology = topology
-        self._plan = make_plan(seed, seconds, topology)
+        self._profile = profile
+        self._topology = topology = profile.topology
+        self._plan = profile.make_plan(seed, seconds, topology)
         self._tracker = GuaranteeTracker()
         self._disturbances = DisturbanceTracker()
         self._started_at = 0.0
@@ -129,6 +130,9 @@
         self._operators = Operators(
             http_client, controls, self._check, self._now, self._next_seed()
         )
+        self._zone_operator = ZoneOperator(
+            http_client, controls, self._check, self._now, self._next_seed()
+        )
         self._create_targets(http_client, controls)
         self._injector = Injector(
             topology,
@@ -136,6 +140,7 @@
             datagram_proxy,
             self._call_proxies,
             self._target_injector,
+            self._zone_operator,
             self._disturbances,
             self._partitioned_zones,
             self._check,
@@ -168,6 +173,8 @@
             self._is_partitioned,
             lambda sender, since: self._is_undisturbed(self._host_names[sender], since),
             self._operators.allowed_services,
+            lambda: self._zone_operator.evacuated_zones,
+            self._is_in_contact,
             self._now,
         )
         self._targets = Targets(environment)
@@ -186,6 +193,14 @@
     def _is_undisturbed(self, host: str, since: float) -> bool:
         return self._disturbances.is_undisturbed((host, *self._topology.controls), since)
 
+    def _is_in_contact(self, sender: str) -> bool:
+        """Whether a majority of the control hosts and the host of an address are undisturbed."""
+        now, controls = self._now(), self._topology.controls
+        reachable = [each for each in controls if self._disturbances.is_undisturbed((each,), now)]
+        host = self._host_names[sender]
+        is_majority = 2 * len(reachable) > len(controls)
+        return is_majority and self._disturbances.is_undisturbed((host,), now)
+
     async def _start(self) -> None:
         for host in (*self._topology.controls, *self._topology.entries):
             self._hosts.start(host, is_bootstrap=True)
@@ -193,18 +208,16 @@
             self._spawn(self._routers.probe(host))
         if not await self._operators.submit():
             raise RuntimeError("the first configuration was not accepted in time")
-        for index in range(TARGETS_PER_SERVICE):
-            for service in ("a", "b"):
-                self._target_injector.start(
-                    service, self._topology.zones[index % len(self._topology.zones)]
-                )
+        zones = self._topology.zones
+        for index in range(self._profile.target_count):
+            self._target_injector.start("ab"[index % 2], zones[index // 2 % len(zones)])
         async with asyncio.timeout(START_TIMEOUT_SECONDS):
             while len(self._routers.ready_hosts) < len(self._topology.entries):
                 await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
     async def _run_load_and_faults(self) -> None:
         for service_port in BASE_ROUTES:
-            for _ in range(FLOWS_PER_SERVICE):
+            for _ in range(self._profile.flow_count):
                 self._spawn(self._make_flow_caller(service_port).run())
         for _ in range(OPERATOR_COUNT):
             self._spawn(self._operators.run(MEAN_OPERATION_GAP_SECONDS))
@@ -278,16 +291,18 @@
         self._check(Guarantee.RECOVERY, any(was_read), "the configuration could not be read")
 
 
-async def run_soak(seed: int, seconds: float, entries: int, keep: Path | None = None) -> Outcome:
+async def run_soak(
+    seed: int, seconds: float, profile: Profile, keep: Path | None = None
+) -> Outcome:
     """Run one soak and return its result.
 
     :param seconds: how long new faults are started.
-    :param entries: number of entry hosts.
+    :param profile: the size of the deployment and its plan.
     :param keep: folder for the logs if a guarantee was broken; ``None`` discards them.
     """
     with contextlib.ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="soak-")))
-        soak = Soak(seed, seconds, Topology.with_entry_hosts(entries), folder)
+        soak = Soak(seed, seconds, profile, folder)
         await soak.run()
         findings, log_folder = soak.tracker.findings, ""
         if findings and keep is not None:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -23,6 +23,7 @@
 
 from .guarantees import Guarantee
 from .http_client import REQUEST_TIMEOUT_SECONDS, HttpClient
+from .warmups import MAX_COLD_SYN_COUNT, Warmup
 
 MAX_DRAIN_SECONDS = 3.0
 """Maximum time after the confirmation of its drain in which a target may receive new flows."""
@@ -81,6 +82,8 @@
     :param is_undisturbed: returns whether time bounds hold for the host with an address since a
         time.
     :param allowed_services: returns the services that a configuration may route a port to.
+    :param evacuated_zones: returns the zones whose targets must not receive new flows now.
+    :param is_in_contact: returns whether the host with an address has heard of confirmed orders.
     :param now: returns the seconds since the start of the load.
     """
 
@@ -91,6 +94,8 @@
     is_partitioned: Callable[[str, str], bool]
     is_undisturbed: Callable[[str, float], bool]
     allowed_services: Callable[[int], frozenset[str]]
+    evacuated_zones: Callable[[], frozenset[str]]
+    is_in_contact: Callable[[str], bool]
     now: Callable[[], float]
 
 
@@ -109,6 +114,7 @@
         self._environment = environment
         self._random = random.Random(seed)
         self._delays_syn_acks = self._random.random() < SLOW_SYN_TARGET_SHARE
+        self._warmup = Warmup()
         self._sequences = itertools.count(1)
         self._half_open: dict[FlowKey, int] = {}
         self._flow_tags: dict[FlowKey, int] = {}
@@ -119,6 +125,11 @@
             await self._check_in()
             await asyncio.sleep(HEARTBEAT_SECONDS * self._random.uniform(*HEARTBEAT_JITTER_FACTORS))
 
+    async def check_in_cold(self) -> None:
+        """Become cold under the same identifier, and check in at once."""
+        self._warmup.start()
+        await self._check_in()
+
     async def drain(self) -> None:
         """Check in as draining until confirmed, at most ``MAX_LEAVE_CALL_COUNT`` times."""
         self.is_draining = True
@@ -170,7 +181,7 @@
             "version": "v1",
             "concurrency": SLOT_COUNT,
             "state": state,
-            "cold-remaining-ms": 0,
+            "cold-remaining-ms": self._warmup.remaining_ms,
             "sequence": next(self._sequences),
             "born": self.lifetime.started_ms,
         }
@@ -215,6 +226,8 @@
             f"{detail}, allowed {sorted(allowed)}",
         )
         self._check_drain_delay(detail, sender)
+        self._check_evacuation(detail, sender)
+        self._check_cold_limit(detail)
         isn = self._half_open.setdefault(flow, self._random.getrandbits(31))
         self._flow_tags[flow] = packet.echo
         syn_ack = _make_reply(packet, SYN | ACK, isn, packet.sequence + 1, packet.echo)
@@ -228,6 +241,18 @@
         if self.is_alive:
             reply(packet)
 
+    def _check_evacuation(self, detail: str, sender: str) -> None:
+        zones = self._environment.evacuated_zones()
+        if zones and self._environment.is_in_contact(sender):
+            holds = self.lifetime.zone not in zones
+            self._environment.check(Guarantee.ZONE_EVACUATED, holds, detail)
+
+    def _check_cold_limit(self, detail: str) -> None:
+        count = self._warmup.count_syn()
+        if count:
+            detail = f"{detail}, {count} SYNs in 1 s"
+            self._environment.check(Guarantee.COLD_LIMIT, count <= MAX_COLD_SYN_COUNT, detail)
+
     def _check_drain_delay(self, detail: str, sender: str) -> None:
         if self.drain_confirmed_at is None:
             return
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,16 @@
 import unittest
 
 from soak.guarantees import Guarantee, GuaranteeTracker
-from soak.plan import CATCH_UP_SECONDS, DisturbanceTracker, FaultKind, Topology, make_plan
+from soak.plan import (
+    CATCH_UP_SECONDS,
+    GROWN_KINDS,
+    ORDER_KINDS,
+    DisturbanceTracker,
+    FaultKind,
+    Topology,
+    make_plan,
+)
+from soak.profiles import PROFILES
 from soak.run import run_soak
 
 DEFAULT_SEED = 7
@@ -23,12 +32,28 @@
 
     def test_faults_of_every_kind_occur_and_overlap(self) -> None:
         plans = [make_plan(seed, 60, self.topology) for seed in range(20)]
-        self.assertEqual({fault.kind for plan in plans for fault in plan}, set(FaultKind))
+        kinds = {fault.kind for plan in plans for fault in plan}
+        self.assertEqual(kinds, set(FaultKind) - GROWN_KINDS)
         for plan in plans:
             self.assertTrue(
                 any(a.ends_at > b.starts_at for a, b in zip(plan, plan[1:], strict=False))
             )
 
+    def test_a_larger_deployment_has_its_own_kinds_and_the_orders_of_operators(self) -> None:
+        profile = PROFILES["grown"]
+        plans = [profile.make_plan(seed, 60, profile.topology) for seed in range(20)]
+        kinds = {fault.kind for plan in plans for fault in plan}
+        self.assertLessEqual(GROWN_KINDS | ORDER_KINDS, kinds)
+        for plan in plans:
+            self.assertEqual(plan, sorted(plan, key=lambda fault: fault.starts_at))
+
+    def test_one_zone_is_evacuated_at_a_time(self) -> None:
+        for seed in range(50):
+            plan = make_plan(seed, 120, self.topology)
+            orders = [f for f in plan if f.kind is FaultKind.ZONE_EVACUATION]
+            for earlier, later in zip(orders, orders[1:], strict=False):
+                self.assertGreater(later.starts_at, earlier.ends_at)
+
     def test_at_most_one_disk_is_lost_at_a_time(self) -> None:
         for seed in range(50):
             wipes = [f for f in make_plan(seed, 120, self.topology) if f.kind is FaultKind.WIPE]
@@ -68,5 +93,5 @@
     def test_no_guarantee_is_broken_in_a_short_soak(self) -> None:
         for seed in (DEFAULT_SEED, *REGRESSION_SEEDS):
             with self.subTest(seed=seed):
-                outcome = asyncio.run(run_soak(seed, FAULT_SECONDS, entries=4))
+                outcome = asyncio.run(run_soak(seed, FAULT_SECONDS, PROFILES["default"]))
                 self.assertEqual(outcome.findings, [])
