Soak: hosts of the larger deployment reach each other without proxies

Without faults of links the proxies have no use, so the grown profile leaves them out, and its routers probe once a second. Tasks of a soak end before its HTTP client is closed.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,7 +16,6 @@
 from .http_client import HttpClient
 
 SERVICE_ADDRESS = "198.18.0.1"
-PROBE_INTERVAL_SECONDS = 0.5
 UNHEALTHY_THRESHOLD = 2
 """Number of consecutive failed probes after which an entry host is out of rotation."""
 
@@ -34,9 +33,16 @@
     """Selects an entry host for each flow among those whose readiness probe succeeds.
 
     :param readiness: address of each host's readiness endpoint.
+    :param probe_interval_seconds: time between two probes of a host.
     """
 
-    def __init__(self, http_client: HttpClient, readiness: Mapping[str, Address]) -> None:
+    def __init__(
+        self,
+        http_client: HttpClient,
+        readiness: Mapping[str, Address],
+        probe_interval_seconds: float,
+    ) -> None:
+        self._probe_interval_seconds = probe_interval_seconds
         self._http_client = http_client
         self._readiness = readiness
         self._failed_probes = dict.fromkeys(readiness, UNHEALTHY_THRESHOLD)
@@ -69,7 +75,7 @@
             self._failed_probes[host] = (
                 0 if response.status == 200 else self._failed_probes[host] + 1
             )
-            await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+            await asyncio.sleep(self._probe_interval_seconds)
 
 
 class SynResult(NamedTuple):
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -60,9 +60,10 @@
     """Owns the host processes.
 
     :param folder: holds settings, data and logs of all hosts.
+    :param has_proxies: whether hosts are known by addresses of proxies, not by their own.
     """
 
-    def __init__(self, topology: Topology, folder: Path) -> None:
+    def __init__(self, topology: Topology, folder: Path, has_proxies: bool) -> None:
         self._topology = topology
         self._folder = folder
         self._network_claim = claim_network()
@@ -73,7 +74,10 @@
         self._stopping: set[str] = set()
         names = (*topology.controls, *topology.entries)
         self.addresses: Mapping[str, HostAddresses] = {
-            name: HostAddresses(f"{self.network}.{1 + index}", f"{self.network}.{121 + index}")
+            name: HostAddresses(
+                f"{self.network}.{(1 if has_proxies else 121) + index}",
+                f"{self.network}.{121 + index}",
+            )
             for index, name in enumerate(names)
         }
 
--- a/soak/profiles.py
+++ b/soak/profiles.py
@@ -35,6 +35,9 @@
 
     :param target_count: number of targets of both services.
     :param flow_count: number of flows that callers keep open to each service.
+    :param has_proxies: whether proxies forward the messages of hosts and the calls to them; without
+        faults of links, one process for all of these messages would only slow a larger deployment.
+    :param probe_interval_seconds: how often routers probe the readiness of each entry host.
     :param make_plan: returns the faults for a seed and a duration in seconds.
     """
 
@@ -43,6 +46,8 @@
     target_count: int
     flow_count: int
     make_plan: Callable[[int, float, Topology], list[Fault]]
+    has_proxies: bool = True
+    probe_interval_seconds: float = 0.5
 
     @property
     def topology(self) -> Topology:
@@ -74,5 +79,5 @@
 
 PROFILES = {
     "default": Profile(3, 4, 12, 8, make_plan),
-    "grown": Profile(6, 58, 75, 24, make_grown_plan),
+    "grown": Profile(6, 58, 75, 24, make_grown_plan, has_proxies=False, probe_interval_seconds=1.0),
 }
--- a/soak/run.py
+++ b/soak/run.py
@@ -66,7 +66,7 @@
         self._tracker = GuaranteeTracker()
         self._disturbances = DisturbanceTracker()
         self._started_at = 0.0
-        self._hosts = HostProcesses(topology, folder)
+        self._hosts = HostProcesses(topology, folder, profile.has_proxies)
         self._partitioned_zones: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._host_names = {
@@ -84,20 +84,21 @@
         """Run the soak, and end every process that it started."""
         loop = asyncio.get_running_loop()
         self._started_at = loop.time()
-        try:
-            async with HttpClient() as http_client:
+        # The tasks end before the client is closed, so that none of them uses a closed one.
+        async with HttpClient() as http_client:
+            try:
                 await self._create_components(http_client)
                 await self._start()
                 self._started_at = loop.time()
                 await self._run_load_and_faults()
                 await self._check_recovery()
-        finally:
-            for task in self._tasks:
-                task.cancel()
-            self._target_injector.close()
-            for proxy in self._call_proxies.values():
-                proxy.close()
-            self._hosts.close()
+            finally:
+                for task in self._tasks:
+                    task.cancel()
+                self._target_injector.close()
+                for proxy in self._call_proxies.values():
+                    proxy.close()
+                self._hosts.close()
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time() - self._started_at
@@ -117,10 +118,15 @@
         """Create the proxies, the callers, operators and targets, and the fault injector."""
         hosts, topology = self._hosts, self._topology
         datagram_proxy = DatagramProxy(
-            {name: addresses.message_addresses for name, addresses in hosts.addresses.items()},
+            {
+                name: addresses.message_addresses
+                for name, addresses in hosts.addresses.items()
+                if self._profile.has_proxies
+            },
             self._next_seed(),
         )
-        self._call_proxies = {name: self._make_call_proxy(name) for name in topology.controls}
+        if self._profile.has_proxies:
+            self._call_proxies = {name: self._make_call_proxy(name) for name in topology.controls}
         for proxy in self._call_proxies.values():
             await proxy.start()
         self._create_callers(http_client)
@@ -158,7 +164,7 @@
         self._caller_socket = CallerSocket(
             self._callers_address, packets, self._check, self._next_seed()
         )
-        self._routers = Routers(http_client, readiness)
+        self._routers = Routers(http_client, readiness, self._profile.probe_interval_seconds)
 
     @property
     def _callers_address(self) -> Address:
