--- a/soak/run.py
+++ b/soak/run.py
@@ -45,7 +45,8 @@
     """Result of a soak.
 
     :param lines: the report: a line per guarantee and samples of the findings.
-    :param log_folder: holds the logs of the processes if a guarantee was broken; else empty.
+    :param log_folder: holds the logs of the processes and all findings if a guarantee was broken;
+        else empty.
     """
 
     seed: int
@@ -313,6 +314,8 @@
         findings, log_folder = soak.tracker.findings, ""
         if findings and keep is not None:
             log_folder = _copy_logs(folder, keep / f"seed-{seed}")
+            lines = [f"{at:.2f} s, {guarantee}: {detail}\n" for at, guarantee, detail in findings]
+            Path(log_folder, "findings.txt").write_text("".join(lines))
         return Outcome(seed, soak.tracker.report_lines(), findings, log_folder)
 
 
