--- a/packages/core/src/lacewingrudder_core/_tagging/candidates.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/candidates.py
@@ -146,6 +146,13 @@
         trial._warmup_ends = list(self._warmup_ends)
         return trial.candidates(now)
 
+    def find(self, tag: int, now: float) -> Candidate | None:
+        """Return a target if it runs, its heartbeats arrive and it may be chosen, else ``None``."""
+        candidate = self._running.get(tag)
+        if candidate is None or not candidate.has_recent_heartbeat:
+            return None
+        return None if self._rules.exclusion(candidate, now) else candidate
+
     def exclusions(self, now: float) -> dict[int, Exclusion]:
         """Return the tags of the running targets that are left out, and why."""
         found = ((tag, self._rules.exclusion(row, now)) for tag, row in self._running.items())
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -82,11 +82,11 @@
         self._flow_tracker = FlowTracker()
         self._speeds = SpeedsByService(make_speeds(learns_speeds))
         self._chooser = TargetChooser(zone, self._flow_tracker.load, self._speeds, learns_speeds)
-        self._open_flows = OpenFlows(self._target_index, self._flow_tracker)
         self._ejections = Ejections(zone)
         self._evacuations = Evacuations()
         self._unreported: list[KnownTarget] = []
         self._silence = SilenceDetector()
+        self._open_flows = OpenFlows(self._target_index, self._flow_tracker, self._silence)
         self._configuration: Configuration | None = None
         self._newest_version = -1
         self._confirmed_at = float("-inf")
@@ -267,9 +267,9 @@
             # Without an update of a control host, the evacuated zones are not known.
             return Dropped(DropReason.NOT_READY)
         if segment.attempt:
-            opened = self._open_flows.find_opened(segment.flow, now)
-            if opened is not None:
-                return opened
+            repeated = self._open_flows.find_repeated(segment.flow, now)
+            if repeated is not None:
+                return repeated
         self._flow_tracker.forget_abandoned_requests(now)
         opening = self._flow_tracker.get_opening(segment.flow)
         if opening is None or not segment.attempt:
--- a/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from .._checkins.types import LifeState
+from .._checkins.types import LifeState, TargetEntry
 from ..types import FlowKey
 from .flow_tracker import FlowTracker
+from .silence_detector import SilenceDetector
 from .target_index import TargetIndex
 from .types import Forwarded, TagSegment
 
@@ -16,18 +17,34 @@
     retransmission, that may be the tag of the one that doesn't hold the flow.
     """
 
-    def __init__(self, target_index: TargetIndex, flow_tracker: FlowTracker) -> None:
+    def __init__(
+        self, target_index: TargetIndex, flow_tracker: FlowTracker, silence: SilenceDetector
+    ) -> None:
         self._target_index = target_index
         self._flow_tracker = flow_tracker
+        self._silence = silence
 
-    def find_opened(self, flow: FlowKey, now: float) -> Forwarded | None:
-        """Return where the retransmission of a SYN goes whose flow is open already, or ``None``.
+    def find_repeated(self, flow: FlowKey, now: float) -> Forwarded | None:
+        """Return where the retransmission of a SYN goes again, or ``None`` to choose a target.
 
-        A second target that answered it would replace the tag that the caller echoes.
+        A second target that answered it would replace the tag that the caller echoes. So it goes to
+        the same target if that has opened the flow, or has answered something that was sent to it
+        after the SYN: then the answer is late or lost.
         """
         tag = self._flow_tracker.recently_opened_tag(flow, now)
-        entry = None if tag is None else self._target_index.entry(tag)
-        if tag is None or entry is None or entry.state is LifeState.GONE:
+        if tag is not None:
+            return self._forward_again(self._target_index.entry(tag), tag)
+        opening = self._flow_tracker.get_opening(flow)
+        if opening is None:
+            return None
+        tag = opening.tried_tags[-1]
+        if not self._silence.has_answered_since(tag, opening.opened_at):
+            return None
+        candidate = self._target_index.find_candidate(opening.service, tag, now)
+        return None if candidate is None else self._forward_again(candidate.entry, tag)
+
+    def _forward_again(self, entry: TargetEntry | None, tag: int) -> Forwarded | None:
+        if entry is None or entry.state is LifeState.GONE:
             return None
         return Forwarded(entry.endpoint, entry.identity, tag)
 
--- a/packages/core/src/lacewingrudder_core/_tagging/silence_detector.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/silence_detector.py
@@ -69,6 +69,10 @@
         """Return whether a target answered anything that was sent to it in the last seconds."""
         return now - self._answered_at.get(tag, float("-inf")) <= seconds
 
+    def has_answered_since(self, tag: int, at: float) -> bool:
+        """Return whether a target answered anything that was sent to it at some time or later."""
+        return self._answered_at.get(tag, float("-inf")) >= at
+
     def pop_silent(
         self, is_unanswered: Callable[[FlowKey, int], bool], now: float
     ) -> list[SilentTarget]:
--- a/packages/core/src/lacewingrudder_core/_tagging/target_index.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/target_index.py
@@ -131,6 +131,11 @@
         rows = ((tag, target.entry) for tag, target in self._targets.items())
         return [(tag, entry) for tag, entry in rows if entry.service == service]
 
+    def find_candidate(self, service: str, tag: int, now: float) -> Candidate | None:
+        """Return a target if it may be chosen for new flows of a service, else ``None``."""
+        known = self._services.get(service)
+        return None if known is None else known.find(tag, now)
+
     def exclusions(self, service: str, now: float) -> dict[int, Exclusion]:
         """Return the tags of the running targets that get no new flows of a service, and why."""
         known = self._services.get(service)
--- a/packages/core/tests/test_late_syn_answers.py
+++ b/packages/core/tests/test_late_syn_answers.py
@@ -56,6 +56,23 @@
         self.assertEqual(self.send_syn(1, 1.21), placed)
         self.assertEqual(self.send_data(placed.tag, 1, 1.3), placed)
 
+    # Guards against a second answer that replaces the echoed tag, though the first target is alive.
+    def test_retransmission_goes_to_the_same_target_if_that_answers_others(self) -> None:
+        placed = self.send_syn(0, 1.0)
+        other = next(
+            decision
+            for port in range(50000, 50100)
+            if (decision := self.forwarder.decide(syn(port), 1.1)) == placed
+        )
+        port = next(
+            port
+            for port in range(50000, 50100)
+            if self.forwarder._flow_tracker.is_opening(syn(port).flow, other.tag)
+        )
+        packet = data(port, other.tag)
+        self.forwarder.decide(packet, 1.11)
+        self.assertEqual(self.send_syn(1, 1.2), placed)
+
     # Guards against a reset of a flow that another host admitted and that may be open by now.
     def test_retransmission_of_a_flow_from_another_host_is_not_refused(self) -> None:
         self.forwarder._admission._limiter("proofdesk")._limit = 1.0
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import resource
 import shutil
@@ -59,9 +60,10 @@
     """Owns the host processes.
 
     :param folder: holds settings, data and logs of all hosts.
+    :param has_proxies: whether hosts are known by addresses of proxies, not by their own.
     """
 
-    def __init__(self, topology: Topology, folder: Path) -> None:
+    def __init__(self, topology: Topology, folder: Path, has_proxies: bool) -> None:
         self._topology = topology
         self._folder = folder
         self._network_claim = claim_network()
@@ -72,7 +74,10 @@
         self._stopping: set[str] = set()
         names = (*topology.controls, *topology.entries)
         self.addresses: Mapping[str, HostAddresses] = {
-            name: HostAddresses(f"{self.network}.{1 + index}", f"{self.network}.{121 + index}")
+            name: HostAddresses(
+                f"{self.network}.{(1 if has_proxies else 121) + index}",
+                f"{self.network}.{121 + index}",
+            )
             for index, name in enumerate(names)
         }
 
@@ -80,6 +85,16 @@
         """Return a host's incarnation: the number of its starts so far."""
         return self._incarnations.get(name, 0)
 
+    def find_leader(self) -> str:
+        """Return the control host that logged the newest term as leader, or the first one."""
+        newest = (0, self._topology.controls[0])
+        for name in self._topology.controls:
+            for line in (self._folder / f"{name}.log").read_text(errors="replace").splitlines():
+                if '"control_leader"' in line:
+                    term = int(json.loads(line)["detail"].removeprefix("term "))
+                    newest = max(newest, (term, name))
+        return newest[1]
+
     def is_running(self, name: str) -> bool:
         """Return whether a host has a process, paused or not."""
         return name in self._processes
@@ -207,10 +222,15 @@
         messages, bind = f"{public}:{MESSAGE_PORT}", f"{bound}:{MESSAGE_PORT}"
         if name in self._topology.controls:
             addresses = ProcessAddresses(messages, bind, f"{bound}:{CALL_PORT}")
+            extra: dict[str, object] = {"zones": list(self._topology.zones)}
         else:
+            extra = {"limit_warmup": True}
             ready = f"{bound}:{READY_PORT}"
             addresses = ProcessAddresses(messages, bind, f"{bound}:{PACKET_PORT}", ready)
         seeds = [f"{self.addresses[host].public}:{CALL_PORT}" for host in self._topology.controls]
         folder = self._folder / f"data-{name}"
         zone = self._topology.zone_of(name)
-        return process_settings(name, zone, addresses, seeds, is_bootstrap, folder)
+        return {
+            **process_settings(name, zone, addresses, seeds, is_bootstrap, folder),
+            **extra,
+        }
