--- a/packages/core/tests/test_warmups.py
+++ b/packages/core/tests/test_warmups.py
@@ -52,6 +52,7 @@
         before = self.registry.position
         self.assertIs(self.check_in(2, 2000, 30.0), CheckInOutcome.REGISTERED)
         self.assertGreater(self.registry.position, before)
+        self.assertEqual(self.registry.last_removal, self.registry.position.number)
         self.assertEqual(self.published_ms(31.0), [1000])
 
 
