Soak: count flows to a target that is cold again once a host can know it

Trace: no process ran from 9.4 to 11.2 s, so its check-in reached nobody, and the hosts placed flows by what their control hosts had stored. Only a check-in tells that a target outside an evacuated zone is cold again, so its flows count from the first one that is confirmed; those of new targets and of evacuated zones count from the start, as before.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -90,7 +90,7 @@
             self._add_target(lifetime.number, lifetime.service, lifetime.zone, target.address)
             return
         if kind is FaultKind.TARGET_COLD:
-            await target.check_in_cold()
+            await target.check_in_cold(is_evacuated=False)
             return
         self.start(lifetime.service, lifetime.zone)
         if kind is FaultKind.TARGET_DRAIN:
@@ -109,7 +109,7 @@
         """Let all targets of a zone become cold again under their identifiers."""
         for target in self._targets.alive_targets:
             if target.lifetime.zone == zone:
-                self._spawn(target.check_in_cold())
+                self._spawn(target.check_in_cold(is_evacuated=True))
 
     def close(self) -> None:
         """Cancel the tasks of all targets."""
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -125,9 +125,13 @@
             await self._check_in()
             await asyncio.sleep(HEARTBEAT_SECONDS * self._random.uniform(*HEARTBEAT_JITTER_FACTORS))
 
-    async def check_in_cold(self) -> None:
-        """Become cold under the same identifier, and check in at once."""
-        self._warmup.start()
+    async def check_in_cold(self, is_evacuated: bool) -> None:
+        """Become cold under the same identifier, and check in at once.
+
+        :param is_evacuated: whether hosts know that no flows may arrive. Otherwise only a confirmed
+            check-in tells that the target is cold, and flows count from then on.
+        """
+        self._warmup.start(is_known=is_evacuated)
         await self._check_in()
 
     async def drain(self) -> None:
@@ -173,20 +177,21 @@
         await asyncio.sleep(REQUEST_TIMEOUT_SECONDS)
 
     async def _check_in(self) -> bool:
-        state = "draining" if self.is_draining else "ready"
         body = {
             "service": self.lifetime.service,
             "address": f"{self.address[0]}:{self.address[1]}",
             "zone": self.lifetime.zone,
             "version": "v1",
             "concurrency": SLOT_COUNT,
-            "state": state,
+            "state": "draining" if self.is_draining else "ready",
             "cold-remaining-ms": self._warmup.remaining_ms,
             "sequence": next(self._sequences),
             "born": self.lifetime.started_ms,
         }
         confirmed = await self._request("PUT", body)
-        if confirmed and state == "draining" and self.drain_confirmed_at is None:
+        if confirmed:
+            self._warmup.record_confirmation()
+        if confirmed and body["state"] == "draining" and self.drain_confirmed_at is None:
             self.drain_confirmed_at = self._environment.now()
         return confirmed
 
--- a/soak/warmups.py
+++ b/soak/warmups.py
@@ -19,6 +19,7 @@
 
     def __init__(self) -> None:
         self._ends_at = 0.0
+        self._is_known = True
         self._syns: collections.deque[float] = collections.deque()
         self.start()
 
@@ -27,14 +28,22 @@
         """Remaining time in milliseconds; 0 if the target is not cold."""
         return round(max(0.0, self._ends_at - _loop_time()) * MILLISECONDS_PER_SECOND)
 
-    def start(self) -> None:
-        """Let the target be cold from now on."""
+    def start(self, is_known: bool = True) -> None:
+        """Let the target be cold from now on.
+
+        :param is_known: whether hosts can know that before a check-in is confirmed.
+        """
         self._ends_at = _loop_time() + COLD_SECONDS
+        self._is_known = is_known
+
+    def record_confirmation(self) -> None:
+        """Record that a control host confirmed a check-in, which tells how cold the target is."""
+        self._is_known = True
 
     def count_syn(self) -> int:
         """Record a SYN; return the number of the last second, or 0 if the target is not cold."""
         now = _loop_time()
-        if now >= self._ends_at:
+        if now >= self._ends_at or not self._is_known:
             self._syns.clear()
             return 0
         self._syns.append(now)
