--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -125,8 +125,7 @@
             return CheckInOutcome.RENEWED
         state = call.state if known is None else max(known.state, call.state)
         # A new warm-up of a known target is published without delay, as a removal is.
-        is_urgent = is_cold_again and known is not None
-        self._put(TargetEntry.from_check_in(call, state), now, is_urgent)
+        self._put(TargetEntry.from_check_in(call, state), now, is_cold_again and known is not None)
         if state is LifeState.DRAINING:
             return CheckInOutcome.DRAINING
         return CheckInOutcome.REGISTERED
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -105,7 +105,7 @@
             other_service = "b" if lifetime.service == "a" else "a"
             self._add_target(next(self._numbers), other_service, lifetime.zone, target.address)
 
-    def chill(self, zone: str) -> None:
+    def make_zone_cold(self, zone: str) -> None:
         """Let all targets of a zone become cold again under their identifiers."""
         for target in self._targets.alive_targets:
             if target.lifetime.zone == zone:
@@ -246,8 +246,8 @@
     async def _evacuate_zone(self, fault: Fault) -> None:
         """Evacuate a zone; before every second restore, its targets become cold again."""
         self._evacuation_count += 1
-        chill = functools.partial(self._target_injector.chill, fault.subject)
-        prepare_restore = chill if self._evacuation_count % 2 else None
+        make_cold = functools.partial(self._target_injector.make_zone_cold, fault.subject)
+        prepare_restore = make_cold if self._evacuation_count % 2 else None
         await self._zone_operator.evacuate(fault.subject, fault.duration_seconds, prepare_restore)
 
     async def _kill_leader(self, fault: Fault) -> None:
