Refuse a SYN without a look at all targets that are left out

Cause: for the reason of a refusal, an entry host asked each running target of the service why it is left out. The decisions are the same; a random test compares the reasons with those of all targets.

Beside it, two steps that did work for nothing: a control host listed its zone's subscribers for commits that change nothing, and copied every stored entry at its start.

--- a/packages/core/src/lacewingrudder_core/_checkins/core.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/core.py
@@ -204,16 +204,19 @@
 
         Entry hosts in other zones receive it when they next renew their subscription.
         """
-        local_hosts = self._subscribers.entry_hosts_in(self._zone)
         if isinstance(event, EvacuationsCommitted):
             if event.evacuations.revision <= self._evacuations.revision:
                 return []
             self._evacuations = event.evacuations
-            return [self._make_update(host, now) for host in local_hosts]
+            return [self._make_update(host, now) for host in self._local_entry_hosts]
         if event.configuration.version <= self._version:
             return []
         self._configuration = event.configuration
-        return [self._make_configuration_update(host) for host in local_hosts]
+        return [self._make_configuration_update(host) for host in self._local_entry_hosts]
+
+    @property
+    def _local_entry_hosts(self) -> list[HostName]:
+        return self._subscribers.entry_hosts_in(self._zone)
 
     def _handle_tick(self, now: float) -> list[CheckInEffect]:
         last_removal = self._registry.last_removal
--- a/packages/core/src/lacewingrudder_core/_tagging/candidates.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/candidates.py
@@ -158,6 +158,17 @@
         found = ((tag, self._rules.exclusion(row, now)) for tag, row in self._running.items())
         return {tag: exclusion for tag, exclusion in found if exclusion is not None}
 
+    def has_warming_up(self, now: float) -> bool:
+        """Return whether targets are left out until they have warmed up.
+
+        Unlike :meth:`exclusions` it doesn't look at all targets, since hosts refuse flows by it.
+        """
+        waiting = (self._running.get(end.tag) for end in self._warmup_ends)
+        return any(
+            row is not None and self._rules.exclusion(row, now) is Exclusion.WARMING_UP
+            for row in waiting
+        )
+
     def set_rules(self, rules: PlacementRules, now: float) -> None:
         """Change which targets are left out."""
         if rules == self._rules:
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -292,8 +292,8 @@
                 self._ejections.record_failure(tried_tags[-1], failed, now)
         target = None if service is None else self._choose_target(service, tried_tags, now)
         if target is None or service is None:
-            exclusions = self._target_index.exclusions(service or "", now)
-            return refusal(exclusions, self.is_ready(now))
+            is_warming_up = self._target_index.has_warming_up(service or "", now)
+            return refusal(is_warming_up, self.is_ready(now))
         self._flow_tracker.record_syn(segment.flow, service, target.tag, now)
         self._silence.record_syn(segment.flow, target.tag, now)
         return Forwarded(target.entry.endpoint, target.entry.identity, target.tag)
--- a/packages/core/src/lacewingrudder_core/_tagging/explanation.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/explanation.py
@@ -80,7 +80,7 @@
         return explanation.with_decision(Dropped(DropReason.NOT_READY))
     service = state.splits.get(endpoint, WeightedRoundRobin()).peek(route.splits)
     if service is None:
-        return explanation.with_decision(refusal({}, state.is_ready))
+        return explanation.with_decision(refusal(False, state.is_ready))
 
     candidates = state.target_index.peek_candidates(service, now)
     chooser = state.chooser.preview(state.flow_tracker.loads_at_syn(flow, now))
@@ -111,7 +111,7 @@
 def _decide(state: PlacementState, selection: Selection, service: str, now: float) -> Decision:
     chosen = selection.chosen
     if chosen is None:
-        return refusal(state.target_index.exclusions(service, now), state.is_ready)
+        return refusal(state.target_index.has_warming_up(service, now), state.is_ready)
     return Forwarded(chosen.entry.endpoint, chosen.entry.identity, chosen.tag)
 
 
--- a/packages/core/src/lacewingrudder_core/_tagging/selection.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/selection.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
 from .._speeds.target_speeds import SpeedsByService
 from ..types import ZoneName
-from .candidates import Candidate, Candidates, Exclusion
+from .candidates import Candidate, Candidates
 from .flow_tracker import TargetLoad
 from .types import Dropped, DropReason, Reset, ResetReason, Split
 
@@ -202,13 +202,12 @@
         ]
 
 
-def refusal(exclusions: Mapping[int, Exclusion], is_ready: bool) -> Dropped | Reset:
+def refusal(is_warming_up: bool, is_ready: bool) -> Dropped | Reset:
     """Return what happens to a new flow that no target can be chosen for.
 
-    :param exclusions: the running targets of the service that are left out.
+    :param is_warming_up: whether targets of the service are left out until they have warmed up.
     :param is_ready: whether this host can place new flows.
     """
     if not is_ready:
         return Dropped(DropReason.NOT_READY)
-    is_warming_up = Exclusion.WARMING_UP in exclusions.values()
     return Reset(ResetReason.WARMING_UP if is_warming_up else ResetReason.NO_TARGET)
--- a/packages/core/src/lacewingrudder_core/_tagging/target_index.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/target_index.py
@@ -136,6 +136,11 @@
         known = self._services.get(service)
         return None if known is None else known.find(tag, now)
 
+    def has_warming_up(self, service: str, now: float) -> bool:
+        """Return whether targets of a service get no new flows until they have warmed up."""
+        known = self._services.get(service)
+        return known is not None and known.has_warming_up(now)
+
     def exclusions(self, service: str, now: float) -> dict[int, Exclusion]:
         """Return the tags of the running targets that get no new flows of a service, and why."""
         known = self._services.get(service)
--- a/packages/core/tests/test_warmups.py
+++ b/packages/core/tests/test_warmups.py
@@ -111,6 +111,31 @@
         self.assertEqual([row.entry.identity for row in found.targets], [1])
 
 
+class RefusalTest(unittest.TestCase):
+    # Guards against a refusal for another reason than the one that looking at all targets gives.
+    def test_reason_is_that_of_the_targets_that_are_left_out(self) -> None:
+        rng = random.Random(8)
+        forwarder = make_forwarder()
+        reasons = set()
+        for number in range(1, 400):
+            now = 0.3 * number
+            target = rng.randrange(1, 5)
+            changed = entry(target, zone="adum" if target % 2 else "suame", sequence=number)
+            changed = changed._replace(warmup_remaining_ms=rng.choice((0, 0, 2000)))
+            zones = tuple(zone for zone in ("adum", "suame") if rng.random() < 0.6)
+            message = update(changed, number=number, since=number - 1)
+            forwarder.apply_update(message._replace(evacuations=Evacuations(number, zones)), now)
+            exclusions = forwarder._target_index.exclusions("proofdesk", now).values()
+            decision = forwarder.decide(syn(1024 + number), now)
+            if isinstance(decision, Reset):
+                reasons.add(decision.reason)
+                expected = ResetReason.NO_TARGET
+                if "warming_up" in exclusions:
+                    expected = ResetReason.WARMING_UP
+                self.assertEqual(decision.reason, expected)
+        self.assertEqual(reasons, {ResetReason.NO_TARGET, ResetReason.WARMING_UP})
+
+
 class FleetTest(unittest.TestCase):
     """Many entry hosts learn late of targets that start, and of a zone that is restored."""
 
--- a/packages/daemon/src/lacewingrudder_daemon/_storage/registry_store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/registry_store.py
@@ -50,7 +50,11 @@
         """Return the entries with the warm-up that remains now."""
         age_ms = max(0, now_ms - self.written_ms)
         return tuple(
-            entry._replace(warmup_remaining_ms=max(0, entry.warmup_remaining_ms - age_ms))
+            (
+                entry._replace(warmup_remaining_ms=max(0, entry.warmup_remaining_ms - age_ms))
+                if entry.warmup_remaining_ms
+                else entry
+            )
             for entry in self.entries
         )
 
