--- a/review/lib2/platform.py
+++ b/review/lib2/platform.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -123,6 +124,40 @@
         ]
         self.machines = [*self.cores, *self.fronts]
 
+    def add_core(self) -> Machine:
+        """Add a machine of the core, with an empty disk, in the first zone."""
+        machine = Machine("core-spare", "core", self.zones[0], f"{self.network}.1.14")
+        self.cores.append(machine)
+        self.machines.append(machine)
+        return machine
+
+    def remove(self, machine: Machine) -> None:
+        """Forget a machine whose process was killed and never comes back."""
+        assert machine.process is not None
+        machine.process.wait()
+        self.cores.remove(machine)
+        self.machines.remove(machine)
+
+    async def lose_disk(self, machine: Machine, down_seconds: float) -> None:
+        """Kill a machine's process, empty its disk, and start it again."""
+        assert machine.process is not None
+        self.signal(machine, signal.SIGKILL)
+        machine.process.wait()
+        shutil.rmtree(self.folder / "data" / machine.name)
+        self.record.write("platform", "has emptied the disk", machine=machine.name)
+        await asyncio.sleep(down_seconds)
+        self.start(machine)
+        self.record.write("platform", "started again", machine=machine.name)
+
+    def find_leader(self) -> Machine:
+        """Return the machine of the core that became leader last, as its log says."""
+        became: dict[float, Machine] = {}
+        for machine in self.cores:
+            for line in (self.folder / f"{machine.name}.log").read_text().splitlines():
+                if '"control_leader"' in line:
+                    became[json.loads(line)["time"][0]] = machine
+        return became[max(became)]
+
     @property
     def control_addresses(self) -> list[tuple[str, int]]:
         return [(machine.ip, self.call_port) for machine in self.cores]
@@ -172,7 +207,7 @@
             "zone": machine.zone,
             "region": "region",
             "internal-port-range": [self.message_port, self.message_port],
-            "seeds": [f"{core.ip}:{self.call_port}" for core in self.cores],
+            "seeds": [f"{core.ip}:{self.call_port}" for core in self.cores[:3]],
             "bootstrap": bootstrap,
             "fault-counted": machine.machine_class == "core",
             "heartbeat-ms": HEARTBEAT_MS,
