--- a/review/8/scenario.py
+++ b/review/8/scenario.py
@@ -60,7 +60,8 @@
     held = Route("r-held", host, HELD_PORT, "old")
     moved = Route("r-moved", host, MOVED_PORT, "old")
     services = ["old", "new"]
-    await operator.put(manifest(1, [held, moved], services))
+    limits = {"old": MAX_CONNECTIONS}
+    await operator.put(manifest(1, [held, moved], services, limits))
     await wait_until_serving(deployment)
     await asyncio.sleep(CONTACT_SECONDS + 1)
     consumers = [
@@ -97,7 +98,7 @@
     tasks = [asyncio.create_task(use(flow)) for flow in waiting]
     await asyncio.sleep(0.01)
     if trouble:
-        await operator.put(manifest(2, [held, moved._replace(service="new")], services))
+        await operator.put(manifest(2, [held, moved._replace(service="new")], services, limits))
     else:
         await asyncio.sleep(0.05)
     # Other consumers' flows on the same route show from when on the new version has its effect.
--- a/review/lib2/ends.py
+++ b/review/lib2/ends.py
@@ -22,6 +22,7 @@
 LAST_RETRANSMISSION = 1.6
 MAX_RETRANSMISSIONS = 8
 RESET_WINDOW = 76_800
+MAX_CONNECTIONS = 2000
 SEQUENCES = 1 << 32
 SIGNATURE = "X-Lacewingrudder-Response-Signature"
 
@@ -133,7 +134,7 @@
         rng: random.Random,
         work_seconds: float = 0.04,
         concurrency: int = 3,
-        max_connections: int = 2000,
+        max_connections: int = MAX_CONNECTIONS,
         loses: Callable[[Packet], bool] = lambda packet: False,
     ) -> None:
         self._deployment = deployment
@@ -645,7 +646,17 @@
     type: str = "unsafe"
 
 
-def manifest(version: int, routes: list[Route], services: list[str]) -> dict[str, Any]:
+def manifest(
+    version: int,
+    routes: list[Route],
+    services: list[str],
+    max_connections: dict[str, int] | None = None,
+) -> dict[str, Any]:
+    """Return a manifest.
+
+    :param max_connections: flows that a backend holds, of services that differ from the others.
+    """
+    limits = max_connections or {}
     return {
         "version": version,
         "routes": [
@@ -666,7 +677,7 @@
             {
                 "name": name,
                 "health-check-path": "/healthz",
-                "max-connections": 2000,
+                "max-connections": limits.get(name, MAX_CONNECTIONS),
                 "protocol": "h1",
                 "tls": False,
             }
