Go on with half of an even number of voters once one has lost its disk

Cause: four voters need three. The removed host stayed a voter until a leader had missed it for 3 s, counted from that leader's own start. What was acknowledged is on one of the two disks that are left; only the right to go on was missing.

Change: a host that gets a message for an earlier identity of its disk answers that this disk is lost (DiskLost, event control_voter_lost). From then on half of an even number of voters is a quorum for what is sent after that. Halves share a voter, by the order of agreements and losses (docs/design/log.md); half of the voters before a change and a majority of those after it need not, so changes need quorums of both until they are committed. A lost disk leaves the voters at once.

Ruled out: a shorter time-out, also one counted from the former leader's last message. It leaves a window and removes slow hosts. Three voters and a learner: what was acknowledged may be on just the two disks that are lost.

--- a/packages/core/src/lacewingrudder_core/_control/core.py
+++ b/packages/core/src/lacewingrudder_core/_control/core.py
@@ -32,6 +32,7 @@
     ShutdownRequested,
     SnapshotInstalled,
     Tick,
+    VoterLost,
 )
 from .._replica.messages import ForwardMessage, ForwardRequest, ReadReply, ReadRequest
 from .._replica.replica import ReplicaCore
@@ -112,7 +113,14 @@
 
 
 ControlEffect = (
-    Reply | SendToHost | SendPeerStatus | SendToReplica | Persist | Committed | RoleChanged
+    Reply
+    | SendToHost
+    | SendPeerStatus
+    | SendToReplica
+    | Persist
+    | Committed
+    | RoleChanged
+    | VoterLost
 )
 
 
--- a/packages/core/src/lacewingrudder_core/_replica/election.py
+++ b/packages/core/src/lacewingrudder_core/_replica/election.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Sequence
 
 from .log import ReplicaId
 
@@ -21,9 +21,18 @@
 leader, so there is no need to wait for a whole election timeout again."""
 
 
-def quorum_size(voters: tuple[ReplicaId, ...]) -> int:
-    """Return the number of voters in a majority."""
-    return len(voters) // 2 + 1
+def quorum_size(voters: tuple[ReplicaId, ...], lost: Collection[str] = ()) -> int:
+    """Return how many voters have to agree: a majority, or half of them if a disk is lost.
+
+    Half of an even number is enough if they agree after one of the others was known to have lost
+    its disk. Two such halves without a common voter would each have agreed after a voter of the
+    other half had lost its disk, though a voter that lost its disk agrees to nothing any more.
+
+    :param lost: identities of replicas that are known to have lost their disks.
+    """
+    has_lost = any(voter.identity in lost for voter in voters)
+    is_half_enough = has_lost and len(voters) % 2 == 0
+    return len(voters) // 2 if is_half_enough else len(voters) // 2 + 1
 
 
 def quorum_value(values: Iterable[float], size: int) -> float:
@@ -34,23 +43,30 @@
 class VoteCounter:
     """Counts the votes of one election or pre-vote round.
 
-    :param voters: the replicas whose votes count.
+    :param voter_sets: the sets of voters of which each has to grant a quorum of its votes.
+    :param lost: identities of replicas that were known to have lost their disks before the votes
+        were requested.
     """
 
-    def __init__(self, voters: tuple[ReplicaId, ...]) -> None:
-        self._voters = {voter.identity for voter in voters}
-        self._quorum = quorum_size(voters)
+    def __init__(
+        self, voter_sets: Sequence[tuple[ReplicaId, ...]], lost: Collection[str] = ()
+    ) -> None:
+        self._quorums = [
+            ({voter.identity for voter in voters}, quorum_size(voters, lost))
+            for voters in voter_sets
+        ]
         self._granted_by: set[str] = set()
 
     @property
     def is_won(self) -> bool:
-        """Whether a majority granted its vote."""
-        return len(self._granted_by) >= self._quorum
+        """Whether a quorum of each set granted its vote."""
+        return bool(self._quorums) and all(
+            len(self._granted_by & voters) >= size for voters, size in self._quorums
+        )
 
     def add(self, identity: str) -> None:
-        """Count a granted vote, unless it comes from a replica that is not a voter."""
-        if identity in self._voters:
-            self._granted_by.add(identity)
+        """Count a granted vote; one of a replica that is not a voter has no effect."""
+        self._granted_by.add(identity)
 
 
 class ElectionTimer:
--- a/packages/core/src/lacewingrudder_core/_replica/events.py
+++ b/packages/core/src/lacewingrudder_core/_replica/events.py
@@ -133,6 +133,12 @@
     term: int
 
 
+class VoterLost(NamedTuple):
+    """A voter answered that it has another disk than the one that votes."""
+
+    name: HostName
+
+
 ReplicaEffect = (
     SendToReplica
     | Persist
@@ -141,4 +147,5 @@
     | ProposalFailed
     | ReadConfirmed
     | RoleChanged
+    | VoterLost
 )
--- a/packages/core/src/lacewingrudder_core/_replica/leadership.py
+++ b/packages/core/src/lacewingrudder_core/_replica/leadership.py
@@ -29,10 +29,15 @@
 """A voter that is unresponsive for this long, three leases, may be removed without replacement."""
 
 
+RECENT_CONTACT_SECONDS = 0.5
+"""A voter is removed only if all others have answered within this time, two heartbeats and a half.
+Otherwise it may be the one that the others need, if they turn out to be lost."""
+
+
 class _Read(NamedTuple):
     """A read that waits until this host's leadership is confirmed.
 
-    :param timestamp: a majority has to answer messages sent at this time or later.
+    :param timestamp: a quorum has to answer messages sent at this time or later.
     :param log_index: the commit index when the read arrived.
     """
 
@@ -53,7 +58,9 @@
         self._last_timestamp = now
         self._reads: list[_Read] = []
         self._progress = ProgressTable(state.own_id)
-        self._progress.add_voters(state.log.voters, state.log.last_index + 1, now)
+        self._progress.add_voters(state.all_voters, state.log.last_index + 1, now)
+        for identity in state.lost_identities:
+            self._progress.record_lost_disk(identity, now)
         state.append()
         self._term_start_index = state.log.last_index
         self._next_voter_check = now + VOTER_CHECK_INTERVAL_SECONDS
@@ -62,8 +69,8 @@
         self.advance_commit_index(now)
 
     def has_lease(self, now: float) -> bool:
-        """Return whether a majority answered messages sent within the last lease (check-quorum)."""
-        return self._progress.has_lease(self._state.log.voters, now)
+        """Return whether a quorum answered messages sent within the last lease (check-quorum)."""
+        return self._progress.has_lease(self._state.voter_sets, now)
 
     def tick(self, now: float) -> None:
         """Start the next change of the voters and send heartbeats, each if it is due.
@@ -97,6 +104,10 @@
         if replica not in self._state.log.voters and self._policy.admits(replica.name):
             self._progress.add_learner(replica, now)
 
+    def record_lost_disk(self, replica: ReplicaId, now: float) -> None:
+        """Record that a voter's disk is lost; the voter is removed at the next check."""
+        self._progress.record_lost_disk(replica.identity, self._next_timestamp(now))
+
     def transfer_leadership(self, now: float) -> None:
         """Ask a voter whose log is up to date to take over the leadership, if there is one."""
         state = self._state
@@ -159,13 +170,13 @@
             self._replicate(row, now)
 
     def advance_commit_index(self, now: float) -> None:
-        """Commit the entries that a majority has on disk.
+        """Commit the entries that a quorum has on disk.
 
         Entries of earlier terms are committed only together with one of the current term, because
         a majority alone does not keep them from being replaced (section 5.4.2 of the Raft paper).
         """
         state = self._state
-        index = self._progress.quorum_match(state.log.voters, state.durable_index)
+        index = self._progress.quorum_match(state.voter_sets, state.durable_index)
         if index > state.commit_index and state.log.term_at(index) == state.term:
             state.commit_to(index)
             self._confirm_reads()
@@ -181,7 +192,7 @@
         return self._last_timestamp
 
     def _confirm_reads(self) -> None:
-        """Answer the reads for which a majority has confirmed this host's leadership.
+        """Answer the reads for which a quorum has confirmed this host's leadership.
 
         Reads wait until an entry of the current term is committed, because only then does a new
         leader know the commit index of its predecessors.
@@ -189,7 +200,7 @@
         state = self._state
         if not self._reads or state.commit_index < self._term_start_index:
             return
-        confirmed_since = self._progress.quorum_contact(state.log.voters, self._last_timestamp)
+        confirmed_since = self._progress.quorum_contact(state.voter_sets, self._last_timestamp)
         for read in self._reads:
             if read.timestamp <= confirmed_since:
                 index = max(read.log_index, self._term_start_index)
@@ -227,7 +238,7 @@
         self._progress.drop_unresponsive_learners(self._state.log.voters, now)
         voters = self._next_voters(now)
         self._checked_commit_index = max(self._term_start_index, self._state.commit_index)
-        if voters is not None:
+        if voters is not None and self._is_bearable(voters, now):
             self._state.append(voters=voters)
             self._broadcast(now)
 
@@ -236,20 +247,22 @@
 
         A learner has caught up if it has all entries that were committed at the last check. It
         needn't have the newest ones, since those may come faster than its answers.
-        A voter whose disk is lost leaves before any learner is admitted.
+        A voter whose disk is lost leaves before any learner is admitted: with one more voter before
+        that, the loss of the learner's disk could end the quorum.
         """
         log = self._state.log
         if not self._can_change_voters:
             return None
+        remaining = tuple(
+            voter for voter in log.voters if voter.identity not in self._state.lost_identities
+        )
+        if remaining != log.voters:
+            return remaining
         learners = [
             row
             for row in self._progress.learners(log.voters)
             if not self._is_unresponsive(row.replica, now)
         ]
-        lost = next((row for row in map(self._find_lost, learners) if row is not None), None)
-        if lost is not None:
-            remaining = tuple(voter for voter in log.voters if voter != lost)
-            return remaining if self._is_unresponsive(lost, now) else None
         for row in learners:
             if row.match_index < self._checked_commit_index:
                 continue
@@ -263,19 +276,21 @@
             lambda voter: self._is_unresponsive(voter, now, VOTER_REMOVAL_TIMEOUT_SECONDS),
         )
 
-    def _find_lost(self, learner: Progress) -> ReplicaId | None:
-        """Return the voter with a learner's name if the learner shows that its disk is lost.
+    def _is_bearable(self, voters: tuple[ReplicaId, ...], now: float) -> bool:
+        """Return whether the next set of voters bears as many losses as the present one.
 
-        That voter does not come back. With one more voter before it is removed, the loss of that
-        one's disk could end the quorum, though it may be lost before it is known to be a voter.
+        This holds for any set to which a voter is added, or from which one is removed that lost its
+        disk, as a learner of its name shows, too. Without another one, all that remain have to be
+        there.
         """
-        if not learner.has_answered:
-            return None
-        for voter in self._state.log.voters:
-            row = self._progress.get(voter.identity)
-            if row is not None and voter.name == learner.replica.name:
-                return voter if row.last_contact < learner.tracked_since else None
-        return None
+        state = self._state
+        learners = {row.replica.name for row in self._progress.learners(state.log.voters)}
+        removed = set(state.log.voters) - set(voters)
+        if all(row.identity in state.lost_identities or row.name in learners for row in removed):
+            return True
+        return not any(
+            self._is_unresponsive(voter, now, RECENT_CONTACT_SECONDS) for voter in voters
+        )
 
     @property
     def _can_change_voters(self) -> bool:
--- a/packages/core/src/lacewingrudder_core/_replica/messages.py
+++ b/packages/core/src/lacewingrudder_core/_replica/messages.py
@@ -161,6 +161,19 @@
     voters: tuple[ReplicaId, ...]
 
 
+class DiskLost(NamedTuple):
+    """The answer to a message for an identity that is not that of the receiver's disk.
+
+    Such an identity is always an earlier one, so its disk is lost for good.
+
+    :param replica: the host that answers, with the identity of its present disk.
+    :param lost: the identity that the message was for.
+    """
+
+    replica: ReplicaId
+    lost: str
+
+
 class ForwardRequest(NamedTuple):
     """An operator's request, forwarded to the leader by the host that received it.
 
@@ -215,6 +228,6 @@
     | LeaveRequest
     | LeaveReply
 )
-BootstrapMessage = JoinRequest | JoinReply | BootstrapCluster
+BootstrapMessage = JoinRequest | JoinReply | BootstrapCluster | DiskLost
 ReplicaMessage = MemberMessage | BootstrapMessage
 ForwardMessage = ForwardRequest | ForwardReply | ReadRequest | ReadReply
--- a/packages/core/src/lacewingrudder_core/_replica/progress.py
+++ b/packages/core/src/lacewingrudder_core/_replica/progress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from .election import LEASE_SECONDS, quorum_size, quorum_value
 from .log import LogSnapshot, LogSnapshotPart, ReplicaId, split_snapshot
@@ -60,6 +60,10 @@
         """Move ``next_index`` back, as the replica's log does not match before the sent entries."""
         self.next_index = max(self.match_index, min(self.next_index - 1, match_index)) + 1
 
+    def answered_since(self, timestamp: float) -> bool:
+        """Return whether the replica answered a message that was sent after a time."""
+        return self.has_answered and self.last_contact > timestamp
+
     def record_contact(self, sent_at: float) -> None:
         """Record an answer; the contact counts from when its request was sent."""
         self.last_contact = max(self.last_contact, sent_at)
@@ -75,6 +79,7 @@
     def __init__(self, leader: ReplicaId) -> None:
         self._leader = leader
         self._replicas: dict[str, Progress] = {}
+        self._lost_since: dict[str, float] = {}
 
     def __iter__(self) -> Iterator[Progress]:
         return iter(list(self._replicas.values()))
@@ -108,31 +113,64 @@
         """Return the progress of the replicas that are not voters."""
         return [row for row in self._replicas.values() if row.replica not in voters]
 
-    def quorum_contact(self, voters: tuple[ReplicaId, ...], now: float) -> float:
-        """Return the latest time at or after which a majority had contact with this leader.
+    def record_lost_disk(self, identity: str, timestamp: float) -> None:
+        """Record that a replica lost its disk.
 
-        A leader counts itself only while it is a voter.
+        :param timestamp: messages sent after it are answered after the loss.
         """
-        rows = self._others(voters)
-        contacts = [row.last_contact if row else float("-inf") for row in rows]
-        if self._leader in voters:
-            contacts.append(now)
-        return quorum_value(contacts, quorum_size(voters))
+        self._lost_since.setdefault(identity, timestamp)
+
+    def quorum_contact(self, voter_sets: Sequence[tuple[ReplicaId, ...]], now: float) -> float:
+        """Return the latest time at or after which quorums had contact with this leader.
 
-    def has_lease(self, voters: tuple[ReplicaId, ...], now: float) -> bool:
-        """Return whether a majority answered messages that were sent within the last lease."""
-        return now - self.quorum_contact(voters, now) <= LEASE_SECONDS
+        A leader counts itself only where it is a voter.
+        """
+        return min(
+            self._agreed_value(
+                voters, lambda row: row.last_contact if row else float("-inf"), own_value=now
+            )
+            for voters in voter_sets
+        )
 
-    def quorum_match(self, voters: tuple[ReplicaId, ...], durable_index: int) -> int:
-        """Return the largest index that a majority has on disk.
+    def has_lease(self, voter_sets: Sequence[tuple[ReplicaId, ...]], now: float) -> bool:
+        """Return whether quorums answered messages that were sent within the last lease."""
+        return now - self.quorum_contact(voter_sets, now) <= LEASE_SECONDS
+
+    def quorum_match(self, voter_sets: Sequence[tuple[ReplicaId, ...]], durable_index: int) -> int:
+        """Return the largest index that quorums have on disk.
 
         :param durable_index: the index up to which the leader's own log is on disk.
         """
-        matches = [row.match_index if row else 0 for row in self._others(voters)]
-        if self._leader in voters:
-            matches.append(durable_index)
-        return int(quorum_value(matches, quorum_size(voters)))
-
-    def _others(self, voters: tuple[ReplicaId, ...]) -> list[Progress | None]:
-        """Return the progress of the voters besides the leader, ``None`` for untracked ones."""
-        return [self._replicas.get(voter.identity) for voter in voters if voter != self._leader]
+        return min(
+            int(
+                self._agreed_value(
+                    voters, lambda row: row.match_index if row else 0, own_value=durable_index
+                )
+            )
+            for voters in voter_sets
+        )
+
+    def _agreed_value(
+        self,
+        voters: tuple[ReplicaId, ...],
+        get_value: Callable[[Progress | None], float],
+        own_value: float,
+    ) -> float:
+        """Return the largest value that a quorum of the voters reaches or exceeds.
+
+        :param get_value: returns the value of a replica, ``None`` for one that is not tracked.
+        """
+        rows = [self._replicas.get(voter.identity) for voter in voters if voter != self._leader]
+        own_values = [own_value] if self._leader in voters else []
+        values = own_values + [get_value(row) for row in rows]
+        agreed = quorum_value(values, quorum_size(voters))
+        lost = [voter.identity for voter in voters if voter.identity in self._lost_since]
+        if not lost:
+            return agreed
+        lost_since = min(self._lost_since[identity] for identity in lost)
+        recent_rows = [row for row in rows if row is not None and row.answered_since(lost_since)]
+        recent_values = own_values + [get_value(row) for row in recent_rows]
+        size = quorum_size(voters, lost)
+        if len(recent_values) < size:
+            return agreed
+        return max(agreed, quorum_value(recent_values, size))
--- a/packages/core/src/lacewingrudder_core/_replica/replica.py
+++ b/packages/core/src/lacewingrudder_core/_replica/replica.py
@@ -17,7 +17,7 @@
 from . import messages as m
 from .bootstrap import ClusterBootstrap
 from .durable import DurableState
-from .election import ELECTION_TIMEOUT_SECONDS, ElectionTimer, quorum_size
+from .election import ELECTION_TIMEOUT_SECONDS, ElectionTimer
 from .events import (
     Persisted,
     PersistFailed,
@@ -31,6 +31,7 @@
     RoleChanged,
     SendToReplica,
     ShutdownRequested,
+    VoterLost,
 )
 from .leadership import Leadership
 from .log import ReplicaId
@@ -242,7 +243,7 @@
             self._transition_if_joined(self._bootstrap.tick(now))
         if self._role in (Role.BLANK, Role.LEARNER):
             return
-        is_single_voter = quorum_size(self._state.log.voters) == 1
+        is_single_voter = len(self._state.all_voters) == 1
         if is_single_voter or self._election_timer.is_expired(now):
             self._start_pre_vote()
 
@@ -258,7 +259,9 @@
             self._transition_if_joined(self._bootstrap.record_join_reply(message))
         elif isinstance(message, m.BootstrapCluster):
             self._transition_if_joined(self._bootstrap.accept_bootstrap(message))
-        elif self._accept_message(message):
+        elif isinstance(message, m.DiskLost):
+            self._record_lost_disk(message)
+        elif self._accept_message(event.sender, message):
             self._handle_member_message(message)
 
     def _handle_join_request(self, sender: HostName, message: m.JoinRequest) -> None:
@@ -266,13 +269,23 @@
         if self._leadership is not None and message.cluster in ("", self._state.cluster):
             self._leadership.add_learner(message.replica, self._now)
 
-    def _accept_message(self, message: m.MemberMessage) -> bool:
+    def _record_lost_disk(self, message: m.DiskLost) -> None:
+        lost = ReplicaId(message.replica.name, message.lost)
+        if not self._state.record_lost_disk(lost):
+            return
+        self._state.emit(VoterLost(lost.name))
+        if self._leadership is not None:
+            self._leadership.record_lost_disk(lost, self._now)
+
+    def _accept_message(self, sender: HostName, message: m.MemberMessage) -> bool:
         """Return whether a message is for this replica and its cluster.
 
         A blank replica joins the cluster of a leader that sends it entries or a snapshot.
         """
         header = message.header
         if header.receiver != self._state.own_id.identity:
+            answer = m.DiskLost(self._state.own_id, header.receiver)
+            self._state.emit(SendToReplica(sender, answer))
             return False
         if not self._state.cluster and isinstance(message, m.AppendRequest | m.SnapshotRequest):
             self._state.join_cluster(header.cluster)
--- a/packages/core/src/lacewingrudder_core/_replica/state.py
+++ b/packages/core/src/lacewingrudder_core/_replica/state.py
@@ -58,6 +58,7 @@
         self._needs_write = False
         self._first_unwritten: int | None = None
         self._unwritten_snapshot: LogSnapshot | None = None
+        self._lost_identities: set[str] = set()
         self._apply_up_to(durable.commit_index)
         self._queued_effects.clear()
 
@@ -108,16 +109,35 @@
 
     @property
     def is_voter(self) -> bool:
-        """Whether this host is one of the latest voters, or of those that are committed.
+        """Whether this host is a voter: one of the latest or, until these are committed, before.
 
         A host whose removal is not committed still stands for election: it may hold the only log
         that the others can vote for (Ongaro's dissertation, 2014, section 4.2.2).
         """
+        return self._own_id in self.all_voters
+
+    @property
+    def voter_sets(self) -> tuple[tuple[ReplicaId, ...], ...]:
+        """The sets of voters of which each has to agree to a decision.
+
+        These are the latest voters and, until their entry is committed, those before them. A quorum
+        of the former alone need not have a voter in common with one of the latter.
+        """
         log = self._log
-        if self._own_id in log.voters:
-            return True
-        is_committed = log.voters_index <= self._commit_index
-        return not is_committed and self._own_id in log.voters_at(self._commit_index)
+        if log.voters_index <= self._commit_index:
+            return (log.voters,)
+        previous = log.voters_at(log.voters_index - 1)
+        return (log.voters, previous) if previous else (log.voters,)
+
+    @property
+    def all_voters(self) -> tuple[ReplicaId, ...]:
+        """All members of :attr:`voter_sets`, sorted."""
+        return tuple(sorted({voter for voters in self.voter_sets for voter in voters}))
+
+    @property
+    def lost_identities(self) -> frozenset[str]:
+        """Identities of voters whose disks are known to be lost."""
+        return frozenset(self._lost_identities)
 
     @property
     def pending_proposal_count(self) -> int:
@@ -155,6 +175,13 @@
         self._term, self._voted_for = term, voted_for
         self._needs_write = True
 
+    def record_lost_disk(self, replica: ReplicaId) -> bool:
+        """Record that a voter's disk is lost; return whether it is a voter and this is new."""
+        if replica not in self.all_voters or replica.identity in self._lost_identities:
+            return False
+        self._lost_identities.add(replica.identity)
+        return True
+
     def append(
         self,
         note: Note | None = None,
--- a/packages/core/src/lacewingrudder_core/_replica/voting.py
+++ b/packages/core/src/lacewingrudder_core/_replica/voting.py
@@ -19,7 +19,7 @@
 
     @property
     def is_won(self) -> bool:
-        """Whether a majority granted the latest round of requests."""
+        """Whether a quorum granted the latest round of requests."""
         return self._votes.is_won
 
     def request_pre_votes(self) -> None:
@@ -71,9 +71,9 @@
 
     def _request_from_voters(self, request: Callable[[ReplicaId], MemberMessage]) -> None:
         state = self._state
-        self._votes = VoteCounter(state.log.voters)
+        self._votes = VoteCounter(state.voter_sets, state.lost_identities)
         self._votes.add(state.own_id.identity)
-        for voter in state.log.voters:
+        for voter in state.all_voters:
             if voter != state.own_id:
                 state.send(voter, request(voter))
 
--- a/packages/core/src/lacewingrudder_core/replica.py
+++ b/packages/core/src/lacewingrudder_core/replica.py
@@ -18,9 +18,11 @@
 from ._replica.events import ShutdownRequested as ShutdownRequested
 from ._replica.events import SnapshotInstalled as SnapshotInstalled
 from ._replica.events import Tick as Tick
+from ._replica.events import VoterLost as VoterLost
 from ._replica.messages import AppendReply as AppendReply
 from ._replica.messages import AppendRequest as AppendRequest
 from ._replica.messages import BootstrapCluster as BootstrapCluster
+from ._replica.messages import DiskLost as DiskLost
 from ._replica.messages import ForwardReply as ForwardReply
 from ._replica.messages import ForwardRequest as ForwardRequest
 from ._replica.messages import Header as Header
--- a/packages/core/tests/replica_cluster.py
+++ b/packages/core/tests/replica_cluster.py
@@ -103,6 +103,7 @@
         self.catalogues: dict[int, Catalogue] = {}
         self.leaders_by_term: dict[int, ReplicaId] = {}
         self.lost_replicas: set[ReplicaId] = set()
+        self.removed_replicas: set[ReplicaId] = set()
         self.replies: dict[int, SubmitReply] = {}
         self.accepted_notes: dict[int, int] = {}
         self._notes: dict[int, Note] = {}
@@ -235,10 +236,35 @@
                 return False
         return True
 
+    def bears_loss(self, host: Host, is_removed: bool) -> bool:
+        """Return whether every set of voters in use bears the loss of a host or of its disk.
+
+        A set bears the loss of a minority of its disks. An even one bears the loss of half of them
+        if one of these hosts is there, with an empty disk.
+        """
+        lost = self.lost_replicas | {host.replica_id}
+        removed = self.removed_replicas | ({host.replica_id} if is_removed else set())
+        voter_sets = {
+            voters for other in self.hosts.values() for voters in other.core.state.voter_sets
+        }
+        for voters in voter_sets:
+            missing = lost & set(voters)
+            is_answered = len(voters) % 2 == 0 and bool(missing - removed)
+            tolerated = len(voters) // 2 if is_answered else (len(voters) - 1) // 2
+            if len(missing) > tolerated:
+                return False
+        return True
+
     def lose_disk(self, host: Host) -> None:
         self.lost_replicas.add(host.replica_id)
         host.lose_disk()
 
+    def remove(self, host: Host) -> None:
+        """Take a host away for good, with its disk and without notice."""
+        self.lost_replicas.add(host.replica_id)
+        self.removed_replicas.add(host.replica_id)
+        del self.hosts[host.name]
+
     def heal(self) -> None:
         self.blocked_links.clear()
         for host in self.hosts.values():
@@ -341,9 +367,13 @@
 
 
 class Schedule:
-    """A random schedule of requests and faults on a cluster, reproducible by its seed."""
+    """A random schedule of requests and faults on a cluster, reproducible by its seed.
+
+    :param has_removal: whether one host may be taken away for good, and as many disks are lost as
+        each set of voters bears. Otherwise a majority of disks always remains.
+    """
 
-    def __init__(self, size: int, seed: int, seeds: int = 0) -> None:
+    def __init__(self, size: int, seed: int, seeds: int = 0, has_removal: bool = False) -> None:
         self.cluster = Cluster(size, seed, seeds)
         self._random = self.cluster.random
         self._last_note = 0
@@ -368,6 +398,9 @@
             (1, self._pause),
             (0.3, self._jump_clock),
         ]
+        self._has_removal = has_removal
+        if has_removal:
+            self._faults += [(1, self._remove)]
 
     def run(self, steps: int) -> None:
         """Alternate phases without and with faults, then heal the cluster and check it."""
@@ -460,9 +493,19 @@
 
     def _lose_disk(self) -> None:
         host = self._random_host()
-        if self.cluster.can_lose_disk(host):
+        bears_loss = (
+            self.cluster.bears_loss(host, is_removed=False)
+            if self._has_removal
+            else self.cluster.can_lose_disk(host)
+        )
+        if bears_loss:
             self.cluster.lose_disk(host)
 
+    def _remove(self) -> None:
+        host = self._random_host()
+        if not self.cluster.removed_replicas and self.cluster.bears_loss(host, is_removed=True):
+            self.cluster.remove(host)
+
     def _block_links(self) -> None:
         host = self._random_host()
         if self._random.random() < 0.5:
--- a/packages/core/tests/test_replica_schedules.py
+++ b/packages/core/tests/test_replica_schedules.py
@@ -9,6 +9,8 @@
 FIVE_VOTERS_RANDOM_SEEDS = range(10_000, 10_300)
 THREE_DISCOVERED_HOSTS_RANDOM_SEEDS = range(20_000, 20_600)
 FOUR_DISCOVERED_HOSTS_RANDOM_SEEDS = range(30_000, 30_600)
+FOUR_HOSTS_WITH_REMOVAL_RANDOM_SEEDS = range(40_000, 40_400)
+SIX_HOSTS_WITH_REMOVAL_RANDOM_SEEDS = range(50_000, 50_150)
 SEED_HOST_COUNT = 3
 
 
@@ -24,9 +26,9 @@
             patch.start()
             self.addCleanup(patch.stop)
 
-    def explore(self, size: int, seed: int, seeds: int = 0) -> None:
+    def explore(self, size: int, seed: int, seeds: int = 0, has_removal: bool = False) -> None:
         try:
-            Schedule(size, seed, seeds).run(STEPS)
+            Schedule(size, seed, seeds, has_removal).run(STEPS)
         except AssertionError as error:
             self.fail(f"size {size}, seed {seed}: {error}")
 
@@ -46,6 +48,17 @@
         for seed in FOUR_DISCOVERED_HOSTS_RANDOM_SEEDS:
             self.explore(4, seed, SEED_HOST_COUNT)
 
+    # Guards against a set of voters that a removed host and one lost disk end: half of four voters,
+    # of which one has lost its disk, keep everything and go on.
+    def test_four_hosts_of_which_one_is_removed(self) -> None:
+        for seed in FOUR_HOSTS_WITH_REMOVAL_RANDOM_SEEDS:
+            self.explore(4, seed, SEED_HOST_COUNT, has_removal=True)
+
+    # Guards against the same where two disks may be lost beside the removed host.
+    def test_six_hosts_of_which_one_is_removed(self) -> None:
+        for seed in SIX_HOSTS_WITH_REMOVAL_RANDOM_SEEDS:
+            self.explore(6, seed, SEED_HOST_COUNT, has_removal=True)
+
     # Guards against a learner that is admitted beside a voter whose disk is lost, and has lost its
     # own by then.
     def test_long_schedule_with_a_learner_that_loses_its_disk(self) -> None:
--- a/packages/core/tests/test_voter_changes.py
+++ b/packages/core/tests/test_voter_changes.py
@@ -2,6 +2,7 @@
 from collections.abc import Callable
 
 from lacewingrudder_core import replica as m
+from lacewingrudder_core._replica.election import VoteCounter
 from lacewingrudder_core._replica.leadership import Leadership
 from lacewingrudder_core._replica.log import LogEntry, ReplicaId
 from lacewingrudder_core._replica.state import ReplicaState
@@ -191,6 +192,117 @@
         self.assertEqual(self.voter_count(), 3)
 
 
+class RemovedHostTest(unittest.TestCase):
+    """Voters that are removed for good without notice, and disks that are lost soon after."""
+
+    def remove_leader_and_lose_disks(self, size: int, disk_count: int, seconds: float) -> None:
+        cluster = Cluster(size, seeds=3)
+        cluster.elect()
+        cluster.run(CATCH_UP_SECONDS)
+        leader = cluster.elect()
+        self.assertEqual(len(leader.core.state.log.voters), size)
+        cluster.propose_configuration(leader, 1)
+        cluster.settle()
+        self.assertEqual(cluster.accepted_version, 1)
+        cluster.remove(leader)
+        cluster.run(seconds)
+        following = cluster.leader()
+        first = next(iter(cluster.hosts.values())) if following is None else following
+        others = [host for host in cluster.hosts.values() if host is not first]
+        for host in (first, *others[: disk_count - 1]):
+            cluster.lose_disk(host)
+        cluster.run(RECOVERY_SECONDS)
+        cluster.check_convergence()
+
+    # Guards against a cluster without a quorum after a control host that was replaced is removed
+    # without notice and, at any time after that, one disk is lost.
+    def test_leader_of_four_is_removed_and_a_disk_is_lost(self) -> None:
+        for seconds in (0.0, 1.0, 2.0, 3.0, 4.0, 6.0):
+            with self.subTest(seconds=seconds):
+                self.remove_leader_and_lose_disks(4, 1, seconds)
+
+    # Guards against the same where two disks may be lost at once.
+    def test_leader_of_six_is_removed_and_two_disks_are_lost(self) -> None:
+        for seconds in (0.0, 1.0, 2.0, 3.0, 4.0, 6.0):
+            with self.subTest(seconds=seconds):
+                self.remove_leader_and_lose_disks(6, 2, seconds)
+
+    # Guards against two voters that never agree again if one loses its disk: the other has all that
+    # both agreed to.
+    def test_one_of_two_voters_loses_its_disk(self) -> None:
+        cluster = Cluster(2, seeds=2)
+        leader = cluster.elect()
+        cluster.propose_configuration(leader, 1)
+        cluster.settle()
+        cluster.lose_disk(leader)
+        cluster.run(RECOVERY_SECONDS)
+        cluster.check_convergence()
+
+
+class LateVoteTest(unittest.TestCase):
+    """Votes and answers from before a disk was lost, which arrive after that is known."""
+
+    def setUp(self) -> None:
+        self.voters = tuple(ReplicaId(name, name) for name in ("a", "b", "c", "d"))
+        entries = (LogEntry(1, 1, voters=self.voters),)
+        durable = DurableState("a", "cluster", 4, commit_index=1, entries=entries)
+        self.state = ReplicaState(self.voters[0], durable)
+        self.lost = self.voters[3]
+        policy = DiscoveredVoters({"a", "b", "c", "d"}, founds=True)
+        self.leadership = Leadership(self.state, policy, 0.0)
+        for effect in self.state.release_effects():
+            if isinstance(effect, Persist):
+                self.state.record_persisted(effect.write.number)
+
+    def answer(self, sent_at: float) -> None:
+        header = m.Header("cluster", self.voters[1], "a", 4)
+        reply = m.AppendReply(header, sent_at, True, self.state.log.last_index)
+        self.leadership.record_append_reply(reply, 1.0)
+
+    # Guards against two halves of the voters that decide differently: the voter that answered may
+    # have lost its own disk since, and the lost one may have agreed with the other half before.
+    def test_answer_from_before_the_loss_was_known_makes_no_half(self) -> None:
+        self.state.record_lost_disk(self.lost)
+        self.leadership.record_lost_disk(self.lost, 1.0)
+        self.answer(0.5)
+        self.assertEqual(self.state.commit_index, 1)
+
+    def test_answer_from_after_the_loss_was_known_makes_half(self) -> None:
+        self.state.record_lost_disk(self.lost)
+        self.leadership.record_lost_disk(self.lost, 0.5)
+        self.answer(0.9)
+        self.assertEqual(self.state.commit_index, self.state.log.last_index)
+
+    def test_half_is_not_enough_if_no_disk_is_lost(self) -> None:
+        self.answer(0.9)
+        self.assertEqual(self.state.commit_index, 1)
+
+    def test_votes_of_half_are_enough_only_if_the_loss_was_known_before(self) -> None:
+        early = VoteCounter((self.voters,))
+        late = VoteCounter((self.voters,), {self.lost.identity})
+        for votes in (early, late):
+            votes.add("a")
+            votes.add("b")
+        self.assertFalse(early.is_won)
+        self.assertTrue(late.is_won)
+
+
+class JointQuorumTest(unittest.TestCase):
+    """Decisions while a change of the voters is not committed."""
+
+    # Guards against a committed change that half of the former voters don't know: they might elect
+    # a leader that overwrites it.
+    def test_change_is_committed_by_quorums_of_the_voters_before_and_after(self) -> None:
+        before = tuple(ReplicaId(name, name) for name in ("a", "b", "c", "d"))
+        after = (*before, ReplicaId("e", "e"))
+        counter = VoteCounter((after, before))
+        for name in ("a", "b", "e"):
+            counter.add(name)
+        self.assertFalse(counter.is_won)
+        counter.add("c")
+        self.assertTrue(counter.is_won)
+
+
 class LaggingLearnerTest(unittest.TestCase):
     """A leader whose commit index has always moved on when a learner's answer arrives."""
 
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -73,6 +73,7 @@
     r.JoinRequest,
     r.JoinReply,
     r.BootstrapCluster,
+    r.DiskLost,
 )
 _FORWARD_MESSAGES = (r.ForwardRequest, r.ForwardReply)
 
--- a/packages/daemon/src/lacewingrudder_daemon/control_task.py
+++ b/packages/daemon/src/lacewingrudder_daemon/control_task.py
@@ -146,3 +146,5 @@
                 self._events.record("accepted", revision=change.revision)
             case replica.RoleChanged(role, term):
                 self._events.record(f"control_{role}", detail=f"term {term}")
+            case replica.VoterLost(name):
+                self._events.record("control_voter_lost", detail=f"{name} has another disk")
--- a/packages/wire/src/lacewingrudder_wire/replica_tags.py
+++ b/packages/wire/src/lacewingrudder_wire/replica_tags.py
@@ -25,4 +25,5 @@
     55: r.ReadReply,
     56: r.LeaveRequest,
     57: r.LeaveReply,
+    58: r.DiskLost,
 }
--- a/packages/wire/tests/test_replica_codec.py
+++ b/packages/wire/tests/test_replica_codec.py
@@ -56,6 +56,7 @@
             r.JoinRequest(VOTER, ""),
             r.JoinReply(VOTER, "cluster", "echo"),
             r.BootstrapCluster("cluster", (VOTER,)),
+            r.DiskLost(VOTER, "former"),
             r.ForwardRequest(1, NOTE, None),
             r.ForwardRequest(1, None, ORDER),
             r.ForwardReply(1, SubmitReply(SubmitTag.UNKNOWN, 2, "lost")),
