Let the copies of a SYN follow the route that is in force

What callers saw: a configuration moves a route to another service while SYNs wait for an answer.

Cause: an entry host keeps the service that it chose at the first SYN for the copies, and neither configure nor the copies compared it with the route's present services. The same held for a copy that went back to a target which answers others, for a service that a split leaves out or gives no weight, and for a route that was dropped and added again.

Change: a copy stays with its service while the route has it. Otherwise it is placed anew, without being refused for load: another host may have opened the flow. A flow that this host saw open stays where it is.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -23,12 +23,12 @@
 from ..latencies import LatencyHistogram
 from ..types import Endpoint, FlowKey, HostName, ZoneName
 from .admission import FlowAdmission
-from .candidates import Candidate
 from .ejections import Ejections
+from .flow_opener import FlowOpener
 from .flow_tracker import AnswerStatus, FlowTracker
 from .open_flows import OpenFlows
 from .route_lag import RouteLag
-from .selection import TargetChooser, WeightedRoundRobin, refusal
+from .selection import TargetChooser
 from .silence_detector import SilenceDetector
 from .speed_samples import record_speed
 from .tags import flow_tag
@@ -43,7 +43,6 @@
     Forwarded,
     Reset,
     ResetReason,
-    Route,
     TagSegment,
 )
 
@@ -91,8 +90,16 @@
         self._newest_version = -1
         self._confirmed_at = float("-inf")
         self._route_lag = RouteLag()
-        self._splits: dict[Endpoint, WeightedRoundRobin] = {}
         self._admission = FlowAdmission(self._count_waiting)
+        self._opener = FlowOpener(
+            self._target_index,
+            self._flow_tracker,
+            self._chooser,
+            self._ejections,
+            self._silence,
+            self._open_flows,
+            self._admission,
+        )
         self._started_at: float | None = None
         self._open_seconds = LatencyHistogram()
 
@@ -224,7 +231,10 @@
         if route is None:
             return self._decide_without_route(segment, now)
         if segment.is_syn:
-            return self._open_flow(segment, route, now)
+            if self._started_at is None:
+                # Without an update of a control host, the evacuated zones are not known.
+                return Dropped(DropReason.NOT_READY)
+            return self._opener.open_flow(segment, route, self.is_ready(now), now)
         return self._forward_packet(segment, route.objective_seconds, now)
 
     def explain(self, flow: FlowKey, now: float) -> Explanation:
@@ -237,7 +247,7 @@
             self._evacuations,
             self._started_at is not None,
             self.is_ready(now),
-            self._splits,
+            self._opener.splits,
             self._admission,
             self._target_index,
             self._flow_tracker,
@@ -262,53 +272,9 @@
         self._flow_tracker.remove_opening(segment.flow)
         return Reset(ResetReason.NO_ROUTE)
 
-    def _open_flow(self, segment: TagSegment, route: Route, now: float) -> Decision:
-        if self._started_at is None:
-            # Without an update of a control host, the evacuated zones are not known.
-            return Dropped(DropReason.NOT_READY)
-        if segment.attempt:
-            repeated = self._open_flows.find_repeated(segment.flow, now)
-            if repeated is not None:
-                return repeated
-        self._flow_tracker.forget_abandoned_requests(now)
-        opening = self._flow_tracker.get_opening(segment.flow)
-        if opening is None or not segment.attempt:
-            self._flow_tracker.remove_opening(segment.flow)
-            service = self._splits.setdefault(route.endpoint, WeightedRoundRobin()).choose(
-                route.splits
-            )
-            tried_tags: list[int] = []
-            # Another host may have admitted the flow of a retransmission, which may be open by now.
-            if (
-                service is not None
-                and not segment.attempt
-                and not self._admission.admits(service, route, now)
-            ):
-                return Reset(ResetReason.OVERLOAD)
-        else:
-            service, tried_tags = opening.service, opening.tried_tags
-            failed = self._target_index.entry(tried_tags[-1])
-            if failed is not None:
-                self._ejections.record_failure(tried_tags[-1], failed, now)
-        target = None if service is None else self._choose_target(service, tried_tags, now)
-        if target is None or service is None:
-            is_warming_up = self._target_index.has_warming_up(service or "", now)
-            return refusal(is_warming_up, self.is_ready(now))
-        self._flow_tracker.record_syn(segment.flow, service, target.tag, now)
-        self._silence.record_syn(segment.flow, target.tag, now)
-        return Forwarded(target.entry.endpoint, target.entry.identity, target.tag)
-
     def _count_waiting(self, service: str, now: float) -> int:
         return self._chooser.count_waiting(self._target_index.candidates(service, now).targets)
 
-    def _choose_target(self, service: str, tried_tags: list[int], now: float) -> Candidate | None:
-        return self._chooser.choose(
-            self._target_index.candidates(service, now),
-            tried_tags,
-            lambda candidate: self._ejections.is_ejected(candidate, now),
-            now,
-        ).chosen
-
     def _forward_packet(self, segment: TagSegment, objective: float | None, now: float) -> Decision:
         """Forward a packet of an open flow to the target that its tag names.
 
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
@@ -32,7 +32,8 @@
 class OpeningFlow:
     """A flow of which this host has seen a SYN but no later packet.
 
-    :param service: service chosen at the first SYN; retransmissions stay with it.
+    :param service: service chosen at the first SYN. Retransmissions stay with it while the route
+        has it.
     :param opened_at: time of the first SYN.
     :ivar tried_tags: tags of the targets that the SYN and its retransmissions were sent to.
     """
--- a/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
@@ -7,7 +7,7 @@
 from .flow_tracker import FlowTracker
 from .silence_detector import SilenceDetector
 from .target_index import TargetIndex
-from .types import Forwarded, TagSegment
+from .types import Forwarded, Route, TagSegment
 
 
 class OpenFlows:
@@ -24,18 +24,19 @@
         self._flow_tracker = flow_tracker
         self._silence = silence
 
-    def find_repeated(self, flow: FlowKey, now: float) -> Forwarded | None:
+    def find_repeated(self, flow: FlowKey, route: Route, now: float) -> Forwarded | None:
         """Return where the retransmission of a SYN goes again, or ``None`` to choose a target.
 
         A second target that answered it would replace the tag that the caller echoes. So it goes to
         the same target if that has opened the flow, or has answered something that was sent to it
-        after the SYN: then the answer is late or lost.
+        after the SYN: then the answer is late or lost. If the flow may not be open yet, the target
+        has to be one of the route's, since it may be this SYN that opens it.
         """
         tag = self._flow_tracker.recently_opened_tag(flow, now)
         if tag is not None:
             return self._forward_again(self._target_index.entry(tag), tag)
         opening = self._flow_tracker.get_opening(flow)
-        if opening is None:
+        if opening is None or not route.has_service(opening.service):
             return None
         tag = opening.tried_tags[-1]
         if not self._silence.has_answered_since(tag, opening.opened_at):
--- a/packages/core/src/lacewingrudder_core/_tagging/types.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/types.py
@@ -59,6 +59,10 @@
     urgency: int
     objective_seconds: float | None = None
 
+    def has_service(self, service: str) -> bool:
+        """Return whether new flows may go to a service."""
+        return any(split.service == service and split.weight > 0 for split in self.splits)
+
 
 class WarmupLimit(NamedTuple):
     """What targets of a service that warm up bear.
