Let copies of a SYN leave a target that its service doesn't have

The home sent the SYN's copies on to the target of the former service, for up to 3 s, though that target is none of the present service's.

A half-open flow now moves to a target of the present service with the next copy, by the same budget and limits as other retries; without one the copy is dropped. Targets that the service keeps, and withdrawn services (their copies end after 3 s), are as before.

--- a/packages/core/src/lacewingrudder_core/_flows/handshake.py
+++ b/packages/core/src/lacewingrudder_core/_flows/handshake.py
@@ -86,7 +86,7 @@
         if flow is None:
             return self._open(event, key, route, None, now)
         if flow.caller_isn == segment.seq:
-            return self._handle_retransmission(flow)
+            return self._handle_retransmission(flow, route, now)
         if flow.previous_isn == segment.seq:
             return [Drop(DropReason.OLD_INCARNATION)]
         ended = self._supersede(flow, now)
@@ -113,9 +113,17 @@
                 self._store.remove(expired, now)
         return effects
 
-    def _handle_retransmission(self, flow: Flow) -> list[FlowEffect]:
+    def _handle_retransmission(self, flow: Flow, route: KindRoute, now: float) -> list[FlowEffect]:
+        """Forward a repeated SYN.
+
+        A half-open flow leaves a target that its service doesn't have, as after a release note that
+        gives the address and port to another service.
+        """
         if flow.state is FlowState.CLOSED:
             return [Drop(DropReason.OLD_INCARNATION)]
+        if flow.state is FlowState.HALF_OPEN and flow.target not in route.endpoints:
+            endpoint = self._move(flow, now)
+            return [Drop(DropReason.NO_TARGET) if endpoint is None else ToTarget(endpoint)]
         return [ToTarget(flow.endpoint)]
 
     def _open(
@@ -181,24 +189,29 @@
         ]
 
     def _retry(self, flow: Flow, now: float) -> list[FlowEffect]:
-        """Move a flow to another target; return nothing if that is not possible now.
+        """Send a flow's SYN to another target; return nothing if that is not possible now."""
+        endpoint = self._move(flow, now)
+        return [] if endpoint is None else [Resend(flow.syn_packet, endpoint)]
+
+    def _move(self, flow: Flow, now: float) -> Endpoint | None:
+        """Move a flow to another target; return its endpoint, ``None`` if that is not possible now.
 
         The former target is reset only when its late answer arrives here: until then, that answer
         may have reached the caller through another home and completed the handshake.
         """
         if not flow.syn_packet or now - flow.opened_at >= SYN_TIMEOUT_SECONDS:
-            return []
+            return None
         if not self._store.is_membership_stable(now):
-            return []
+            return None
         target = self._next_target(flow, now)
         if target is None:
-            return []
+            return None
         endpoint = self._routes.endpoint(Endpoint(flow.key.service, flow.key.service_port), target)
         if endpoint is None or not self._retry_budget.try_spend():
-            return []
+            return None
         self._store.move(flow, target, endpoint)
         self._restart_timer(flow, now)
-        return [Resend(flow.syn_packet, endpoint)]
+        return endpoint
 
     def _restart_timer(self, flow: Flow, now: float) -> None:
         unanswered = self._store.table.unanswered_syns
