Let a target's drain count whatever its sequence number is

A control host answers outdated calls with 200 and ignores them, which is right for a late `ready` and false for a drain: a target that drains never stops to, so its state was not recorded though it was confirmed.

A drain of a known lifetime now counts in any order.

--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -14,6 +14,7 @@
 from .heartbeats import Heartbeats
 from .lifetime_index import LifetimeIndex
 from .silence_marks import SilenceMarks
+from .silent_targets import SilentTargets
 from .types import CheckIn, CheckInOutcome, EntryKey, LifeState, Lifetime, Position, TargetEntry
 from .versioned_entries import VersionedEntries
 from .views import KnownTarget
@@ -22,10 +23,6 @@
 MAX_MISSED_HEARTBEATS = 3
 """Consecutive heartbeats that a target may miss before it counts as unreachable."""
 
-MAX_SILENCE_SECONDS = 120.0
-"""How long a target that no control host hears may be unreachable before it is taken for ended, if
-it drains or a later one at its address checks in: twice the age at which flows may be dropped."""
-
 
 class Registry:
     """Tracks the lifetimes of targets and publishes their changes.
@@ -60,7 +57,7 @@
         self._departures = Departures(heartbeat_seconds)
         self._warmups = Warmups()
         self._contested = ContestedCalls(heartbeat_seconds, self._heartbeats.expiry_seconds)
-        self._silent_since: dict[EntryKey, float] = {}
+        self._silent_targets = SilentTargets()
 
     @property
     def position(self) -> Position:
@@ -112,11 +109,11 @@
         if self._is_outdated(call, known, now):
             return CheckInOutcome.OUTDATED
         if call.sequence <= self._sequences.get(key, -1):
-            return CheckInOutcome.OUTDATED
+            return self._record_late(call, known, now)
         self._sequences[key] = call.sequence
         self._silence_marks.record_heartbeat(key, now)
         self._heartbeats.record(key, now)
-        self._silent_since.pop(key, None)
+        self._silent_targets.forget(key)
         if key in self._departures:
             self._departures.record_call(key, now)
         self._end_predecessors(call, now)
@@ -130,6 +127,17 @@
             return CheckInOutcome.DRAINING
         return CheckInOutcome.REGISTERED
 
+    def _record_late(self, call: CheckIn, known: TargetEntry | None, now: float) -> CheckInOutcome:
+        """Process a check-in whose sequence number is too low.
+
+        A target that drains never stops to, so its drain counts, and the call may be confirmed.
+        """
+        is_drain = call.state is LifeState.DRAINING
+        if not is_drain or known is None or known.state is not LifeState.READY:
+            return CheckInOutcome.OUTDATED
+        self._put(known._replace(state=LifeState.DRAINING), now)
+        return CheckInOutcome.DRAINING
+
     def deregister(self, target: TargetName, started_ms: int | None, now: float) -> CheckInOutcome:
         """Process the deregistration of a target, which gets no new flows from now on.
 
@@ -277,10 +285,7 @@
         """Publish an entry; see :meth:`VersionedEntries.put`."""
         self._entries.put(entry, now, is_removal)
         self._lifetimes.add(entry)
-        if entry.state is LifeState.GONE or entry.has_recent_heartbeat:
-            self._silent_since.pop(entry.key, None)
-        else:
-            self._silent_since.setdefault(entry.key, now)
+        self._silent_targets.update(entry, now)
 
     def _is_conflicting(self, key: EntryKey, now: float) -> bool:
         """Return whether a check-in contradicts a target of the same lifetime that is heard."""
@@ -315,16 +320,12 @@
 
     def _end_long_silent(self, now: float) -> None:
         """End targets that nobody has heard for long and that have left or been replaced."""
-        while self._silent_since:
-            key, since = next(iter(self._silent_since.items()))
-            if now - since <= MAX_SILENCE_SECONDS:
-                return
-            del self._silent_since[key]
+        for key in self._silent_targets.pop_long_silent(now):
             known = self._entries.get(key)
             if known is None:
                 continue
             if self._is_heard_elsewhere(key) or not self._has_left(known):
-                self._silent_since[key] = now
+                self._silent_targets.update(known, now)
             else:
                 self._end(known, now)
 
--- a/packages/core/tests/test_checkins.py
+++ b/packages/core/tests/test_checkins.py
@@ -353,7 +353,7 @@
         self.assertEqual(len(kept), lifetime_seconds + 1)
         self.assertEqual(len(registry._contested), 0)
         self.assertEqual(len(registry._departures), MAX_LEAVING_SECONDS)
-        self.assertLess(len(registry._silent_since), 10)
+        self.assertLess(len(registry._silent_targets), 10)
 
     def test_views_of_former_control_hosts_are_dropped(self) -> None:
         views = Views()
--- a/packages/core/tests/test_other_writers.py
+++ b/packages/core/tests/test_other_writers.py
@@ -49,6 +49,22 @@
         self.assertEqual(self.registry.check_in(check_in(1, 2), 1.2), CheckInOutcome.RENEWED)
         self.assertEqual(self.registry.deregister("i-1", 1000, 2.0), CheckInOutcome.ENDED)
 
+    # Guards against a drain that is confirmed without effect: another writer's check-in under the
+    # target's identifier and start time had a higher sequence number.
+    def test_drain_counts_though_another_writer_used_higher_sequence_numbers(self) -> None:
+        self.registry.check_in(check_in(1, 1), 0.0)
+        self.registry.check_in(check_in(1, 900), 0.5)
+        outcome = self.registry.check_in(check_in(1, 2, state=LifeState.DRAINING), 1.2)
+        self.assertEqual(outcome, CheckInOutcome.DRAINING)
+        self.assertEqual(self.get_state(1), LifeState.DRAINING)
+        self.registry.check_in(check_in(1, 901), 1.3)
+        self.assertEqual(self.get_state(1), LifeState.DRAINING)
+
+    def test_late_check_in_that_is_no_drain_changes_nothing(self) -> None:
+        self.registry.check_in(check_in(1, 5), 0.0)
+        self.assertEqual(self.registry.check_in(check_in(1, 4), 0.5), CheckInOutcome.OUTDATED)
+        self.assertEqual(self.get_state(1), LifeState.READY)
+
     # Guards against a target that stays out of use at a control host that heard the other first.
     def test_target_that_goes_on_checking_in_is_used_though_another_has_its_address(self) -> None:
         self.registry.check_in(check_in(2, 1, 2000, service=METRICS, address=1), 0.0)
