Tell the target that holds a flow from one that only answered its SYN

What callers saw: two targets answer one flow's SYN and its copy, as the first answer is late or lost. The one that doesn't hold the flow repeats its answer for seconds, and the caller returns the tag of the answer that came last.

Cause: the SYN carried the same tag as all later packets, so that a repeated answer to a SYN looks like a packet of the target that holds the flow.

Change: a SYN carries a tag of its own (syn_tags.py): bits of a target's tag, bits of the SYN's sequence number, and whether it is a copy. The target that holds the flow has had the caller's first packet, with its flow tag, and returns that. A packet with a SYN's tag is either the caller's first one, by its sequence number, and goes to the target of that SYN; or the flow is held by another target. A copy names the target before, which then holds it. Where nothing tells the target, the packet is dropped until the holder's next packet sets the tag.

Ruled out: telling all hosts of a zone of such flows (hosts that restart in turn know none of them); no second target without evidence against the first (a silent one then costs a caller 0.6 s). What is left: a packet with a copy's tag passes for a first one with a chance of 2 in 8,192; three targets that all answer.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -237,6 +237,10 @@
             return self._opener.open_flow(segment, route, self.is_ready(now), now)
         return self._forward_packet(segment, route.objective_seconds, now)
 
+    def syn_tag(self, segment: TagSegment, decision: Forwarded) -> int:
+        """Return the tag to write into a SYN that goes to a target."""
+        return self._open_flows.syn_tag(segment, decision.tag)
+
     def explain(self, flow: FlowKey, now: float) -> Explanation:
         """Return where the first SYN of a flow would go, and why; changes nothing."""
         # Imported only now, since hosts that start should forward as soon as they can.
@@ -284,8 +288,7 @@
         :param objective: latency objective of the flow's requests in seconds, or ``None``.
         """
         echoed = segment.tag
-        named = self._target_index.own_tag(echoed)
-        tag = self._open_flows.find_tag(segment, named)
+        tag = self._open_flows.find_tag(segment)
         entry = self._target_index.entry(tag)
         if entry is None:
             return Dropped(DropReason.UNKNOWN_TAG if tag else DropReason.UNTAGGED)
@@ -310,4 +313,5 @@
         record_speed(self._speeds.service(entry.service), segment, observation, now)
         if seconds is not None and objective is not None:
             self._admission.record_answer(entry.service, tag, seconds, objective, now)
-        return Forwarded(entry.endpoint, entry.identity, echoed if tag == named else tag)
+        is_named = self._target_index.own_tag(echoed) == tag
+        return Forwarded(entry.endpoint, entry.identity, echoed if is_named else tag)
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
@@ -34,15 +34,17 @@
 
     :param service: service chosen at the first SYN. Retransmissions stay with it while the route
         has it.
-    :param opened_at: time of the first SYN.
+    :param opened_at: time of the first SYN that this host saw.
+    :param has_first: whether that was no retransmission.
     :ivar tried_tags: tags of the targets that the SYN and its retransmissions were sent to.
     """
 
-    __slots__ = ("service", "opened_at", "tried_tags")
+    __slots__ = ("service", "opened_at", "has_first", "tried_tags")
 
-    def __init__(self, service: str, opened_at: float) -> None:
+    def __init__(self, service: str, opened_at: float, has_first: bool) -> None:
         self.service = service
         self.opened_at = opened_at
+        self.has_first = has_first
         self.tried_tags: list[int] = []
 
 
@@ -180,12 +182,14 @@
         opening = self._openings.get(flow)
         return opening is not None and tag in opening.tried_tags
 
-    def record_syn(self, flow: FlowKey, service: str, tag: int, now: float) -> None:
+    def record_syn(
+        self, flow: FlowKey, service: str, tag: int, is_retransmission: bool, now: float
+    ) -> None:
         """Record that a SYN was sent to a target."""
         self._remove(flow)
         opening = self._openings.get(flow)
         if opening is None:
-            opening = self._openings[flow] = OpeningFlow(service, now)
+            opening = self._openings[flow] = OpeningFlow(service, now, not is_retransmission)
         opening.tried_tags.append(tag)
         self._opening_counts[tag] += 1
 
--- a/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
@@ -6,6 +6,8 @@
 from ..types import FlowKey
 from .flow_tracker import FlowTracker
 from .silence_detector import SilenceDetector
+from .syn_tags import find_receiver, read_syn_tag, syn_tag_at
+from .tags import NO_TAG
 from .target_index import TargetIndex
 from .types import Forwarded, Route, TagSegment
 
@@ -14,7 +16,7 @@
     """The targets of open flows, as this host knows them.
 
     Callers echo the tag that they received last. If two targets answered a SYN and its
-    retransmission, that may be the tag of the one that doesn't hold the flow.
+    retransmission, that may be a tag of the one that doesn't hold the flow.
     """
 
     def __init__(
@@ -49,11 +51,40 @@
             return None
         return Forwarded(entry.endpoint, entry.identity, tag)
 
-    def find_tag(self, segment: TagSegment, named: int) -> int:
+    def syn_tag(self, segment: TagSegment, tag: int) -> int:
+        """Return the tag that a SYN carries to a target; see :mod:`.syn_tags`.
+
+        :param tag: flow tag of the target.
+        """
+        opening = self._flow_tracker.get_opening(segment.flow)
+        if opening is None or tag not in opening.tried_tags:
+            return tag
+        position = max(at for at, tried in enumerate(opening.tried_tags) if tried == tag)
+        return syn_tag_at(opening.tried_tags, position, opening.has_first, segment.sequence)
+
+    def find_tag(self, segment: TagSegment) -> int:
         """Return the tag of the target that a packet of an open flow goes to.
 
-        :param named: tag of the target that the packet names.
+        It is the tag that the packet carries if that names no known target.
         """
         opened = self._flow_tracker.opened_tag(segment)
         is_elsewhere = opened is not None and not self._target_index.has_ended(opened)
-        return self._target_index.current_tag(opened if is_elsewhere and opened else named)
+        tag = opened if is_elsewhere and opened else self._find_named(segment)
+        return self._target_index.current_tag(tag)
+
+    def _find_named(self, segment: TagSegment) -> int:
+        """Return the tag of the target that holds a packet's flow, by the tag of the packet."""
+        tag = self._target_index.own_tag(segment.tag)
+        if self._target_index.entry(tag) is not None:
+            return tag
+        opening = self._flow_tracker.get_opening(segment.flow)
+        if opening is not None:
+            receiver = find_receiver(
+                segment.tag, segment.sequence, opening.tried_tags, opening.has_first
+            )
+            if receiver != NO_TAG:
+                return receiver
+        syn_tag = read_syn_tag(segment.tag)
+        if syn_tag.is_followed_by(segment.sequence) == syn_tag.is_retransmission:
+            return tag
+        return self._target_index.find_tag(syn_tag.name) or tag
--- a/packages/core/src/lacewingrudder_core/_tagging/tags.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/tags.py
@@ -26,17 +26,20 @@
     return name_hash(lifetime.target, lifetime.started_ms & _START_MASK) & _TAG_MASK or 1
 
 
-class FormerTags:
-    """Lifetimes by their former tag.
+class LifetimeTable:
+    """Lifetimes by another number than their tag, which several of them may share.
 
-    :param make_tag: returns the former tag of a lifetime.
+    :param make_tag: returns the number of a lifetime.
     """
 
-    def __init__(self, make_tag: Callable[[Lifetime], int] = former_flow_tag) -> None:
+    def __init__(self, make_tag: Callable[[Lifetime], int]) -> None:
         self._make_tag = make_tag
         self._lifetimes: dict[int, Lifetime] = {}
         self._others: dict[int, set[Lifetime]] = {}
 
+    def __len__(self) -> int:
+        return len(self._lifetimes) + len(self._others)
+
     def add(self, lifetime: Lifetime) -> None:
         """Add a lifetime; one that is known already has no effect."""
         tag = self._make_tag(lifetime)
@@ -58,5 +61,5 @@
             del self._others[tag]
 
     def find(self, tag: int) -> Lifetime | None:
-        """Return the only lifetime with a former tag, or ``None``."""
+        """Return the only lifetime with a number, or ``None``."""
         return None if tag in self._others else self._lifetimes.get(tag)
--- a/packages/core/src/lacewingrudder_core/_tagging/target_index.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/target_index.py
@@ -9,23 +9,16 @@
 from .._checkins.views import KnownTarget
 from ..types import Endpoint, TargetName, ZoneName
 from .candidates import Candidate, Candidates, Exclusion, PlacementRules, ServiceCandidates
-from .tags import FormerTags, flow_tag, former_flow_tag
+from .syn_tags import tag_name
+from .tags import NO_TAG, LifetimeTable, flow_tag, former_flow_tag
 from .types import WarmupLimit
+from .warmup_ends import WarmupEnds
 
 _KeyT = TypeVar("_KeyT", int, TargetName, Endpoint)
 
-MILLISECONDS_PER_SECOND = 1000
-
 _NO_CANDIDATES = Candidates((), ())
 
 
-class _WarmupEnd(NamedTuple):
-    """The end of a target's warm-up, and the sequence number of the entry that told it."""
-
-    sequence: int
-    at: float
-
-
 class _Location(NamedTuple):
     """What a target keeps when it restarts in place."""
 
@@ -62,13 +55,14 @@
         self._known: dict[Lifetime, KnownTarget] = {}
         self._tags: dict[Lifetime, int] = {}
         self._by_tag: dict[int, set[Lifetime]] = {}
-        self._former_tags = FormerTags(make_former_tag)
+        self._former_tags = LifetimeTable(make_former_tag)
+        self._tag_names = LifetimeTable(self._make_tag_name)
         self._by_name: dict[TargetName, set[Lifetime]] = {}
         self._by_endpoint: dict[Endpoint, set[Lifetime]] = {}
         self._targets: dict[int, KnownTarget] = {}
         self._running: dict[_Location, int] = {}
         self._services: dict[str, ServiceCandidates] = {}
-        self._warmup_ends: dict[Lifetime, _WarmupEnd] = {}
+        self._warmup_ends = WarmupEnds()
         self._evacuated_zones: frozenset[ZoneName] = frozenset()
         self._warmups: Mapping[str, WarmupLimit] = {}
         self._used_services: frozenset[str] | None = None
@@ -100,6 +94,11 @@
         known = self._known.get(lifetime)
         return None if known is None else known.entry
 
+    def find_tag(self, name: int) -> int:
+        """Return the tag of the only lifetime with a :func:`tag_name`, or ``NO_TAG``."""
+        lifetime = self._tag_names.find(name)
+        return NO_TAG if lifetime is None else self._tags[lifetime]
+
     def own_tag(self, tag: int) -> int:
         """Return the tag of the lifetime that a packet's tag or former tag names.
 
@@ -172,7 +171,7 @@
                 self._link(lifetime, target)
                 affected |= self._related_tags(lifetime)
             else:
-                self._warmup_ends.pop(lifetime, None)
+                self._warmup_ends.forget(lifetime)
         changed = [self._update_target(tag, now) for tag in sorted(affected)]
         return [target for target in changed if target is not None]
 
@@ -215,8 +214,7 @@
         self, known: ServiceCandidates, zones: Iterable[ZoneName], until: float, now: float
     ) -> None:
         for candidate in (row for zone in zones for row in known.extend_warmup(zone, until, now)):
-            entry = candidate.entry
-            self._warmup_ends[entry.lifetime] = _WarmupEnd(entry.sequence, until)
+            self._warmup_ends.extend(candidate.entry, until)
 
     def _update_rules(self, now: float) -> None:
         for service, known in self._services.items():
@@ -225,17 +223,22 @@
     def _rules(self, service: str) -> PlacementRules:
         return PlacementRules(self._evacuated_zones, service in self._warmups)
 
+    def _make_tag_name(self, lifetime: Lifetime) -> int:
+        return tag_name(self._make_tag(lifetime))
+
     def _link(self, lifetime: Lifetime, target: KnownTarget) -> None:
         tag = self._make_tag(lifetime)
         self._known[lifetime], self._tags[lifetime] = target, tag
         self._by_tag.setdefault(tag, set()).add(lifetime)
         self._former_tags.add(lifetime)
+        self._tag_names.add(lifetime)
         self._by_name.setdefault(lifetime.target, set()).add(lifetime)
         self._by_endpoint.setdefault(target.entry.endpoint, set()).add(lifetime)
 
     def _unlink(self, lifetime: Lifetime, target: KnownTarget) -> None:
         del self._known[lifetime]
         self._former_tags.remove(lifetime)
+        self._tag_names.remove(lifetime)
         _discard(self._by_tag, self._tags.pop(lifetime), lifetime)
         _discard(self._by_name, lifetime.target, lifetime)
         _discard(self._by_endpoint, target.entry.endpoint, lifetime)
@@ -307,18 +310,9 @@
             rules = self._rules(entry.service)
             known = ServiceCandidates(self._zone, self._seed, rules)
             self._services[entry.service] = known
-        warmed_up_at = self._record_warmup(entry, now)
+        warmed_up_at = self._warmup_ends.record(entry, now)
         known.put(Candidate(tag, entry, target.has_recent_heartbeat, warmed_up_at), now)
 
-    def _record_warmup(self, entry: TargetEntry, now: float) -> float:
-        """Return the end of a target's warm-up, which an entry tells only when it is new."""
-        end = self._warmup_ends.get(entry.lifetime)
-        if end is None or entry.sequence > end.sequence:
-            reported = now + entry.warmup_remaining_ms / MILLISECONDS_PER_SECOND
-            at = reported if end is None else max(end.at, reported)
-            end = self._warmup_ends[entry.lifetime] = _WarmupEnd(entry.sequence, at)
-        return end.at
-
 
 def _discard(groups: dict[_KeyT, set[Lifetime]], key: _KeyT, lifetime: Lifetime) -> None:
     """Remove a lifetime from its group, and the group once it is empty."""
--- /dev/null
+++ b/packages/core/tests/test_syn_tags.py
@@ -0,0 +1,204 @@
+"""Two targets answer the SYNs of one flow, and one of them repeats its answer for seconds."""
+
+import itertools
+import random
+import unittest
+
+from checkin_fakes import EDITS, configuration, entry, update
+from lacewingrudder_core._tagging import syn_tags
+from lacewingrudder_core.tagging import (
+    Decision,
+    Dropped,
+    DropReason,
+    Forwarded,
+    Route,
+    Split,
+    TagForwarder,
+    TagSegment,
+    flow_tag,
+)
+from lacewingrudder_core.types import FlowKey
+
+PORT = 40001
+ISN = 0x11223344
+ENTRIES = [entry(n) for n in (1, 2, 3)]
+TAGS = {each.identity: flow_tag(each.lifetime) for each in ENTRIES}
+
+
+def make_forwarder() -> TagForwarder:
+    forwarder = TagForwarder("adum")
+    route = Route(EDITS, (Split("proofdesk", 1),), False, 8, 0.5)
+    forwarder.configure(configuration(1, route))
+    forwarder.apply_update(update(*ENTRIES), 0.0)
+    return forwarder
+
+
+class Flow:
+    """A caller's flow, its packets, and the tag that each target received last.
+
+    :ivar echo: the tag that the caller received last.
+    """
+
+    def __init__(
+        self, forwarder: TagForwarder, isn: int = ISN, has_syn_number: bool = True
+    ) -> None:
+        self.forwarder = forwarder
+        self.isn = isn
+        self.first_sequence = isn + has_syn_number
+        self.echo = 0
+        self.received: dict[int, int] = {}
+
+    def send_syn(self, attempt: int, now: float) -> int:
+        """Send a SYN and return the identity of the target that receives it."""
+        segment = self._make_segment(True, attempt, self.isn, 0)
+        decision = self.forwarder.decide(segment, now)
+        assert isinstance(decision, Forwarded), decision
+        self.received[decision.identity] = self.forwarder.syn_tag(segment, decision)
+        return decision.identity
+
+    def receive_from(self, identity: int) -> None:
+        """Receive a packet of a target, with the tag that it received last."""
+        self.echo = self.received[identity]
+
+    def send_request(self, number: int, now: float) -> Decision:
+        sequence = (self.first_sequence + 900 * number) & 0xFFFFFFFF
+        segment = self._make_segment(False, 0, sequence, 900)
+        decision = self.forwarder.decide(segment, now)
+        if isinstance(decision, Forwarded):
+            self.received[decision.identity] = decision.tag
+        return decision
+
+    def _make_segment(self, is_syn: bool, attempt: int, sequence: int, payload: int) -> TagSegment:
+        flow = FlowKey(0x64400007, PORT, EDITS.address, EDITS.port)
+        tag = 0 if is_syn else self.echo
+        return TagSegment(flow, tag, is_syn, False, attempt, payload, sequence, 1)
+
+
+class SynTagTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.flow = Flow(make_forwarder())
+
+    def move(self) -> None:
+        """Let routers move the flow to a host that has seen none of its packets."""
+        self.flow.forwarder = make_forwarder()
+
+    def get_receiver(self, decision: Decision) -> int:
+        assert isinstance(decision, Forwarded), decision
+        return decision.identity
+
+    # Guards against a flow that is reset by a target that answered its SYN, too: its repeated
+    # answers change the tag that the caller returns, and the flow moves to another host.
+    def test_moved_flow_stays_at_the_first_target_though_the_second_repeats_its_answer(
+        self,
+    ) -> None:
+        first, second = self.flow.send_syn(0, 1.0), self.flow.send_syn(1, 1.2)
+        self.assertNotEqual(first, second)
+        self.flow.receive_from(first)
+        self.assertEqual(self.get_receiver(self.flow.send_request(0, 1.21)), first)
+        self.flow.receive_from(first)
+        self.flow.receive_from(second)
+        self.move()
+        decision = self.flow.send_request(1, 2.0)
+        self.assertEqual(decision, Forwarded(ENTRIES[first - 1].endpoint, first, TAGS[first]))
+
+    # Guards against the same the other way round. Nothing tells the second target then, so that the
+    # packet waits for an answer of it; the first target would reset the flow.
+    def test_moved_flow_of_the_second_target_never_reaches_the_first(self) -> None:
+        first, second = self.flow.send_syn(0, 1.0), self.flow.send_syn(1, 1.2)
+        self.flow.receive_from(second)
+        self.assertEqual(self.get_receiver(self.flow.send_request(0, 1.21)), second)
+        self.flow.receive_from(first)
+        self.move()
+        self.assertEqual(self.flow.send_request(1, 2.0), Dropped(DropReason.UNKNOWN_TAG))
+        self.flow.receive_from(second)
+        self.assertEqual(self.get_receiver(self.flow.send_request(1, 2.2)), second)
+
+    def test_first_packet_reaches_the_target_whose_answer_it_follows(self) -> None:
+        for has_syn_number, attempts in itertools.product((True, False), (1, 2, 3)):
+            with self.subTest(has_syn_number=has_syn_number, attempts=attempts):
+                self.flow = Flow(make_forwarder(), has_syn_number=has_syn_number)
+                tried = [self.flow.send_syn(n, 1.0 + 0.2 * n) for n in range(attempts)]
+                self.flow.receive_from(tried[-1])
+                self.assertEqual(self.get_receiver(self.flow.send_request(0, 1.7)), tried[-1])
+
+    def test_first_packet_of_a_flow_that_moved_reaches_the_only_target(self) -> None:
+        only = self.flow.send_syn(0, 1.0)
+        self.flow.receive_from(only)
+        self.move()
+        self.assertEqual(self.get_receiver(self.flow.send_request(0, 1.1)), only)
+
+    def test_retransmission_through_another_host_names_no_target(self) -> None:
+        first = self.flow.send_syn(0, 1.0)
+        self.move()
+        second = self.flow.send_syn(1, 1.2)
+        self.flow.receive_from(second)
+        self.assertEqual(self.get_receiver(self.flow.send_request(0, 1.21)), second)
+        self.move()
+        self.flow.received[second] = self.flow.received[first]
+        self.flow = Flow(make_forwarder())
+        self.flow.send_syn(1, 1.2)
+        (tag,) = self.flow.received.values()
+        self.assertEqual(syn_tags.read_syn_tag(tag).name, 0)
+
+    # Guards against an open flow whose target gets the tag of a SYN again.
+    def test_repeated_syn_of_an_open_flow_carries_the_flow_tag(self) -> None:
+        first = self.flow.send_syn(0, 1.0)
+        self.flow.receive_from(first)
+        self.flow.send_request(0, 1.1)
+        self.assertEqual(self.flow.send_syn(1, 1.2), first)
+        self.assertEqual(self.flow.received[first], TAGS[first])
+
+    def test_packets_after_the_first_carry_the_flow_tag(self) -> None:
+        first = self.flow.send_syn(0, 1.0)
+        self.assertNotEqual(self.flow.received[first], TAGS[first])
+        self.flow.receive_from(first)
+        self.flow.send_request(0, 1.1)
+        self.assertEqual(self.flow.received[first], TAGS[first])
+
+    def test_no_packet_of_random_flows_that_move_reaches_a_wrong_target(self) -> None:
+        lost = 0
+        for seed in range(2000):
+            rng = random.Random(seed)
+            self.flow = Flow(make_forwarder(), rng.getrandbits(32), rng.random() < 0.5)
+            attempts = rng.randint(1, 2)
+            tried = [self.flow.send_syn(n, 1.0 + 0.2 * n) for n in range(attempts)]
+            holder = rng.choice(tried)
+            self.flow.receive_from(holder)
+            self.assertEqual(self.get_receiver(self.flow.send_request(0, 1.3)), holder)
+            self.flow.receive_from(holder)
+            for number in range(1, 6):
+                late = rng.choice(tried)
+                if rng.random() < 0.5:
+                    self.flow.receive_from(late)
+                if rng.random() < 0.5:
+                    self.move()
+                decision = self.flow.send_request(number, 1.3 + number)
+                if isinstance(decision, Forwarded):
+                    self.assertEqual(decision.identity, holder, seed)
+                    self.flow.receive_from(holder)
+                else:
+                    self.assertEqual(decision, Dropped(DropReason.UNKNOWN_TAG))
+                    lost += 1
+        self.assertLess(lost, 2000)
+
+
+class EncodingTest(unittest.TestCase):
+    def test_parts_are_read_back(self) -> None:
+        for sequence in (0, 1, ISN, 0xFFFFFFFF):
+            for is_retransmission in (False, True):
+                value = syn_tags.make_syn_tag(0xDEADBEEF, sequence, is_retransmission)
+                self.assertLess(value, 1 << 32)
+                parts = syn_tags.read_syn_tag(value)
+                self.assertEqual(parts.name, syn_tags.tag_name(0xDEADBEEF))
+                self.assertEqual(parts.is_retransmission, is_retransmission)
+                self.assertTrue(parts.is_followed_by((sequence + 1) & 0xFFFFFFFF))
+                self.assertTrue(parts.is_followed_by(sequence))
+
+    def test_later_packets_rarely_look_like_the_first(self) -> None:
+        rng = random.Random(1)
+        found = 0
+        for _ in range(20_000):
+            sequence = rng.getrandbits(32)
+            parts = syn_tags.read_syn_tag(syn_tags.make_syn_tag(5, sequence, False))
+            found += parts.is_followed_by(sequence + rng.randint(2, 100_000))
+        self.assertLess(found / 20_000, 4 / 8192)
--- a/packages/core/tests/test_tags.py
+++ b/packages/core/tests/test_tags.py
@@ -6,7 +6,7 @@
 from checkin_fakes import configuration, data, entry, syn, update
 from lacewingrudder_core._checkins.types import LifeState, Lifetime
 from lacewingrudder_core._checkins.views import KnownTarget
-from lacewingrudder_core._tagging.tags import FormerTags, flow_tag, former_flow_tag
+from lacewingrudder_core._tagging.tags import LifetimeTable, flow_tag, former_flow_tag
 from lacewingrudder_core._tagging.target_index import TargetIndex
 from lacewingrudder_core.tagging import Forwarded, Reset, ResetReason, TagForwarder
 
@@ -89,7 +89,7 @@
     def test_former_tag_names_the_last_of_the_targets_that_had_it(self) -> None:
         lifetimes = [entry(number).lifetime for number in range(1, 4)]
         for order in itertools.permutations(lifetimes):
-            former_tags = FormerTags(lambda _: 5)
+            former_tags = LifetimeTable(lambda _: 5)
             for lifetime in (*lifetimes, lifetimes[0]):
                 former_tags.add(lifetime)
             found = []
--- a/packages/core/tests/test_target_index.py
+++ b/packages/core/tests/test_target_index.py
@@ -160,5 +160,7 @@
         index.apply([(lifetime, None) for lifetime in list(index._known)], history.now)
         for kept in (index._targets, index._by_tag, index._by_name, index._by_endpoint):
             self.assertEqual(kept, {})
-        for kept in (index._tags, index._running, index._services, index._warmup_ends):
+        for kept in (index._tags, index._running, index._services):
             self.assertEqual(kept, {})
+        for kept in (index._warmup_ends, index._former_tags, index._tag_names):
+            self.assertEqual(len(kept), 0)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -261,7 +261,10 @@
         now = self._last_packet_at = self._loop.time()
         decision = self._forwarder.decide(segment, now)
         if isinstance(decision, Forwarded):
-            datagram = self._adapter.encode_for_target(data, decision.identity, decision.tag)
+            tag = decision.tag
+            if segment.is_syn:
+                tag = self._forwarder.syn_tag(segment, decision)
+            datagram = self._adapter.encode_for_target(data, decision.identity, tag)
             self._packet_socket.send(datagram, self._get_or_parse_address(decision.endpoint))
             if segment.is_syn:
                 self._schedule_silence_check()
