Tests of processes: packets after the SYN carry another tag than the SYN

Two tests took the tag that a target got with the SYN for that of all later packets, which was how it was sent and nothing that callers see; they failed since SYNs have tags of their own. They now check that the first packet with the SYN's tag reaches the same target through another host, that it gets another tag, and that packets with that one go on to reach it.

--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -61,10 +61,14 @@
     def test_flow_continues_through_another_entry_host_after_a_kill(self) -> None:
         self.set_up_service()
         self.send(ENTRIES[0], make_packet(40001, SYN))
-        identity, tag = self.receive_at_target()
+        identity, syn_tag = self.receive_at_target()
         self.assertEqual(identity, 0x7F3A91C2)
-        self.assertNotEqual(tag, 0)
+        self.assertNotEqual(syn_tag, 0)
         self.fleet.kill(ENTRIES[0])
+        self.send(ENTRIES[1], make_packet(40001, ACK, syn_tag, b"x"))
+        received, tag = self.receive_at_target()
+        self.assertEqual(received, identity)
+        self.assertNotIn(tag, (0, syn_tag))
         self.send(ENTRIES[1], make_packet(40001, ACK, tag, b"x"))
         self.assertEqual(self.receive_at_target(), (identity, tag))
 
@@ -164,7 +168,10 @@
         self.set_up_service()
         process = self.fleet.processes[ENTRIES[0]]
         self.send(ENTRIES[0], make_packet(40004, SYN))
-        identity, tag = self.receive_at_target()
+        identity, syn_tag = self.receive_at_target()
+        self.send(ENTRIES[0], make_packet(40004, ACK, syn_tag, b"x"))
+        received, tag = self.receive_at_target()
+        self.assertEqual(received, identity)
         process.send_signal(signal.SIGTERM)
         began = time.monotonic()
         while time.monotonic() < began + 4.0:
