--- a/packages/core/src/lacewingrudder_core/_checkins/registry.py
+++ b/packages/core/src/lacewingrudder_core/_checkins/registry.py
@@ -320,11 +320,8 @@
 
     def _end_long_silent(self, now: float) -> None:
         """End targets that nobody has heard for long and that have left or been replaced."""
-        for key in self._silent_targets.pop_long_silent(now):
-            known = self._entries.get(key)
-            if known is None:
-                continue
-            if self._is_heard_elsewhere(key) or not self._has_left(known):
+        for known in self._entries.get_all(self._silent_targets.pop_long_silent(now)):
+            if self._is_heard_elsewhere(known.key) or not self._has_left(known):
                 self._silent_targets.update(known, now)
             else:
                 self._end(known, now)
--- a/packages/core/src/lacewingrudder_core/_control/submissions.py
+++ b/packages/core/src/lacewingrudder_core/_control/submissions.py
@@ -15,7 +15,7 @@
 from .._replica.events import Propose, SendToReplica
 from .._replica.log import note_weight
 from .._replica.messages import ForwardReply, ForwardRequest
-from .._replica.replica import NO_QUORUM
+from .._replica.requests import NO_QUORUM
 from ..messages import SubmitConfiguration, SubmitNote, SubmitOrder, SubmitZoneOrder
 from ..types import HostName
 
--- a/packages/core/src/lacewingrudder_core/_replica/leadership.py
+++ b/packages/core/src/lacewingrudder_core/_replica/leadership.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from .election import HEARTBEAT_INTERVAL_SECONDS, LEASE_SECONDS
-from .events import Propose, ReadConfirmed
+from .events import Propose, ReadConfirmed, SendToReplica
 from .log import ReplicaId
 from .messages import (
     AppendReply,
@@ -135,8 +135,17 @@
             self._progress.remove(replica.identity)
         state.send(replica, LeaveReply(state.header(replica)))
 
-    def most_advanced_voter(self, now: float) -> ReplicaId | None:
-        """Return the responsive voter with the longest log besides this host, or ``None``."""
+    def hand_over(self, now: float) -> None:
+        """Ask the responsive voter with the longest log to take over, without a wait for the disk.
+
+        The request says nothing about this host's state.
+        """
+        successor = self._most_advanced_voter(now)
+        if successor is not None:
+            message = LeadershipTransfer(self._state.header(successor))
+            self._state.emit_unheld(SendToReplica(successor.name, message))
+
+    def _most_advanced_voter(self, now: float) -> ReplicaId | None:
         rows = [
             row
             for row in self._progress
--- a/packages/core/src/lacewingrudder_core/_replica/replica.py
+++ b/packages/core/src/lacewingrudder_core/_replica/replica.py
@@ -10,39 +10,35 @@
 from collections.abc import Callable
 from typing import Any
 
-from .._notes.catalogue import Catalogue, SubmitReply, SubmitTag
+from .._notes.catalogue import Catalogue
 from ..chart import StateChart
 from ..core import Core
 from ..types import HostName
 from . import messages as m
-from .bootstrap import ClusterBootstrap
 from .durable import DurableState
-from .election import ELECTION_TIMEOUT_SECONDS, ElectionTimer
+from .election import ElectionTimer
 from .events import (
     Persisted,
     PersistFailed,
-    ProposalFailed,
     Propose,
-    ReadConfirmed,
     ReadRequested,
     ReplicaEffect,
     ReplicaEvent,
     ReplicaMessageReceived,
     RoleChanged,
-    SendToReplica,
     ShutdownRequested,
-    VoterLost,
 )
+from .leader_contact import LeaderContact
 from .leadership import Leadership
 from .log import ReplicaId
 from .log_receiver import LogReceiver
+from .membership import Membership
+from .requests import Requests
 from .roles import Role
 from .state import ReplicaState
 from .voter_policy import VoterPolicy
 from .voting import Voting
 
-MAX_PENDING_PROPOSALS = 64
-NO_QUORUM = "no quorum"
 REJOIN_DELAY_SECONDS = 10.0
 """How long a host that was told to shut down asks no leader to admit it again."""
 
@@ -71,14 +67,13 @@
         self._state = ReplicaState(ReplicaId(name, durable.identity), durable)
         self._policy = policy
         self._log_receiver = LogReceiver(self._state)
-        self._bootstrap = ClusterBootstrap(self._state, policy)
+        self._membership = Membership(self._state, policy)
         self._election_timer = ElectionTimer(rng)
         self._was_timer_started = False
         self._voting = Voting(self._state)
         self._leadership: Leadership | None = None
-        self._leader: ReplicaId | None = None
-        self._last_leader_contact = float("-inf")
-        self._write_error = ""
+        self._leader_contact = LeaderContact()
+        self._requests = Requests(self._state)
         self._role = self._recovered_role()
         self._rejoins_from = float("-inf")
         self._may_exit = False
@@ -128,9 +123,8 @@
         """
         if self._leadership is not None:
             return self._state.own_id.name if self._leadership.has_lease(now) else ""
-        if self._leader is None or not self._has_leader_contact(now) or self._role == Role.IMPAIRED:
-            return ""
-        return self._leader.name
+        leader = self._leader_contact.current_leader(now)
+        return "" if leader is None or self._role == Role.IMPAIRED else leader.name
 
     def handle(self, event: ReplicaEvent, now: float) -> list[ReplicaEffect]:
         """Handle one event and return the effects that are ready to be executed."""
@@ -151,9 +145,9 @@
         elif isinstance(event, PersistFailed):
             self._handle_persist_failure(event)
         elif isinstance(event, Propose):
-            self._propose(event)
+            self._requests.propose(event, self._leadership, self._now)
         elif isinstance(event, ReadRequested):
-            self._start_read(event)
+            self._requests.start_read(event, self._leadership, self._now)
         elif self._role == Role.IMPAIRED:
             return
         elif isinstance(event, ReplicaMessageReceived):
@@ -188,7 +182,7 @@
     def _handle_persisted(self, event: Persisted) -> None:
         self._state.record_persisted(event.number)
         if self._role == Role.IMPAIRED and not self._state.has_pending_writes:
-            self._write_error = ""
+            self._requests.write_error = ""
             self._role = self._recovered_role()
             self._election_timer.restart(self._now)
             self._state.emit(RoleChanged(self._role, self._state.term))
@@ -201,46 +195,20 @@
         The messages that wait for the failed write are discarded. The request to take over says
         nothing about this host's state, so it needn't wait for it.
         """
-        self._write_error = event.reason
+        self._requests.write_error = event.reason
         self._state.discard_messages()
         if self._leadership is not None:
-            successor = self._leadership.most_advanced_voter(self._now)
-            if successor is not None:
-                message = m.LeadershipTransfer(self._state.header(successor))
-                self._state.emit_unheld(SendToReplica(successor.name, message))
+            self._leadership.hand_over(self._now)
         self._transition("fail")
 
-    def _propose(self, event: Propose) -> None:
-        problem = self._refusal_reason()
-        if problem:
-            reply = SubmitReply(SubmitTag.REFUSED, self._state.catalogue.revision, problem)
-            self._state.emit(ProposalFailed(event.token, reply))
-        elif self._leadership is not None:
-            self._leadership.propose(event, self._now)
-
-    def _start_read(self, event: ReadRequested) -> None:
-        if self._leadership is None:
-            self._state.emit(ReadConfirmed(event.token, None))
-        else:
-            self._leadership.start_read(event.token, self._now)
-
-    def _refusal_reason(self) -> str:
-        if self._write_error:
-            return f"writes to the disk of {self._state.own_id.name} fail: {self._write_error}"
-        if self._leadership is None:
-            return NO_QUORUM
-        if self._state.pending_proposal_count >= MAX_PENDING_PROPOSALS:
-            return "too many changes are waiting to be committed"
-        return ""
-
     def _tick(self) -> None:
         now = self._now
         if self._leadership is not None:
             self._leadership.tick(now)
             return
-        has_to_join = not self._has_leader_contact(now) or self._role == Role.LEARNER
+        has_to_join = not self._leader_contact.is_recent(now) or self._role == Role.LEARNER
         if has_to_join and now >= self._rejoins_from:
-            self._transition_if_joined(self._bootstrap.tick(now))
+            self._transition_if_joined(self._membership.tick(now))
         if self._role in (Role.BLANK, Role.LEARNER):
             return
         is_single_voter = len(self._state.all_voters) == 1
@@ -253,39 +221,21 @@
 
     def _handle_message(self, event: ReplicaMessageReceived) -> None:
         message = event.message
-        if isinstance(message, m.JoinRequest):
-            self._handle_join_request(event.sender, message)
-        elif isinstance(message, m.JoinReply):
-            self._transition_if_joined(self._bootstrap.record_join_reply(message))
-        elif isinstance(message, m.BootstrapCluster):
-            self._transition_if_joined(self._bootstrap.accept_bootstrap(message))
-        elif isinstance(message, m.DiskLost):
-            self._record_lost_disk(message)
+        if isinstance(message, m.BootstrapMessage):
+            joined = self._membership.handle_message(
+                event.sender, message, self._leadership, self._now
+            )
+            self._transition_if_joined(joined)
         elif self._accept_message(event.sender, message):
             self._handle_member_message(message)
 
-    def _handle_join_request(self, sender: HostName, message: m.JoinRequest) -> None:
-        self._bootstrap.answer_join_request(sender, message)
-        if self._leadership is not None and message.cluster in ("", self._state.cluster):
-            self._leadership.add_learner(message.replica, self._now)
-
-    def _record_lost_disk(self, message: m.DiskLost) -> None:
-        lost = ReplicaId(message.replica.name, message.lost)
-        if not self._state.record_lost_disk(lost):
-            return
-        self._state.emit(VoterLost(lost.name))
-        if self._leadership is not None:
-            self._leadership.record_lost_disk(lost, self._now)
-
     def _accept_message(self, sender: HostName, message: m.MemberMessage) -> bool:
         """Return whether a message is for this replica and its cluster.
 
         A blank replica joins the cluster of a leader that sends it entries or a snapshot.
         """
         header = message.header
-        if header.receiver != self._state.own_id.identity:
-            answer = m.DiskLost(self._state.own_id, header.receiver)
-            self._state.emit(SendToReplica(sender, answer))
+        if not self._membership.is_for_this_disk(sender, header):
             return False
         if not self._state.cluster and isinstance(message, m.AppendRequest | m.SnapshotRequest):
             self._state.join_cluster(header.cluster)
@@ -302,15 +252,12 @@
             return
         if term > self._state.term and not isinstance(message, m.PreVoteRequest):
             self._state.enter_term(term)
-            self._leader = None
+            self._leader_contact.forget_leader()
             self._transition("hear")
         self._handlers[type(message)](message)
 
-    def _has_leader_contact(self, now: float) -> bool:
-        return now - self._last_leader_contact < ELECTION_TIMEOUT_SECONDS
-
     def _has_leader(self) -> bool:
-        return self._leadership is not None or self._has_leader_contact(self._now)
+        return self._leadership is not None or self._leader_contact.is_recent(self._now)
 
     def _start_pre_vote(self) -> None:
         self._transition("timeout")
@@ -330,8 +277,10 @@
         self._rejoins_from = self._now + REJOIN_DELAY_SECONDS
         if self._leadership is not None:
             self._leadership.transfer_leadership(self._now)
-        elif self._leader is not None and self._has_leader_contact(self._now):
-            self._state.send(self._leader, m.LeaveRequest(self._state.header(self._leader)))
+            return
+        leader = self._leader_contact.current_leader(self._now)
+        if leader is not None:
+            self._state.send(leader, m.LeaveRequest(self._state.header(leader)))
 
     def _handle_leave_request(self, message: m.LeaveRequest) -> None:
         if self._leadership is not None:
@@ -376,8 +325,7 @@
             self._state.send(header.sender, reply)
             return False
         self._transition("hear")
-        self._leader = header.sender
-        self._last_leader_contact = self._now
+        self._leader_contact.record(header.sender, self._now)
         self._election_timer.restart(self._now)
         return True
 
--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -313,5 +313,5 @@
         record_speed(self._speeds.service(entry.service), segment, observation, now)
         if seconds is not None and objective is not None:
             self._admission.record_answer(entry.service, tag, seconds, objective, now)
-        is_named = self._target_index.own_tag(echoed) == tag
+        is_named = echoed == tag or self._target_index.own_tag(echoed) == tag
         return Forwarded(entry.endpoint, entry.identity, echoed if is_named else tag)
--- a/packages/core/tests/test_replica_faults.py
+++ b/packages/core/tests/test_replica_faults.py
@@ -10,7 +10,7 @@
 from lacewingrudder_core._replica.leadership import Leadership
 from lacewingrudder_core._replica.log import LogEntry, LogSnapshot, ReplicaId, split_snapshot
 from lacewingrudder_core._replica.log_receiver import LogReceiver
-from lacewingrudder_core._replica.replica import NO_QUORUM
+from lacewingrudder_core._replica.requests import NO_QUORUM
 from lacewingrudder_core._replica.state import ReplicaState
 from lacewingrudder_core._replica.voter_policy import StaticVoters
 from lacewingrudder_core.notes import Catalogue, NoteReceipt, SubmitReply, SubmitTag
