A voter is removed once it is known of each other whether it is there

The first rule (all others have just answered) never removes one of two hosts that are gone from six voters, so that the four that are left bear no loss any more: the new test failed before.

A leader counts its contacts from its own start, which the rule took for answers: a schedule (size 4) removed a voter that shuts down while another was gone for good, and no leader was elected again once a third lost its disk. Only answers count now.

--- a/packages/core/src/lacewingrudder_core/_replica/leadership.py
+++ b/packages/core/src/lacewingrudder_core/_replica/leadership.py
@@ -30,8 +30,8 @@
 
 
 RECENT_CONTACT_SECONDS = 0.5
-"""A voter is removed only if all others have answered within this time, two heartbeats and a half.
-Otherwise it may be the one that the others need, if they turn out to be lost."""
+"""A voter is not removed while another has been silent for longer than this, two heartbeats and a
+half. It may be the one that the others need, if that one turns out to be lost."""
 
 
 class _Read(NamedTuple):
@@ -289,16 +289,22 @@
         """Return whether the next set of voters bears as many losses as the present one.
 
         This holds for any set to which a voter is added, or from which one is removed that lost its
-        disk, as a learner of its name shows, too. Without another one, all that remain have to be
-        there.
+        disk, as a learner of its name shows, too. Without another one, it has to be known of all
+        that remain whether they are there: they have just answered, or are long silent.
         """
         state = self._state
         learners = {row.replica.name for row in self._progress.learners(state.log.voters)}
         removed = set(state.log.voters) - set(voters)
         if all(row.identity in state.lost_identities or row.name in learners for row in removed):
             return True
-        return not any(
-            self._is_unresponsive(voter, now, RECENT_CONTACT_SECONDS) for voter in voters
+        rows = [self._progress.get(voter.identity) for voter in voters if voter != state.own_id]
+        return all(
+            row is not None
+            and (
+                row.answered_since(now - RECENT_CONTACT_SECONDS)
+                or now - row.last_contact > VOTER_REMOVAL_TIMEOUT_SECONDS
+            )
+            for row in rows
         )
 
     @property
--- a/packages/core/tests/test_voter_changes.py
+++ b/packages/core/tests/test_voter_changes.py
@@ -227,6 +227,19 @@
             with self.subTest(seconds=seconds):
                 self.remove_leader_and_lose_disks(6, 2, seconds)
 
+    # Guards against six voters of which four must agree and four are left: the removal of one that
+    # is gone would wait for the other, which is gone, too.
+    def test_set_with_two_removed_hosts_gets_smaller(self) -> None:
+        cluster = Cluster(6, seeds=3)
+        cluster.elect()
+        cluster.run(CATCH_UP_SECONDS)
+        leader = cluster.elect()
+        self.assertEqual(len(leader.core.state.log.voters), 6)
+        for host in [host for host in cluster.hosts.values() if host is not leader][:2]:
+            cluster.remove(host)
+        cluster.run(RECOVERY_SECONDS)
+        self.assertEqual(len(cluster.elect().core.state.log.voters), 5)
+
     # Guards against two voters that never agree again if one loses its disk: the other has all that
     # both agreed to.
     def test_one_of_two_voters_loses_its_disk(self) -> None:
