--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import shutil
 import signal
 import socket
 import subprocess
@@ -29,6 +30,9 @@
 )
 
 CONTROLS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
+SUCCESSOR = "127.0.1.4"
+"""A control host that starts later, with an empty disk; no seed."""
+
 ENTRIES = ("127.0.2.1", "127.0.2.2")
 CALLER = "127.0.3.1"
 SERVICE = "198.18.0.1"
@@ -73,6 +77,12 @@
         process.send_signal(signal_number)
         return process.wait(WAIT_TIMEOUT_SECONDS)
 
+    def lose_disk(self, address: str) -> None:
+        """Kill a host, empty its disk and start it again."""
+        self.kill(address)
+        shutil.rmtree(self._data_folder(address))
+        self.start(address)
+
     def close(self) -> None:
         for address in list(self.processes):
             self.kill(address)
@@ -83,15 +93,18 @@
 
     def _settings(self, address: str, is_bootstrap: bool) -> Mapping[str, Any]:
         messages = f"{address}:{MESSAGE_PORT}"
-        if address in CONTROLS:
+        if address in (*CONTROLS, SUCCESSOR):
             addresses = ProcessAddresses(messages, messages, f"{address}:{CALL_PORT}")
         else:
             public, readiness = f"{address}:{PACKET_PORT}", f"{address}:{READY_PORT}"
             addresses = ProcessAddresses(messages, messages, public, readiness)
         seeds = [f"{control}:{CALL_PORT}" for control in CONTROLS]
-        folder = self._path / f"data-{address}"
+        folder = self._data_folder(address)
         return process_settings(address, "z", addresses, seeds, is_bootstrap, folder)
 
+    def _data_folder(self, address: str) -> Path:
+        return self._path / f"data-{address}"
+
 
 def http_request(
     address: str, port: int, method: str, path: str, body: Any = None
