--- a/packages/core/src/lacewingrudder_core/_replica/leadership.py
+++ b/packages/core/src/lacewingrudder_core/_replica/leadership.py
@@ -28,7 +28,6 @@
 VOTER_REMOVAL_TIMEOUT_SECONDS = 3.0
 """A voter that is unresponsive for this long, three leases, may be removed without replacement."""
 
-
 RECENT_CONTACT_SECONDS = 0.5
 """A voter is not removed while another has been silent for longer than this, two heartbeats and a
 half. It may be the one that the others need, if that one turns out to be lost."""
