Tell a SYN's tag by the SYN that this host sent

The entry host that had sent the SYN told its tag by the packet's sequence number, dropped the second packet as no first one, and the caller repeated it after 0.2 s.

The record of a SYN now keeps its sequence number, and its tags are compared whole. Only a host without that record still goes by the packet's sequence number.

--- a/packages/core/src/lacewingrudder_core/_tagging/flow_opener.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_opener.py
@@ -72,7 +72,7 @@
         if target is None or service is None:
             is_warming_up = self._target_index.has_warming_up(service or "", now)
             return refusal(is_warming_up, is_ready)
-        self._flow_tracker.record_syn(segment.flow, service, target.tag, segment.attempt > 0, now)
+        self._flow_tracker.record_syn(segment, service, target.tag, now)
         self._silence.record_syn(segment.flow, target.tag, now)
         return Forwarded(target.entry.endpoint, target.entry.identity, target.tag)
 
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
@@ -35,15 +35,17 @@
     :param service: service chosen at the first SYN. Retransmissions stay with it while the route
         has it.
     :param opened_at: time of the first SYN that this host saw.
+    :param sequence: sequence number of the SYN.
     :param has_first: whether that was no retransmission.
     :ivar tried_tags: tags of the targets that the SYN and its retransmissions were sent to.
     """
 
-    __slots__ = ("service", "opened_at", "has_first", "tried_tags")
+    __slots__ = ("service", "opened_at", "sequence", "has_first", "tried_tags")
 
-    def __init__(self, service: str, opened_at: float, has_first: bool) -> None:
+    def __init__(self, service: str, opened_at: float, sequence: int, has_first: bool) -> None:
         self.service = service
         self.opened_at = opened_at
+        self.sequence = sequence
         self.has_first = has_first
         self.tried_tags: list[int] = []
 
@@ -182,14 +184,13 @@
         opening = self._openings.get(flow)
         return opening is not None and tag in opening.tried_tags
 
-    def record_syn(
-        self, flow: FlowKey, service: str, tag: int, is_retransmission: bool, now: float
-    ) -> None:
+    def record_syn(self, segment: TagSegment, service: str, tag: int, now: float) -> None:
         """Record that a SYN was sent to a target."""
-        self._remove(flow)
-        opening = self._openings.get(flow)
+        self._remove(segment.flow)
+        opening = self._openings.get(segment.flow)
         if opening is None:
-            opening = self._openings[flow] = OpeningFlow(service, now, not is_retransmission)
+            opening = OpeningFlow(service, now, segment.sequence, has_first=not segment.attempt)
+            self._openings[segment.flow] = opening
         opening.tried_tags.append(tag)
         self._opening_counts[tag] += 1
 
--- a/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
@@ -4,9 +4,9 @@
 
 from .._checkins.types import LifeState, TargetEntry
 from ..types import FlowKey
-from .flow_tracker import FlowTracker
+from .flow_tracker import FlowTracker, OpeningFlow
 from .silence_detector import SilenceDetector
-from .syn_tags import find_receiver, read_syn_tag, syn_tag_at
+from .syn_tags import make_syn_tag, read_syn_tag
 from .tags import NO_TAG
 from .target_index import TargetIndex
 from .types import Forwarded, Route, TagSegment
@@ -57,10 +57,10 @@
         :param tag: flow tag of the target.
         """
         opening = self._flow_tracker.get_opening(segment.flow)
-        if opening is None or tag not in opening.tried_tags:
+        if opening is None:
             return tag
-        position = max(at for at, tried in enumerate(opening.tried_tags) if tried == tag)
-        return syn_tag_at(opening.tried_tags, position, opening.has_first, segment.sequence)
+        sent = dict(zip(opening.tried_tags, _syn_tags(opening), strict=True))
+        return sent.get(tag, tag)
 
     def find_tag(self, segment: TagSegment) -> int:
         """Return the tag of the target that a packet of an open flow goes to.
@@ -79,12 +79,19 @@
             return tag
         opening = self._flow_tracker.get_opening(segment.flow)
         if opening is not None:
-            receiver = find_receiver(
-                segment.tag, segment.sequence, opening.tried_tags, opening.has_first
-            )
-            if receiver != NO_TAG:
-                return receiver
+            receivers = dict(zip(_syn_tags(opening), opening.tried_tags, strict=True))
+            if segment.tag in receivers:
+                return receivers[segment.tag]
         syn_tag = read_syn_tag(segment.tag)
         if syn_tag.is_followed_by(segment.sequence) == syn_tag.is_retransmission:
             return tag
         return self._target_index.find_tag(syn_tag.name) or tag
+
+
+def _syn_tags(opening: OpeningFlow) -> list[int]:
+    """Return the tags that the SYN of a flow and its retransmissions carried."""
+    previous = [NO_TAG, *opening.tried_tags[:-1]]
+    tags = [make_syn_tag(tag, opening.sequence, is_retransmission=True) for tag in previous]
+    if opening.has_first:
+        tags[0] = make_syn_tag(opening.tried_tags[0], opening.sequence, is_retransmission=False)
+    return tags
--- a/packages/core/src/lacewingrudder_core/_tagging/syn_tags.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/syn_tags.py
@@ -18,8 +18,6 @@
 
 from typing import NamedTuple
 
-from .tags import NO_TAG
-
 SEQUENCE_MASK = 0xFFFFFFFF
 
 _NAME_BITS = 18
@@ -64,7 +62,7 @@
     """Return the tag of a SYN.
 
     :param tag: flow tag of the target of the first SYN or, for a retransmission, of the target of
-        the transmission before; :data:`NO_TAG` if that isn't known.
+        the transmission before; 0 if that is not known.
     :param sequence: sequence number of the SYN.
     """
     flag = _RETRANSMISSION if is_retransmission else 0
@@ -77,32 +75,6 @@
     return SynTag(value & _NAME_MASK, sequence_hash, bool(value & _RETRANSMISSION))
 
 
-def find_receiver(value: int, sequence: int, tried_tags: list[int], has_first: bool) -> int:
-    """Return the target whose answer to a SYN a caller's first packet follows, or ``NO_TAG``.
-
-    :param sequence: sequence number of the packet.
-    :param tried_tags: flow tags of the targets of the SYN and its retransmissions.
-    :param has_first: whether the first of these is that of the first SYN.
-    """
-    for position in reversed(range(len(tried_tags))):
-        for offset in FIRST_PACKET_OFFSETS:
-            if value == syn_tag_at(tried_tags, position, has_first, sequence - offset):
-                return tried_tags[position]
-    return NO_TAG
-
-
-def syn_tag_at(tried_tags: list[int], position: int, has_first: bool, sequence: int) -> int:
-    """Return the tag of a transmission of a SYN.
-
-    :param position: position of its target among those that were tried.
-    :param has_first: whether the first of these is that of the first SYN.
-    """
-    if position == 0:
-        named = tried_tags[0] if has_first else NO_TAG
-        return make_syn_tag(named, sequence, is_retransmission=not has_first)
-    return make_syn_tag(tried_tags[position - 1], sequence, is_retransmission=True)
-
-
 def _hash_sequence(sequence: int) -> int:
     product = (sequence & SEQUENCE_MASK) * _SEQUENCE_FACTOR & SEQUENCE_MASK
     return product >> (32 - _SEQUENCE_BITS)
--- a/packages/core/tests/test_replica_schedules.py
+++ b/packages/core/tests/test_replica_schedules.py
@@ -59,8 +59,8 @@
         for seed in SIX_HOSTS_WITH_REMOVAL_RANDOM_SEEDS:
             self.explore(6, seed, SEED_HOST_COUNT, has_removal=True)
 
-    # Guards against voters that need the vote of a host that doesn't know of its admission: it has the
-    # newest log, from a leader that is gone for good, and stands for no election.
+    # Guards against voters that need the vote of a host that doesn't know of its admission: it has
+    # the newest log, from a leader that is gone for good, and stands for no election.
     def test_long_schedule_with_an_admission_that_its_host_does_not_know(self) -> None:
         Schedule(4, 709_320, SEED_HOST_COUNT, has_removal=True).run(600)
 
--- a/packages/core/tests/test_syn_tags.py
+++ b/packages/core/tests/test_syn_tags.py
@@ -121,6 +121,18 @@
                 self.flow.receive_from(tried[-1])
                 self.assertEqual(self.get_receiver(self.flow.send_request(0, 1.7)), tried[-1])
 
+    # Guards against a request of two packets that waits for a retransmission because the second
+    # packet arrives first, which then is not the one that follows the SYN.
+    def test_packet_that_overtakes_the_first_reaches_the_target(self) -> None:
+        for attempts in (1, 2):
+            with self.subTest(attempts=attempts):
+                self.flow = Flow(make_forwarder())
+                tried = [self.flow.send_syn(n, 1.0 + 0.2 * n) for n in range(attempts)]
+                self.flow.receive_from(tried[-1])
+                for number in (1, 0):
+                    decision = self.flow.send_request(number, 1.3)
+                    self.assertEqual(self.get_receiver(decision), tried[-1])
+
     def test_first_packet_of_a_flow_that_moved_reaches_the_only_target(self) -> None:
         only = self.flow.send_syn(0, 1.0)
         self.flow.receive_from(only)
