--- a/packages/core/tests/test_replica_schedules.py
+++ b/packages/core/tests/test_replica_schedules.py
@@ -64,6 +64,11 @@
     def test_long_schedule_with_an_admission_that_its_host_does_not_know(self) -> None:
         Schedule(4, 709_320, SEED_HOST_COUNT, has_removal=True).run(600)
 
+    # Guards against the removal of a voter that stops while another was just removed for good and a
+    # third has just lost its disk: the three that remain are two too few, though the fourth runs.
+    def test_long_schedule_with_a_stop_right_after_a_removal_and_a_lost_disk(self) -> None:
+        Schedule(4, 709_183, SEED_HOST_COUNT, has_removal=True).run(600)
+
     # Guards against a learner that is admitted beside a voter whose disk is lost, and has lost its
     # own by then.
     def test_long_schedule_with_a_learner_that_loses_its_disk(self) -> None:
