Longer names in the tags of repeated SYNs

Found by reading: a packet whose flow tag a host doesn't know yet was taken for one with the tag of a repeated SYN with a chance of one half, and went to a known target if that one's last 18 bits agreed: 147 targets in 262,144, 5,500 at the planned size. A wrong target resets the flow. That name has 24 bits now, and the hash of the sequence number 7, whose mistakes only drop a packet. test_syn_tags bounds both.

--- a/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/open_flows.py
@@ -85,7 +85,7 @@
         syn_tag = read_syn_tag(segment.tag)
         if syn_tag.is_followed_by(segment.sequence) == syn_tag.is_retransmission:
             return tag
-        return self._target_index.find_tag(syn_tag.name) or tag
+        return self._target_index.find_named(syn_tag) or tag
 
 
 def _syn_tags(opening: OpeningFlow) -> list[int]:
--- a/packages/core/src/lacewingrudder_core/_tagging/syn_tags.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/syn_tags.py
@@ -20,11 +20,15 @@
 
 SEQUENCE_MASK = 0xFFFFFFFF
 
-_NAME_BITS = 18
-_SEQUENCE_BITS = 13
-_NAME_MASK = (1 << _NAME_BITS) - 1
-_SEQUENCE_SHIFT = _NAME_BITS
-_RETRANSMISSION = 1 << (_NAME_BITS + _SEQUENCE_BITS)
+_HASH_BITS = 31
+"""Bits of a tag that name a target and hash a sequence number; the highest one tells which SYN."""
+
+_FIRST_NAME_BITS = 18
+_RETRANSMISSION_NAME_BITS = 24
+"""Packets go to the target that a retransmission's tag names unless their sequence number follows.
+So that name is longer: an unknown flow tag must not be taken for such a tag of a known target."""
+
+_RETRANSMISSION = 1 << _HASH_BITS
 
 _SEQUENCE_FACTOR = 2654435761
 """Multiplier of Knuth's multiplicative hash of 32-bit numbers."""
@@ -45,17 +49,21 @@
     sequence_hash: int
     is_retransmission: bool
 
+    def may_name(self, tag: int) -> bool:
+        """Return whether this may be the name of a target with a flow tag."""
+        return self.name == tag & _mask(_name_bits(self.is_retransmission))
+
     def is_followed_by(self, sequence: int) -> bool:
         """Return whether a packet's sequence number is that of the caller's first packet."""
         return any(
-            _hash_sequence(sequence - offset) == self.sequence_hash
+            _hash_sequence(sequence - offset, self.is_retransmission) == self.sequence_hash
             for offset in FIRST_PACKET_OFFSETS
         )
 
 
-def tag_name(tag: int) -> int:
-    """Return the part of a target's flow tag that the tags of SYNs name it by."""
-    return tag & _NAME_MASK
+def short_name(value: int) -> int:
+    """Return the part of a flow tag or of a name that both kinds of SYN tags have."""
+    return value & _mask(_FIRST_NAME_BITS)
 
 
 def make_syn_tag(tag: int, sequence: int, is_retransmission: bool) -> int:
@@ -65,16 +73,27 @@
         the transmission before; 0 if that is not known.
     :param sequence: sequence number of the SYN.
     """
+    bits = _name_bits(is_retransmission)
     flag = _RETRANSMISSION if is_retransmission else 0
-    return flag | _hash_sequence(sequence) << _SEQUENCE_SHIFT | tag_name(tag)
+    return flag | _hash_sequence(sequence, is_retransmission) << bits | tag & _mask(bits)
 
 
 def read_syn_tag(value: int) -> SynTag:
     """Return the parts of a tag, which may be none of a SYN."""
-    sequence_hash = value >> _SEQUENCE_SHIFT & ((1 << _SEQUENCE_BITS) - 1)
-    return SynTag(value & _NAME_MASK, sequence_hash, bool(value & _RETRANSMISSION))
+    is_retransmission = bool(value & _RETRANSMISSION)
+    bits = _name_bits(is_retransmission)
+    return SynTag(value & _mask(bits), (value & _mask(_HASH_BITS)) >> bits, is_retransmission)
+
+
+def _name_bits(is_retransmission: bool) -> int:
+    return _RETRANSMISSION_NAME_BITS if is_retransmission else _FIRST_NAME_BITS
+
+
+def _mask(bits: int) -> int:
+    return (1 << bits) - 1
 
 
-def _hash_sequence(sequence: int) -> int:
+def _hash_sequence(sequence: int, is_retransmission: bool) -> int:
+    """Return a hash with the bits of a tag that the name leaves."""
     product = (sequence & SEQUENCE_MASK) * _SEQUENCE_FACTOR & SEQUENCE_MASK
-    return product >> (32 - _SEQUENCE_BITS)
+    return product >> (32 - _HASH_BITS + _name_bits(is_retransmission))
--- a/packages/core/src/lacewingrudder_core/_tagging/target_index.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/target_index.py
@@ -9,7 +9,7 @@
 from .._checkins.views import KnownTarget
 from ..types import Endpoint, TargetName, ZoneName
 from .candidates import Candidate, Candidates, Exclusion, PlacementRules, ServiceCandidates
-from .syn_tags import tag_name
+from .syn_tags import SynTag, short_name
 from .tags import NO_TAG, LifetimeTable, flow_tag, former_flow_tag
 from .types import WarmupLimit
 from .warmup_ends import WarmupEnds
@@ -94,10 +94,11 @@
         known = self._known.get(lifetime)
         return None if known is None else known.entry
 
-    def find_tag(self, name: int) -> int:
-        """Return the tag of the only lifetime with a :func:`tag_name`, or ``NO_TAG``."""
-        lifetime = self._tag_names.find(name)
-        return NO_TAG if lifetime is None else self._tags[lifetime]
+    def find_named(self, syn_tag: SynTag) -> int:
+        """Return the flow tag of the only lifetime that a SYN's tag may name, or ``NO_TAG``."""
+        lifetime = self._tag_names.find(short_name(syn_tag.name))
+        tag = NO_TAG if lifetime is None else self._tags[lifetime]
+        return tag if syn_tag.may_name(tag) else NO_TAG
 
     def own_tag(self, tag: int) -> int:
         """Return the tag of the lifetime that a packet's tag or former tag names.
@@ -224,7 +225,7 @@
         return PlacementRules(self._evacuated_zones, service in self._warmups)
 
     def _make_tag_name(self, lifetime: Lifetime) -> int:
-        return tag_name(self._make_tag(lifetime))
+        return short_name(self._make_tag(lifetime))
 
     def _link(self, lifetime: Lifetime, target: KnownTarget) -> None:
         tag = self._make_tag(lifetime)
