--- a/packages/core/tests/test_syn_tags.py
+++ b/packages/core/tests/test_syn_tags.py
@@ -113,6 +113,18 @@
         self.flow.receive_from(second)
         self.assertEqual(self.get_receiver(self.flow.send_request(1, 2.2)), second)
 
+    # Guards against the same while the first request waits for its answer and is repeated: its
+    # sequence number follows the SYN, so that it seems to belong to the first target.
+    def test_repeated_first_request_of_the_second_target_never_reaches_the_first(self) -> None:
+        first, second = self.flow.send_syn(0, 1.0), self.flow.send_syn(1, 1.2)
+        self.flow.receive_from(second)
+        self.assertEqual(self.get_receiver(self.flow.send_request(0, 1.21)), second)
+        self.flow.receive_from(first)
+        self.move()
+        decision = self.flow.send_request(0, 1.41)
+        if isinstance(decision, Forwarded):
+            self.assertEqual(decision.identity, second)
+
     def test_first_packet_reaches_the_target_whose_answer_it_follows(self) -> None:
         for has_syn_number, attempts in itertools.product((True, False), (1, 2, 3)):
             with self.subTest(has_syn_number=has_syn_number, attempts=attempts):
