--- a/packages/core/src/lacewingrudder_core/_replica/state.py
+++ b/packages/core/src/lacewingrudder_core/_replica/state.py
@@ -114,7 +114,7 @@
         A host whose removal is not committed still stands for election: it may hold the only log
         that the others can vote for (Ongaro's dissertation, 2014, section 4.2.2).
         """
-        return self._own_id in self.all_voters
+        return any(self._own_id in voters for voters in self.voter_sets)
 
     @property
     def voter_sets(self) -> tuple[tuple[ReplicaId, ...], ...]:
--- a/packages/core/src/lacewingrudder_core/_tagging/syn_tags.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/syn_tags.py
@@ -18,7 +18,7 @@
 
 from typing import NamedTuple
 
-SEQUENCE_MASK = 0xFFFFFFFF
+from .flow_tracker import SEQUENCE_COUNT
 
 _HASH_BITS = 31
 """Bits of a tag that name a target and hash a sequence number; the highest one tells which SYN."""
@@ -95,5 +95,5 @@
 
 def _hash_sequence(sequence: int, is_retransmission: bool) -> int:
     """Return a hash with the bits of a tag that the name leaves."""
-    product = (sequence & SEQUENCE_MASK) * _SEQUENCE_FACTOR & SEQUENCE_MASK
+    product = sequence * _SEQUENCE_FACTOR % SEQUENCE_COUNT
     return product >> (32 - _HASH_BITS + _name_bits(is_retransmission))
