--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -272,12 +272,23 @@
     """Sends orders to the machines that serve control, one after the other, until one answers."""
 
     def __init__(self, fleet: Fleet, record: Record) -> None:
-        self._fleet, self._record, self._next = fleet, record, 0
+        self._fleet, self._record = fleet, record
+        self._next = 0
 
     async def order(
-        self, method: str, path: str, body: bytes = b"", what: str = "", patience: float = 20.0
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        what: str = "",
+        patience: float = 20.0,
+        first: int | None = None,
     ) -> tuple[int, bytes]:
-        """Return the first response that ends the order: a 2xx, or a 4xx."""
+        """Return the first response that ends the order: a 2xx, or a 4xx.
+
+        :param first: the machine that is called first; otherwise the next one in turn.
+        """
+        self._next = self._next if first is None else first
         deadline = time.monotonic() + patience
         delay = 0.05
         while time.monotonic() < deadline:
@@ -285,7 +296,7 @@
             self._next += 1
             began = self._record.now()
             status, content = await call(
-                core.address, self._fleet.control_port, method, path, body, 2.0
+                core.address, self._fleet.control_port, method, path, body, 1.0
             )
             self._record.write(
                 f"operator sent {method} {path} {what} to {core.name} at {began:.4f}: {status}"
