--- a/review/12/case.py
+++ b/review/12/case.py
@@ -56,19 +56,18 @@
         frozen.signal(signal.SIGCONT)
     woke = time.monotonic()
     await asyncio.gather(*tasks)
-    opened = [flow for flow in consumers.flows.values() if flow.state == "open"]
+    opened = [flow for flow in consumers.flows.values() if flow.state == "open" and flow.answers]
     record.write(f"{len(opened)} of {len(consumers.flows)} flows are open, and rest")
     if not await wait_until(lambda: len(router.in_rotation) == 3, 10):
         raise CannotRun("the entry host did not come back")
     await asyncio.sleep(max(0.0, woke + CONTACT_SECONDS + MARGIN_SECONDS - time.monotonic()))
     record.write("all machines have been in touch for contact-ms; each open flow sends one more request")
-    holders = {flow.port: flow.answers[0] for flow in opened if flow.answers}
     await asyncio.gather(*(flow.request(f"second-of-{flow.port}") for flow in opened))
-    broken = [flow for flow in opened if flow.outcome.startswith("reset")]
+    broken = [flow for flow in opened if flow.reset_by not in ("", flow.holder)]
     for flow in broken:
         record.write(
-            f"the flow of :{flow.port} was reset; it had been open at the backend of"
-            f" '{holders.get(flow.port)}', which lives; its SYNs went through {flow.syn_nodes}"
+            f"the flow of :{flow.port} was reset by {flow.reset_by}; the backend at {flow.holder} had"
+            f" answered its first request, and lives; its SYNs went through {flow.syn_nodes}"
         )
     silent = [flow for flow in opened if flow.state == "open" and len(flow.answers) < 2]
     record.write(
--- a/review/lib3/ends.py
+++ b/review/lib3/ends.py
@@ -299,6 +299,10 @@
         self.syn_nodes: list[str] = []
         self.answers: list[str] = []
         self.outcome = ""
+        self.holder = ""
+        """Address of the backend that answered a request on the flow, and so holds it."""
+        self.reset_by = ""
+        """Address that a reset of the flow came from."""
         self.opened_at = 0.0
         self._pending: tuple[int, bytes] | None = None
         self._answered = asyncio.Event()
@@ -348,11 +352,14 @@
                 delay = min(MAX_RETRY_SECONDS, delay * 2)
         return False
 
-    def receive(self, packet: Packet) -> None:
+    def receive(self, packet: Packet, sender: str) -> None:
         consumers = self._consumers
         if packet.flags & RST:
             who = "the system" if packet.sum == 0 else "a backend"
-            consumers.record.write(f"consumer :{self.port} got a reset of {who} while {self.state}")
+            consumers.record.write(
+                f"consumer :{self.port} got a reset of {who} from {sender} while {self.state}"
+            )
+            self.reset_by = sender
             self.outcome = f"reset while {self.state}"
             self.state = "closed"
             self._is_syn_answered.set()
@@ -371,6 +378,7 @@
         if self.state == "open" and packet.data and packet.seq == self.received:
             self.received = (packet.seq + len(packet.data)) % COUNT
             self.answers.append(packet.data.decode())
+            self.holder = sender
             self._answered.set()
             self._forward(self._packet(ACK, self.sent, self.received, self.echo))
 
@@ -399,7 +407,7 @@
         packet = Packet.read(raw)
         flow = None if packet is None else self.flows.get(packet.dport)
         if packet is not None and flow is not None:
-            flow.receive(packet)
+            flow.receive(packet, sender[0])
 
     def close(self) -> None:
         asyncio.get_running_loop().remove_reader(self._socket)
