Drop SYNs that waited longer than their callers do

The host found SYNs in its socket whose copies had gone through another host and had opened the flow. It placed them on two more targets, whose answers changed the tag that the caller echoes.

A SYN that may be older than its caller waits before it sends the next one is dropped. Also a slow host drops them, without any gap.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -31,6 +31,7 @@
 from .selection import TargetChooser
 from .silence_detector import SilenceDetector
 from .speed_samples import record_speed
+from .syn_age import has_expired
 from .tags import flow_tag
 from .target_index import TargetIndex
 from .types import (
@@ -223,8 +224,13 @@
     def _find_target(self, lifetime: Lifetime) -> KnownTarget | None:
         return self._views.get(lifetime, self._target_index.entry_of(lifetime))
 
-    def decide(self, segment: TagSegment, now: float) -> Decision:
-        """Return whether to forward, drop or reset a packet of a caller."""
+    def decide(self, segment: TagSegment, now: float, waited_seconds: float = 0.0) -> Decision:
+        """Return whether to forward, drop or reset a packet of a caller.
+
+        :param waited_seconds: longest time for which the packet may have waited on this host.
+        """
+        if segment.is_syn and has_expired(segment.attempt, waited_seconds):
+            return Dropped(DropReason.EXPIRED_SYN)
         configuration = self._configuration
         if configuration is None:
             return Dropped(DropReason.NOT_READY)
--- a/packages/core/src/lacewingrudder_core/_tagging/types.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/types.py
@@ -104,6 +104,7 @@
     NOT_READY = "not_ready"
     UNKNOWN_TAG = "unknown_tag"
     UNTAGGED = "untagged"
+    EXPIRED_SYN = "expired_syn"
 
 
 class ResetReason(enum.StrEnum):
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/entry.py
@@ -21,7 +21,8 @@
 from lacewingrudder_core.tagging import Configuration, TagForwarder
 from lacewingrudder_core.types import HostName
 
-from .._packets.datagrams import Address, DatagramSocket
+from .._packets.datagrams import Address
+from .._packets.packet_socket import PacketSocket
 from .adapters import ConfigurationReader, PacketAdapter
 from .configuration_loader import ConfigurationLoader
 from .entry_events import EntryEvents
@@ -96,7 +97,7 @@
             settings.zone, seed, entry.limits_warmup, entry.learns_speeds
         )
         self._explanations: ExplanationResponder | None = None
-        self._packet_socket = DatagramSocket(self._handle_packet)
+        self._packet_socket = PacketSocket(self._handle_packet)
         self._forwarding = PacketForwarding(
             self._forwarder, packets, self._packet_socket, self._entry_events
         )
@@ -249,8 +250,8 @@
             self._entry_events.record_in_force(configuration.version, before, routes)
         self._report_readiness()
 
-    def _handle_packet(self, data: bytes, sender: Address) -> None:
-        if self._forwarding.handle(data, sender, self._loop.time()):
+    def _handle_packet(self, data: bytes, sender: Address, waited_seconds: float) -> None:
+        if self._forwarding.handle(data, sender, self._loop.time(), waited_seconds):
             self._schedule_silence_check()
 
     def _schedule_silence_check(self) -> None:
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/packet_forwarding.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/packet_forwarding.py
@@ -33,14 +33,17 @@
         """When the last valid packet arrived."""
         return self._last_packet_at
 
-    def handle(self, data: bytes, sender: Address, now: float) -> bool:
-        """Handle a caller's packet; return whether it was a SYN that went to a target."""
+    def handle(self, data: bytes, sender: Address, now: float, waited_seconds: float) -> bool:
+        """Handle a caller's packet; return whether it was a SYN that went to a target.
+
+        :param waited_seconds: longest time for which the packet may have waited on this host.
+        """
         segment = self._adapter.decode(data)
         if segment is None:
             self._events.record_rejected_packet(len(data), sender[0])
             return False
         self._last_packet_at = now
-        decision = self._forwarder.decide(segment, now)
+        decision = self._forwarder.decide(segment, now, waited_seconds)
         if isinstance(decision, Forwarded):
             self._forward(data, segment, decision)
             return segment.is_syn
--- a/packages/daemon/tests/entry_fakes.py
+++ b/packages/daemon/tests/entry_fakes.py
@@ -52,4 +52,4 @@
         segment = TagSegment(flow, 0, True, False, attempt, 0, 1, 0)
     else:
         segment = TagSegment(flow, flow_tag(lifetime(number)), False, False, 0, 100, 2, 1)
-    process._handle_packet(segment, ("100.64.0.7", port))  # type: ignore[arg-type]
+    process._handle_packet(segment, ("100.64.0.7", port), 0.0)  # type: ignore[arg-type]
