Let the tags of SYNs tell the holder of a flow on its first packet alone

Callers saw open flows reset by a target that doesn't hold them.

The tag of a repeated SYN now names nobody, and a SYN's tag on a later packet is dropped unless this host saw the flow open. A host that knows one copy alone also tells its target who holds the flow, and a late copy of an open flow goes to the holder at any age.

--- a/packages/core/src/lacewingrudder_core/_tagging/core.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/core.py
@@ -298,7 +298,7 @@
         :param objective: latency objective of the flow's requests in seconds, or ``None``.
         """
         echoed = segment.tag
-        tag = self._open_flows.find_tag(segment)
+        tag = self._open_flows.find_tag(segment, now)
         entry = self._target_index.entry(tag)
         if entry is None:
             return Dropped(DropReason.UNKNOWN_TAG if tag else DropReason.UNTAGGED)
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_opener.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_opener.py
@@ -56,7 +56,7 @@
         :param is_ready: whether this host can place new flows.
         """
         if segment.attempt:
-            repeated = self._open_flows.find_repeated(segment.flow, route, now)
+            repeated = self._open_flows.find_repeated(segment, route, now)
             if repeated is not None:
                 return repeated
         self._flow_tracker.forget_abandoned_requests(now)
--- a/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/flow_tracker.py
@@ -38,10 +38,19 @@
     :param sequence: sequence number of the SYN.
     :param has_first: whether that was no retransmission.
     :ivar tried_tags: tags of the targets that the SYN and its retransmissions were sent to.
-    :ivar packet: the latest of these packets, if there are several; otherwise empty.
+    :ivar packet: the latest of these packets, if other targets may have got one; otherwise empty.
+    :ivar sent_at: time of the latest transmission that went to a target.
     """
 
-    __slots__ = ("service", "opened_at", "sequence", "has_first", "tried_tags", "packet")
+    __slots__ = (
+        "has_first",
+        "opened_at",
+        "packet",
+        "sent_at",
+        "sequence",
+        "service",
+        "tried_tags",
+    )
 
     def __init__(self, service: str, opened_at: float, sequence: int, has_first: bool) -> None:
         self.service = service
@@ -50,12 +59,12 @@
         self.has_first = has_first
         self.tried_tags: list[int] = []
         self.packet = b""
+        self.sent_at = opened_at
 
 
 class _Flow:
     """A flow of which this host has seen a packet after the SYN.
 
-    :ivar opened_at: time of that packet.
     :ivar is_waiting: whether its request awaits an answer.
     :ivar is_counted: whether that request counts as load of the target.
     """
@@ -66,7 +75,6 @@
         "is_counted",
         "is_retransmitted",
         "is_waiting",
-        "opened_at",
         "seen_at",
         "seen_sequence",
         "sequence",
@@ -76,7 +84,7 @@
     def __init__(self, tag: int, now: float) -> None:
         self.tag = tag
         self.seen_sequence = 0
-        self.opened_at = self.seen_at = now
+        self.seen_at = now
         self.sequence = -1
         self.acknowledged = -1
         self.is_counted = False
@@ -193,6 +201,7 @@
         if opening is None:
             opening = OpeningFlow(service, now, segment.sequence, has_first=not segment.attempt)
             self._openings[segment.flow] = opening
+        opening.sent_at = now
         opening.tried_tags.append(tag)
         self._opening_counts[tag] += 1
 
@@ -207,7 +216,8 @@
     def opened_tag(self, segment: TagSegment) -> int | None:
         """Return the tag of the target that holds a packet's flow, ``None`` if it isn't known.
 
-        It isn't known of the first packet of a flow, nor if a port is used for another flow.
+        It isn't known of the first packet of a flow, nor if a port is used for another flow. The
+        packet may be a late copy of the flow's SYN.
         """
         flow = self._flows.get(segment.flow)
         if flow is None:
@@ -216,13 +226,6 @@
         is_continued = min(distance, SEQUENCE_COUNT - distance) < SEQUENCE_WINDOW_BYTES
         return flow.tag if is_continued else None
 
-    def recently_opened_tag(self, flow: FlowKey, now: float) -> int | None:
-        """Return the tag of a flow that is not older than the SYNs of an unanswered one."""
-        found = self._flows.get(flow)
-        if found is None or now - found.opened_at > MAX_OPENING_SECONDS:
-            return None
-        return found.tag
-
     def record_packet(
         self,
         segment: TagSegment,
--- a/packages/core/src/lacewingrudder_core/_tagging/syn_tags.py
+++ b/packages/core/src/lacewingrudder_core/_tagging/syn_tags.py
@@ -9,9 +9,10 @@
   that got the SYN with this tag;
 * a later packet with such a tag shows that its flow is held by another target.
 
-The tag of the first SYN names its target. That of a retransmission names the target of the
-transmission before, which then holds the flow. Both leave a case open, in which the packet is
-dropped: a wrong target would reset the flow.
+The tag of the first SYN names its target. That of a retransmission names none: it only tells the
+host that sent it which target got it. Which target holds the flow if not that one is never told,
+since further copies of the SYN may have gone through other hosts. A packet is dropped if it would
+take a guess: a wrong target would reset the flow.
 """
 
 from __future__ import annotations
@@ -23,10 +24,11 @@
 _HASH_BITS = 31
 """Bits of a tag that name a target and hash a sequence number; the highest one tells which SYN."""
 
-_FIRST_NAME_BITS = 18
-_RETRANSMISSION_NAME_BITS = 24
-"""Packets go to the target that a retransmission's tag names unless their sequence number follows.
-So that name is longer: an unknown flow tag must not be taken for such a tag of a known target."""
+_NAME_BITS = 18
+"""Bits of a tag that name a target; in the tag of a retransmission they are 0."""
+
+_NUMBER_BITS = 2
+"""Bits of a retransmission's tag that tell it from others of the same flow."""
 
 _RETRANSMISSION = 1 << _HASH_BITS
 
@@ -51,49 +53,59 @@
 
     def may_name(self, tag: int) -> bool:
         """Return whether this may be the name of a target with a flow tag."""
-        return self.name == tag & _mask(_name_bits(self.is_retransmission))
+        return not self.is_retransmission and self.name == short_name(tag)
 
     def is_followed_by(self, sequence: int) -> bool:
         """Return whether a packet's sequence number is that of the caller's first packet."""
+        bits = _hash_bits(self.is_retransmission)
         return any(
-            _hash_sequence(sequence - offset, self.is_retransmission) == self.sequence_hash
+            _hash_sequence(sequence - offset, bits) == self.sequence_hash
             for offset in FIRST_PACKET_OFFSETS
         )
 
 
 def short_name(value: int) -> int:
-    """Return the part of a flow tag or of a name that both kinds of SYN tags have."""
-    return value & _mask(_FIRST_NAME_BITS)
+    """Return the part of a flow tag that names its target in the tag of a SYN."""
+    return value & _mask(_NAME_BITS)
+
+
+def make_syn_tag(tag: int, sequence: int) -> int:
+    """Return the tag of a first SYN.
+
+    :param tag: flow tag of its target.
+    :param sequence: sequence number of the SYN.
+    """
+    bits = _hash_bits(is_retransmission=False)
+    return _hash_sequence(sequence, bits) << (_HASH_BITS - bits) | short_name(tag)
 
 
-def make_syn_tag(tag: int, sequence: int, is_retransmission: bool) -> int:
-    """Return the tag of a SYN.
+def make_retransmission_tag(number: int, sequence: int) -> int:
+    """Return the tag of a retransmitted SYN.
 
-    :param tag: flow tag of the target of the first SYN or, for a retransmission, of the target of
-        the transmission before; 0 if that is not known.
+    :param number: differs between the retransmissions of a flow that a host sends.
     :param sequence: sequence number of the SYN.
     """
-    bits = _name_bits(is_retransmission)
-    flag = _RETRANSMISSION if is_retransmission else 0
-    return flag | _hash_sequence(sequence, is_retransmission) << bits | tag & _mask(bits)
+    bits = _hash_bits(is_retransmission=True)
+    sequence_hash = _hash_sequence(sequence, bits) << (_HASH_BITS - bits)
+    return _RETRANSMISSION | sequence_hash | (number & _mask(_NUMBER_BITS)) << _NAME_BITS
 
 
 def read_syn_tag(value: int) -> SynTag:
     """Return the parts of a tag, which may be none of a SYN."""
     is_retransmission = bool(value & _RETRANSMISSION)
-    bits = _name_bits(is_retransmission)
-    return SynTag(value & _mask(bits), (value & _mask(_HASH_BITS)) >> bits, is_retransmission)
+    shift = _HASH_BITS - _hash_bits(is_retransmission)
+    return SynTag(short_name(value), (value & _mask(_HASH_BITS)) >> shift, is_retransmission)
 
 
-def _name_bits(is_retransmission: bool) -> int:
-    return _RETRANSMISSION_NAME_BITS if is_retransmission else _FIRST_NAME_BITS
+def _hash_bits(is_retransmission: bool) -> int:
+    """Return the number of bits that hash the sequence number: those that the others leave."""
+    return _HASH_BITS - _NAME_BITS - (_NUMBER_BITS if is_retransmission else 0)
 
 
 def _mask(bits: int) -> int:
     return (1 << bits) - 1
 
 
-def _hash_sequence(sequence: int, is_retransmission: bool) -> int:
-    """Return a hash with the bits of a tag that the name leaves."""
+def _hash_sequence(sequence: int, bits: int) -> int:
     product = sequence * _SEQUENCE_FACTOR % SEQUENCE_COUNT
-    return product >> (32 - _HASH_BITS + _name_bits(is_retransmission))
+    return product >> (32 - bits)
