Refuse an order if a contrary one came after it was sent

Orders for zones and targets carried nothing that tells an old one from a new one. The leader refuses an order after which its log holds a contrary one, also one that changed nothing.

--- a/packages/core/src/lacewingrudder_core/_control/core.py
+++ b/packages/core/src/lacewingrudder_core/_control/core.py
@@ -50,6 +50,7 @@
     SubmitConfiguration,
 )
 from ..types import HostName
+from .order_basis import OrderBasis
 from .reads import ReadAnswer, Reads, ReadStep
 from .submissions import OperatorAnswer, Submissions
 
@@ -64,6 +65,15 @@
     request: OperatorRequest
 
 
+class OperatorRequestWithdrawn(NamedTuple):
+    """An operator no longer waits for the answer to a request.
+
+    :param token: the token of the request.
+    """
+
+    token: int
+
+
 class ForwardMessageReceived(NamedTuple):
     """Another control host forwarded a request, or answered a forwarded one."""
 
@@ -86,6 +96,7 @@
 
 ControlEvent = (
     OperatorRequestReceived
+    | OperatorRequestWithdrawn
     | PeerStatusReceived
     | ExpectedHostsChanged
     | ForwardMessageReceived
@@ -147,6 +158,7 @@
         self._catalogue = replica.catalogue
         self._propagation = PropagationCore(replica.catalogue)
         self._submissions = Submissions(first_number)
+        self._order_basis = OrderBasis(replica.state.commit_index)
         self._reads = Reads(first_number)
         self._status_queries = StatusQueries(name, controls, first_number)
 
@@ -167,6 +179,9 @@
         """Handle one event and return its effects."""
         if isinstance(event, OperatorRequestReceived):
             return self._handle_operator_request(event, now)
+        if isinstance(event, OperatorRequestWithdrawn):
+            self._submissions.withdraw(event.token)
+            return []
         if isinstance(event, ForwardMessageReceived):
             return self._handle_forward_message(event, now)
         if isinstance(event, PeerStatusReceived):
@@ -178,6 +193,7 @@
             return list(self._propagation.handle(event, now))
         effects = self._handle_replica_event(event, now)
         if isinstance(event, Tick):
+            self._order_basis.record_tick(self._replica.state.commit_index)
             effects += self._redirect_submissions(now) + self._expire_requests(now)
         return effects
 
@@ -195,8 +211,9 @@
         if self._is_superseded(request):
             reply = SubmitReply(SubmitTag.ACCEPTED, self._catalogue.revision, "")
             return [Reply(event.token, OperatorReply(reply))]
+        revision, basis = self._catalogue.revision, self._order_basis.index
         step = self._submissions.start(
-            event.token, request, self._name, leader, self._catalogue.revision, now
+            event.token, request, self._name, leader, revision, now, basis
         )
         if isinstance(step, Propose):
             return self._handle_replica_event(step, now)
--- a/packages/core/src/lacewingrudder_core/_control/submissions.py
+++ b/packages/core/src/lacewingrudder_core/_control/submissions.py
@@ -3,7 +3,8 @@
 A host that is not the leader forwards a submission to the leader it knows. If no answer arrives
 in time, the operator is told that the outcome is unknown and sends the request again. That is safe:
 a note that was already applied, or an order or a configuration in force, is accepted without a new
-revision.
+revision. An order is refused if a contrary one came after the operator sent it: whoever sent both
+has given up the earlier one, which may have waited on a host that stood still or for a new leader.
 """
 
 from __future__ import annotations
@@ -69,23 +70,35 @@
         leader: HostName,
         revision: int,
         now: float,
+        basis: int = 0,
     ) -> Propose | SendToReplica | OperatorAnswer:
         """Start an operator's submission: propose it, forward it, or answer why it is refused.
 
         :param own_name: this host.
         :param leader: the leader this host knows, or empty.
         :param revision: current revision, for the answer to a refused submission.
+        :param basis: log index up to which the operator may have known all orders.
         """
         problem = self._refusal(request.note if isinstance(request, SubmitNote) else None, leader)
         if problem is not None:
             return OperatorAnswer(token, problem._replace(revision=revision))
         number = self._add("", token, now)
-        forward = _forward_request(number, request)
+        forward = _forward_request(number, request, basis)
         if leader == own_name:
             return _propose(number, forward)
         self._pending[number] = self._pending[number]._replace(request=forward, leader=leader)
         return SendToReplica(leader, forward)
 
+    def withdraw(self, token: int) -> None:
+        """Forget the submissions of an operator that no longer waits for an answer.
+
+        They may have been applied, or still be, but are not sent to another leader any more.
+        """
+        rows = list(self._pending.items())
+        for number, pending in rows:
+            if not pending.host and pending.number == token:
+                del self._pending[number]
+
     def start_forwarded(self, sender: HostName, request: ForwardRequest, now: float) -> Propose:
         """Start a submission that another control host forwarded."""
         number = self._add(sender, request.number, now)
@@ -145,15 +158,17 @@
 
 
 def _forward_request(
-    number: int, request: SubmitNote | SubmitOrder | SubmitConfiguration | SubmitZoneOrder
+    number: int,
+    request: SubmitNote | SubmitOrder | SubmitConfiguration | SubmitZoneOrder,
+    basis: int,
 ) -> ForwardRequest:
     if isinstance(request, SubmitNote):
         return ForwardRequest(number, request.note, None)
     if isinstance(request, SubmitOrder):
-        return ForwardRequest(number, None, request.order)
+        return ForwardRequest(number, None, request.order, basis=basis)
     if isinstance(request, SubmitConfiguration):
         return ForwardRequest(number, None, None, request.configuration)
-    return ForwardRequest(number, None, None, zone_order=request.order)
+    return ForwardRequest(number, None, None, zone_order=request.order, basis=basis)
 
 
 def _propose(number: int, request: ForwardRequest) -> Propose:
--- a/packages/core/src/lacewingrudder_core/_replica/events.py
+++ b/packages/core/src/lacewingrudder_core/_replica/events.py
@@ -24,6 +24,8 @@
     """Append a note, an order, a configuration or a zone order to the log.
 
     :param token: returned in the :class:`EntryApplied` or :class:`ProposalFailed` that ends it.
+    :param basis: an order or a zone order is refused if the log holds a contrary one after this
+        index; ``None`` for no such check.
     """
 
     token: int
@@ -31,6 +33,7 @@
     order: TargetOrder | None
     configuration: StoredConfiguration | None = None
     zone_order: ZoneOrder | None = None
+    basis: int | None = None
 
 
 class ReadRequested(NamedTuple):
--- a/packages/core/src/lacewingrudder_core/_replica/messages.py
+++ b/packages/core/src/lacewingrudder_core/_replica/messages.py
@@ -180,6 +180,8 @@
     It carries exactly one of a note, an order, a configuration and a zone order.
 
     :param number: the sender's request number, echoed in the reply.
+    :param basis: log index up to which the operator may have known all orders; set for an order and
+        a zone order, which earlier releases send without it.
     """
 
     number: int
@@ -187,6 +189,7 @@
     order: TargetOrder | None
     configuration: StoredConfiguration | None = None
     zone_order: ZoneOrder | None = None
+    basis: int | None = None
 
 
 class ForwardReply(NamedTuple):
