Don't handle calls whose clients have gone

A control host that stood still, or whose operator's connection was cut, carried out calls that their senders had given up: the end of the connection was looked at only after the call had been handled. A submission went on to new leaders for 4 s, whoever still waited.

A call is now handled only while its connection is open, and cancelled with it; a cancelled submission goes to no other leader. Operators' links of lacewingrudderd cancel in the same way.

--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -149,6 +149,7 @@
         reply = await self._requests.wait_for_answer(
             m.OperatorReply,
             lambda token: self._control.handle(control.OperatorRequestReceived(token, request)),
+            lambda token: self._control.handle(control.OperatorRequestWithdrawn(token)),
         )
         return reply.reply
 
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
@@ -13,7 +13,7 @@
 import struct
 import termios
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import h11
 from lacewingrudder_core.types import Endpoint
@@ -25,6 +25,10 @@
 BODY_LIMIT_BYTES = 8 << 20
 MAX_READ_BYTES = 65_536
 READ_TIMEOUT_SECONDS = 60.0
+
+END_READ_ITERATIONS = 2
+"""Iterations of the event loop in which it reads the end of a connection that has already come."""
+
 MAX_PENDING_CONNECTIONS = 256
 
 RECEIPT_TIMEOUT_SECONDS = 1.0
@@ -64,7 +68,7 @@
 
     @abc.abstractmethod
     async def answer(self, request: HttpRequest) -> HttpResponse:
-        """Return the response to a request."""
+        """Return the response to a request; cancelled if the client closes the connection."""
 
 
 class HttpServer:
@@ -166,7 +170,9 @@
             request = await self._read_request()
             if request is None:
                 return
-            response = await self._answer(request)
+            response = await self._answer_unless_abandoned(request)
+            if response is None:
+                return
             has_given_up = self._reader.at_eof()
             await self._respond(response, request.method == "HEAD")
             self._on_received = None if has_given_up else response.on_received
@@ -209,6 +215,35 @@
         byte_count: int = _QUEUE_SIZE.unpack(held)[0]
         return byte_count > 0
 
+    async def _answer_unless_abandoned(self, request: HttpRequest) -> HttpResponse | None:
+        """Return the response, or ``None`` if the client closes the connection before it is ready.
+
+        Clients that get no response in time send their request to another host. This one may have
+        stood still, and have the request and the end of the connection waiting: such a request is
+        not handled.
+        """
+        reading = asyncio.create_task(self._read())
+        answering: asyncio.Task[HttpResponse] | None = None
+        try:
+            for _ in range(END_READ_ITERATIONS):
+                await asyncio.sleep(0)
+            if not reading.done():
+                answering = asyncio.create_task(self._answer(request))
+                await asyncio.wait({reading, answering}, return_when=asyncio.FIRST_COMPLETED)
+            if reading.done() and not self._receive(reading.result()):
+                detail = f"{request.method} {request.path}"
+                self._events.record("http_call_abandoned", detail=detail)
+                return None
+            return await (answering or self._answer(request))
+        finally:
+            await _cancel(reading, answering)
+
+    def _receive(self, data: bytes) -> bool:
+        """Pass on bytes of the next request; return whether there are any, so not the end."""
+        if data:
+            self._protocol.receive_data(data)
+        return bool(data)
+
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         try:
             return await self._handler.answer(request)
@@ -253,3 +288,11 @@
         data += self._protocol.send(h11.EndOfMessage()) or b""
         self._writer.write(data)
         await self._writer.drain()
+
+
+async def _cancel(*tasks: asyncio.Task[Any] | None) -> None:
+    """Cancel the tasks that still run, and wait until they have ended."""
+    running = [task for task in tasks if task is not None and not task.done()]
+    for task in running:
+        task.cancel()
+    await asyncio.gather(*running, return_exceptions=True)
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/pending_requests.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/pending_requests.py
@@ -25,11 +25,17 @@
         """Histogram of the seconds from each request to its answer or cancellation."""
         return self._latencies
 
-    async def wait_for_answer(self, kind: type[AnswerT], submit: Callable[[int], None]) -> AnswerT:
+    async def wait_for_answer(
+        self,
+        kind: type[AnswerT],
+        submit: Callable[[int], None],
+        withdraw: Callable[[int], None] | None = None,
+    ) -> AnswerT:
         """Submit a request and wait for its answer.
 
         :param kind: expected class of the answer.
         :param submit: called with a new token; submits the request under it.
+        :param withdraw: called with the token if the caller no longer waits.
         """
         loop = asyncio.get_running_loop()
         started = loop.time()
@@ -41,6 +47,10 @@
             answer = await future
             assert isinstance(answer, kind)
             return answer
+        except asyncio.CancelledError:
+            if withdraw is not None:
+                withdraw(token)
+            raise
         finally:
             del self._futures[token]
             self._latencies.observe(loop.time() - started)
--- a/packages/daemon/src/lacewingrudder_daemon/_links/hub.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_links/hub.py
@@ -63,6 +63,7 @@
     :param peer_key: shared secret that authenticates hosts.
     :param hosts: link endpoints of the known hosts.
     :param on_message: called with each received message.
+    :param on_operator_gone: called with the token of each connection of an operator that ends.
     """
 
     def __init__(
@@ -72,12 +73,14 @@
         hosts: Mapping[HostName, Endpoint],
         timeline: TimelineWriter,
         on_message: Callable[[Incoming], None],
+        on_operator_gone: Callable[[int], None] | None = None,
     ) -> None:
         self._name = name
         self._peer_key = peer_key
         self._hosts = dict(hosts)
         self._timeline = timeline
         self._on_message = on_message
+        self._on_operator_gone = on_operator_gone
         self._outboxes: dict[HostName, Outbox] = {}
         self._links: dict[HostName, list[Channel]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -261,6 +264,8 @@
                 self._on_message(Incoming("", token, body))
         finally:
             del self._operators[token]
+            if self._on_operator_gone is not None:
+                self._on_operator_gone(token)
 
     async def _receive_loop(self, host: HostName, channel: Channel) -> None:
         try:
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -96,7 +96,14 @@
         self._settings = settings
         self._timeline = _make_timeline_writer(settings)
         hosts = {**settings.entries, **settings.controls}
-        self._hub = LinkHub(settings.name, settings.peer_key, hosts, self._timeline, self._deliver)
+        self._hub = LinkHub(
+            settings.name,
+            settings.peer_key,
+            hosts,
+            self._timeline,
+            self._deliver,
+            self._withdraw_requests,
+        )
         self._control = self._make_control_task() if settings.is_control else None
         self._entry = self._make_entry_task(settings.entry) if settings.entry else None
         self._metrics = ProcessMetrics(self._hub, self._entry, self._control)
@@ -244,6 +251,10 @@
             reply = SubmitReply(SubmitTag.REFUSED, 0, detail)
             self._hub.answer(token, m.OperatorReply(reply))
 
+    def _withdraw_requests(self, token: int) -> None:
+        if self._control is not None:
+            self._control.handle(control.OperatorRequestWithdrawn(token))
+
     def _deliver_to_entry(self, task: EntryTask, sender: HostName, body: Any) -> None:
         if isinstance(body, _PEER_MESSAGES):
             task.handle(entry.PeerMessage(sender, body))
--- a/packages/daemon/tests/test_fleet_http.py
+++ b/packages/daemon/tests/test_fleet_http.py
@@ -224,12 +224,79 @@
 
     def __init__(self) -> None:
         self.may_answer = asyncio.Event()
+        self.paths: list[str] = []
+        self.cancelled: list[str] = []
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
-        await self.may_answer.wait()
+        self.paths.append(request.path)
+        try:
+            await self.may_answer.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.path)
+            raise
         return HttpResponse(200, request.path.encode())
 
 
+class AbandonedCallTest(unittest.IsolatedAsyncioTestCase):
+    """A client gives a call up and closes its connection."""
+
+    async def asyncSetUp(self) -> None:
+        self.handler = Slow()
+        self.events = Events()
+        self.server = HttpServer(self.handler, self.events)
+        await self.server.start(Endpoint.parse(f"127.0.0.1:{PORT}"))
+        self.addAsyncCleanup(self.server.stop)
+
+    def send(self, data: bytes) -> socket.socket:
+        client = socket.create_connection(("127.0.0.1", PORT))
+        self.addCleanup(client.close)
+        client.sendall(data)
+        return client
+
+    # Guards against an order that a host carries out which stood still while its sender gave it up.
+    async def test_call_that_was_given_up_before_it_is_read_is_not_handled(self) -> None:
+        self.handler.may_answer.set()
+        for number in range(20):  # the event loop stands still meanwhile
+            self.send(f"DELETE /{number} HTTP/1.1\r\nHost: x\r\n\r\n".encode()).close()
+        put = b"PUT /body HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + bytes(70_000)
+        self.send(put).close()
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.handler.paths, [])
+        self.assertEqual(self.events.names, ["http_call_abandoned"] * 21)
+
+    # Guards against a call that is given up while it waits, and carried out afterwards.
+    async def test_call_that_is_given_up_while_it_waits_is_cancelled(self) -> None:
+        client = self.send(b"POST /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.05)
+        self.assertEqual((self.handler.paths, self.handler.cancelled), (["/a"], []))
+        client.close()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.handler.cancelled, ["/a"])
+        self.assertEqual(self.events.names, ["http_call_abandoned"])
+
+    # Guards against a client that sends its next call early and is taken for one that gave up.
+    async def test_calls_that_are_sent_before_the_answer_to_the_first_are_answered(self) -> None:
+        call = b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n"
+        reader, writer = await asyncio.open_connection("127.0.0.1", PORT)
+        self.addCleanup(writer.close)
+        writer.write(call % 1)
+        await asyncio.sleep(0.05)
+        writer.write(call % 2)
+        await asyncio.sleep(0.05)
+        writer.write(call % 3)
+        await asyncio.sleep(0.05)
+        self.handler.may_answer.set()
+        await asyncio.wait_for(reader.readuntil(b"/3"), 5)
+        self.assertEqual(self.handler.paths, ["/1", "/2", "/3"])
+
+    async def test_call_that_waits_ends_with_the_server(self) -> None:
+        self.send(b"POST /a HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.05)
+        await self.server.stop()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.handler.cancelled, ["/a"])
+
+
 class DrainTest(unittest.IsolatedAsyncioTestCase):
     """A server stops while calls were just accepted or wait for their answers."""
 
