Refuse manifests and check-ins that are no JSON

The standard library's reader takes more than JSON, and unused fields are not looked at.

Manifests, check-ins, announcements, notes and settings now share one strict reader. A stored manifest is read as before.

--- a/packages/daemon/src/lacewingrudder_daemon/http.py
+++ b/packages/daemon/src/lacewingrudder_daemon/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from aiohttp import web
@@ -10,6 +9,7 @@
 from lacewingrudder_core.types import Endpoint, KindPort, Target, TargetState, parse_address
 from lacewingrudder_wire.documents import check_document
 from lacewingrudder_wire.exceptions import DocumentError
+from lacewingrudder_wire.strict_json import read_json
 from prometheus_client import CollectorRegistry, generate_latest
 
 from .entry_task import EntryTask
@@ -64,18 +64,6 @@
     return runner
 
 
-def read_json(data: bytes) -> Any:
-    """Parse JSON strictly: ``NaN`` and ``Infinity`` are rejected.
-
-    :raises ValueError: if the bytes are not valid JSON.
-    """
-
-    def reject(name: str) -> None:
-        raise ValueError(f"{name} is not a JSON number")
-
-    return json.loads(data, parse_constant=reject)
-
-
 def parse_announcement(document: Any) -> Announcement:
     """Return the announcement in a parsed JSON document.
 
--- a/packages/wire/src/lacewingrudder_wire/documents.py
+++ b/packages/wire/src/lacewingrudder_wire/documents.py
@@ -13,6 +13,7 @@
 
 from .exceptions import DocumentError
 from .resources import load_schema
+from .strict_json import read_json
 
 ROOT_FIELD = "(document)"
 
@@ -38,7 +39,7 @@
     :raises DocumentError: if the file can't be read, is not JSON, or does not match the schema.
     """
     try:
-        document = json.loads(path.read_text("utf-8"), object_pairs_hook=_reject_repeated_keys)
+        document = read_json(path.read_bytes(), _reject_repeated_keys)
     except OSError as error:
         raise DocumentError(str(path), ROOT_FIELD, error.strerror or str(error)) from error
     except _RepeatedKeyError as error:
