Keep flows with homes at their targets when old SYNs arrive

A home that took a flow over took the copy for a new flow and reset the target; one that opened the flow once more reset the target that holds it when that sent data; one that refused the copy dropped the open flow's packets.

A copy behind a resumed flow's numbers goes to its target, only a SYN's answer lets a home reset a target that it left, and a home that has not seen the flow open looks its packets up.

--- a/packages/core/src/lacewingrudder_core/_flows/core.py
+++ b/packages/core/src/lacewingrudder_core/_flows/core.py
@@ -266,8 +266,7 @@
         """
         if segment.source == (flow.key.caller, flow.key.caller_port):
             return self._drop_if_active(flow, DropReason.OLD_INCARNATION, now)
-        target_route = self._routes.target_route(segment.source)
-        if target_route is not None and target_route.target in flow.abandoned_targets:
+        if segment.flags & SYN and self._is_abandoned(segment.source, flow):
             return [Drop(DropReason.ABANDONED_TARGET), *_reset_sender(segment)]
         is_other = segment.source != flow.endpoint
         if flow.state is not FlowState.HALF_OPEN:
@@ -278,9 +277,18 @@
         resets = [] if is_other else _reset_sender(segment)
         return [Drop(DropReason.OLD_INCARNATION), *resets]
 
+    def _is_abandoned(self, endpoint: Endpoint, flow: Flow) -> bool:
+        """Return whether a target left the flow's SYN unanswered.
+
+        Only its late answer to that shows that it does not hold the flow: a host that opens the
+        flow by a late copy of the SYN may abandon the target that holds it.
+        """
+        target_route = self._routes.target_route(endpoint)
+        return target_route is not None and target_route.target in flow.abandoned_targets
+
     def _drop_if_active(self, flow: Flow, reason: DropReason, now: float) -> list[FlowEffect]:
         """Return a drop if the flow was active recently; nothing if its state may be outdated."""
-        if flow.state is FlowState.HALF_OPEN or now - flow.last_seen > RECENT_ACTIVITY_SECONDS:
+        if not flow.was_open or now - flow.last_seen > RECENT_ACTIVITY_SECONDS:
             return []
         return [Drop(reason)]
 
--- a/packages/core/src/lacewingrudder_core/_flows/table.py
+++ b/packages/core/src/lacewingrudder_core/_flows/table.py
@@ -106,6 +106,17 @@
         self.is_home = True
         self.is_pinned = False
 
+    @property
+    def was_open(self) -> bool:
+        """Whether this host has seen the flow open, or has taken it over from another.
+
+        If not, another host may have opened it though no target answered the SYN here.
+        """
+        return self.state is FlowState.ESTABLISHED or (
+            self.state is FlowState.CLOSED
+            and (self.target_isn is not None or self.caller_isn is None)
+        )
+
     def is_caller_in_window(self, segment: Segment) -> bool:
         """Return whether a segment of the caller belongs to this incarnation."""
         if (segment.seq - self.caller_floor) & SEQUENCE_MASK >= WINDOW_BYTES:
@@ -172,6 +183,14 @@
         self.caller_floor = (seq - WINDOW_BYTES // 4) & SEQUENCE_MASK
         self.target_floor = (target_seq - WINDOW_BYTES // 4) & SEQUENCE_MASK
 
+    def may_follow_syn(self, seq: int) -> bool:
+        """Return whether a resumed flow, whose SYN this host hasn't seen, may have begun with one.
+
+        :param seq: sequence number of the SYN.
+        """
+        behind = (self.caller_next - seq) & SEQUENCE_MASK
+        return self.caller_isn is None and 0 < behind <= WINDOW_BYTES // 4
+
     def record_payload(self, segment: Segment) -> bool:
         """Record payload from the caller; return whether any of it is new."""
         end = (segment.seq + segment.payload) & SEQUENCE_MASK
