Found the cluster by a majority of the seeds at the first start

The cluster was founded once every seed had said that its disk is empty, by the first of them alone.

Seeds that are told that the system starts for the first time now begin with the same first entry on their disks, whose voters are the seeds' first disks. Hosts with a fixed list of voters found their cluster as before.

The long schedules that are kept as regression cases begin otherwise now, and may no longer reach what they were kept for.

--- a/measure/log.py
+++ b/measure/log.py
@@ -17,6 +17,7 @@
 from lacewingrudder_core.messages import OperatorReply, SubmitNote
 from lacewingrudder_core.notes import Note, SubmitTag
 from lacewingrudder_core.replica import (
+    DurableState,
     ForwardReply,
     ForwardRequest,
     Persist,
@@ -95,7 +96,7 @@
 
     def _make_task(self, name: str, folder: Path, timeline: TimelineWriter) -> ControlTask:
         store = ReplicaStore(FolderDisk(folder))
-        durable = store.recover(f"{name}-identity")
+        durable = store.recover(DurableState(f"{name}-identity"))
         rng = random.Random(name)
         replica = ReplicaCore(
             name, StaticVoters(self._names), load_state_chart("replica"), durable, rng
@@ -212,7 +213,7 @@
 def fill_log(folder: Path, count: int) -> int:
     """Commit notes on a single replica and return the size of its files in bytes."""
     store = ReplicaStore(UnsyncedDisk(folder))
-    durable = store.recover("identity")
+    durable = store.recover(DurableState("identity"))
     core = ReplicaCore(
         "c1", StaticVoters(["c1"]), load_state_chart("replica"), durable, random.Random(1)
     )
@@ -248,7 +249,7 @@
 
 def _recover(folder: Path, count: int) -> ReplicaCore:
     store = ReplicaStore(FolderDisk(folder))
-    durable = store.recover("another")
+    durable = store.recover(DurableState("another"))
     core = ReplicaCore(
         "c1", StaticVoters(["c1"]), load_state_chart("replica"), durable, random.Random(count)
     )
--- a/packages/core/src/lacewingrudder_core/_replica/bootstrap.py
+++ b/packages/core/src/lacewingrudder_core/_replica/bootstrap.py
@@ -1,14 +1,20 @@
 """Bootstrapping a cluster from hosts with empty disks, and joining an existing one.
 
-A cluster is bootstrapped once, by the bootstrap host whose name sorts first. It does so only when
-*every* bootstrap host has replied, echoing this host's identity, that its disk is empty. A host
-that lost its disk learns from the others that a cluster exists; it creates none and asks to be
-admitted.
+Hosts that are told that the system starts for the first time begin with the cluster on their disks:
+its first voters are the same on all of them, so that a majority can elect a leader even if the
+others never start.
+
+Hosts that aren't told can't tell a first start from a lost disk. Their cluster is bootstrapped
+once, by the bootstrap host whose name sorts first. It does so only when *every* bootstrap host has
+replied, echoing this host's identity, that its disk is empty. A host that lost its disk learns from
+the others that a cluster exists; it creates none and asks to be admitted.
 """
 
 from __future__ import annotations
 
+from ..hashing import name_hash
 from ..types import HostName
+from .durable import DurableState
 from .events import SendToReplica
 from .log import LogEntry, ReplicaId
 from .messages import BootstrapCluster, JoinReply, JoinRequest
@@ -19,6 +25,23 @@
 FIRST_TERM = 1
 
 
+def make_initial_state(name: HostName, identity: str, policy: VoterPolicy) -> DurableState:
+    """Return the state of a host whose disk is empty.
+
+    :param name: this host.
+    :param identity: identity of its disk, unless it is one of the first voters.
+    """
+    voters = policy.initial_voters
+    own_id = next((voter for voter in voters if voter.name == name), None)
+    if own_id is None:
+        return DurableState(identity)
+    cluster = f"{name_hash(','.join(voter.name for voter in voters)):016x}"
+    first_entry = LogEntry(1, FIRST_TERM, voters=voters)
+    return DurableState(
+        own_id.identity, cluster, FIRST_TERM, commit_index=1, entries=(first_entry,)
+    )
+
+
 class ClusterBootstrap:
     """Bootstraps or joins a cluster, and answers hosts that want to join one.
 
--- a/packages/core/src/lacewingrudder_core/_replica/durable.py
+++ b/packages/core/src/lacewingrudder_core/_replica/durable.py
@@ -30,7 +30,7 @@
 class DurableState(NamedTuple):
     """The state of a replica as its disk holds it; see :class:`Write` for the other fields.
 
-    :param identity: random text that identifies this disk.
+    :param identity: text that identifies this disk.
     :param snapshot: the latest stored snapshot.
     :param entries: all stored entries after the snapshot.
     """
--- a/packages/core/src/lacewingrudder_core/_replica/voter_policy.py
+++ b/packages/core/src/lacewingrudder_core/_replica/voter_policy.py
@@ -24,6 +24,11 @@
     def bootstrap_hosts(self) -> frozenset[HostName]:
         """Hosts that bootstrap a cluster while all disks are empty; none if this host may not."""
 
+    @property
+    def initial_voters(self) -> tuple[ReplicaId, ...]:
+        """The first voters, if all of them know each other's identity from the start."""
+        return ()
+
     @property
     @abc.abstractmethod
     def contacts(self) -> frozenset[HostName]:
@@ -117,18 +122,25 @@
     removed and answers again is admitted like any other.
 
     :param seeds: the first control hosts to contact.
-    :param founds: whether this is the first start of the system, in which the seeds bootstrap a
-        cluster.
+    :param founds: whether this is the first start of the system, with empty disks on all hosts. The
+        seeds then are the first voters, also those that never start.
     """
 
     def __init__(self, seeds: Iterable[HostName], founds: bool) -> None:
-        self._bootstrap_hosts = frozenset(seeds) if founds else frozenset()
+        # The first disk of a seed is identified by the seed's name; later ones by a random text.
+        first_disks = sorted(ReplicaId(name, name) for name in seeds)
+        self._initial_voters = tuple(first_disks) if founds else ()
         self._contacts = frozenset(seeds)
 
     @property
     def bootstrap_hosts(self) -> frozenset[HostName]:
-        """The seeds on the first start, otherwise none."""
-        return self._bootstrap_hosts
+        """None: the seeds need no agreement, see :attr:`initial_voters`."""
+        return frozenset()
+
+    @property
+    def initial_voters(self) -> tuple[ReplicaId, ...]:
+        """The first disks of the seeds on the first start, otherwise none."""
+        return self._initial_voters
 
     @property
     def contacts(self) -> frozenset[HostName]:
--- a/packages/core/src/lacewingrudder_core/replica.py
+++ b/packages/core/src/lacewingrudder_core/replica.py
@@ -1,5 +1,6 @@
 """A Raft replica of the change log: its core, events, effects, messages and voter policies."""
 
+from ._replica.bootstrap import make_initial_state as make_initial_state
 from ._replica.durable import DurableState as DurableState
 from ._replica.durable import Write as Write
 from ._replica.events import EntryApplied as EntryApplied
--- a/packages/core/tests/replica_cluster.py
+++ b/packages/core/tests/replica_cluster.py
@@ -15,7 +15,7 @@
     SubmitReply,
     SubmitTag,
 )
-from lacewingrudder_core.replica import DurableState, ReplicaCore, Role, Write
+from lacewingrudder_core.replica import ReplicaCore, Role, Write
 from lacewingrudder_core.types import Kind, OrderAction, Service, TargetOrder
 from replica_chart import replica_chart
 
@@ -40,7 +40,6 @@
         self.name = name
         self._names = names
         self._seeds = seeds
-        self.policy: e.VoterPolicy = e.StaticVoters(names)
         self._random = random.Random(f"{name}-{seed}")
         self.disk_count = 0
         self.revision = 0
@@ -55,7 +54,9 @@
         self.disk_count += 1
         self.checked_index = 0
         self.revision = 0
-        self.durable = DurableState(f"{self.name}-{self.disk_count}")
+        self.policy = self._make_policy()
+        identity = f"{self.name}-{self.disk_count}"
+        self.durable = e.make_initial_state(self.name, identity, self.policy)
         self.start()
 
     @property
@@ -66,12 +67,14 @@
         self.writes = []
         self.is_up = True
         rng = random.Random(self._random.random())
-        if self._seeds:
-            self.policy = e.DiscoveredVoters(self._seeds, founds=self.disk_count == 1)
-        else:
-            self.policy = e.StaticVoters(self._names)
+        self.policy = self._make_policy()
         self.core = ReplicaCore(self.name, self.policy, CHART, self.durable, rng)
 
+    def _make_policy(self) -> e.VoterPolicy:
+        if self._seeds:
+            return e.DiscoveredVoters(self._seeds, founds=self.disk_count == 1)
+        return e.StaticVoters(self._names)
+
     def add_contacts(self, names: list[str]) -> None:
         """Add discovered control hosts, as the daemon does when it receives their names."""
         if isinstance(self.policy, e.DiscoveredVoters):
--- a/packages/core/tests/test_replica_faults.py
+++ b/packages/core/tests/test_replica_faults.py
@@ -383,6 +383,36 @@
         cluster.hosts["c3"].start()
         cluster.elect()
 
+    # Guards against a system that serves nothing for good: one of its first control hosts was lost
+    # before they had founded a cluster.
+    def test_cluster_of_seeds_needs_a_majority_of_them_at_the_first_start(self) -> None:
+        for lost in ("c1", "c2", "c3"):
+            with self.subTest(lost=lost):
+                cluster = Cluster(4, seeds=3)
+                successor = cluster.hosts["c4"]
+                cluster.hosts[lost].is_up = successor.is_up = False
+                cluster.run(3.0)
+                self.assertIn(cluster.elect().name, {"c1", "c2", "c3"} - {lost})
+                successor.disk_count = 1  # so that it starts as one that is added later
+                successor.lose_disk()
+                cluster.run(LONG_RUN_SECONDS)
+                names = {voter.name for voter in cluster.elect().core.state.log.voters}
+                self.assertEqual(names, {"c1", "c2", "c3", "c4"} - {lost})
+
+    # Guards against a second cluster, and against votes of a disk that forgot the first.
+    def test_seed_that_lost_its_disk_at_the_first_start_joins_the_others(self) -> None:
+        for seed in range(20):
+            cluster = Cluster(3, seed, seeds=3)
+            cluster.run(0.3 * cluster.random.random())
+            name = cluster.random.choice(cluster.names)
+            cluster.lose_disk(cluster.hosts[name])
+            cluster.run(LONG_RUN_SECONDS)
+            cluster.heal()
+            cluster.check_convergence()
+            voters = cluster.elect().core.state.log.voters
+            self.assertIn(cluster.hosts[name].replica_id, voters)
+            self.assertNotIn(ReplicaId(name, name), voters)
+
     def test_bootstrap_host_that_lost_its_disk_creates_no_second_cluster(self) -> None:
         cluster = Cluster(3)
         cluster.elect()
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/control.py
@@ -31,7 +31,12 @@
     SubmitReply,
     ZoneOrder,
 )
-from lacewingrudder_core.replica import DiscoveredVoters, ReplicaCore, ReplicaMessageReceived
+from lacewingrudder_core.replica import (
+    DiscoveredVoters,
+    ReplicaCore,
+    ReplicaMessageReceived,
+    make_initial_state,
+)
 from lacewingrudder_core.types import HostName, TargetName
 from lacewingrudder_wire.replica_tags import REPLICA_TAGS
 
@@ -222,7 +227,8 @@
 
     def _make_control_task(self, disk: FolderDisk, chart: StateChart) -> ControlTask:
         store = ReplicaStore(disk)
-        durable = store.recover(secrets.token_hex(REPLICA_IDENTITY_BYTES))
+        identity = secrets.token_hex(REPLICA_IDENTITY_BYTES)
+        durable = store.recover(make_initial_state(self._name, identity, self._voter_policy))
         rng = random.Random(secrets.randbits(64))
         core = ReplicaCore(self._name, self._voter_policy, chart, durable, rng)
         return ControlTask(
--- a/packages/daemon/src/lacewingrudder_daemon/_storage/log_store.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_storage/log_store.py
@@ -58,20 +58,20 @@
         self._is_dirty = False
         self._has_file = True
 
-    def recover(self, identity: str) -> DurableState:
+    def recover(self, initial: DurableState) -> DurableState:
         """Return the state on disk; a torn last frame is truncated.
 
         If the disk refuses writes now, the next :meth:`write` makes up for it. Until that succeeds,
         nothing new is acknowledged.
 
-        :param identity: identity of this host if the disk is empty.
+        :param initial: the state if the disk is empty.
         :raises CorruptLogError: if a synced frame is corrupt.
         :raises OSError: if the disk cannot be read.
         """
         data = self._disk.read(LOG_NAME)
         if data is None:
             self._has_file = False
-            self._state = DurableState(identity)
+            self._state = initial
             self._try_to_prepare(lambda: self._rewrite(self._state))
             return self._state
         first = _read_frame(data, 0)
--- a/packages/daemon/src/lacewingrudder_daemon/composition.py
+++ b/packages/daemon/src/lacewingrudder_daemon/composition.py
@@ -23,7 +23,12 @@
     SharedLimitAdmission,
 )
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
-from lacewingrudder_core.replica import ReplicaCore, ReplicaMessageReceived, StaticVoters
+from lacewingrudder_core.replica import (
+    DurableState,
+    ReplicaCore,
+    ReplicaMessageReceived,
+    StaticVoters,
+)
 from lacewingrudder_core.types import HostName, Member
 from lacewingrudder_wire.exceptions import FatalError, LacewingrudderError
 from lacewingrudder_wire.resources import load_state_chart
@@ -175,7 +180,8 @@
         assert folder is not None
         try:
             store = ReplicaStore(FolderDisk(folder))
-            durable = store.recover(secrets.token_hex(REPLICA_IDENTITY_BYTES))
+            identity = secrets.token_hex(REPLICA_IDENTITY_BYTES)
+            durable = store.recover(DurableState(identity))
         except OSError as error:
             raise LacewingrudderError(f"cannot use data folder {folder}: {error}") from error
         replica = ReplicaCore(
--- a/packages/daemon/tests/test_control_task.py
+++ b/packages/daemon/tests/test_control_task.py
@@ -9,7 +9,7 @@
 from lacewingrudder_core.control import ControlCore, OperatorRequestReceived
 from lacewingrudder_core.messages import OperatorReply, SubmitOrder
 from lacewingrudder_core.notes import SubmitReply, SubmitTag
-from lacewingrudder_core.replica import ReplicaCore, StaticVoters
+from lacewingrudder_core.replica import DurableState, ReplicaCore, StaticVoters
 from lacewingrudder_core.types import OrderAction, TargetOrder
 from lacewingrudder_daemon.control_task import ControlTask
 from lacewingrudder_daemon.recorder import TimelineWriter
@@ -28,7 +28,7 @@
         self.disk = FakeDisk()
         self.answers: asyncio.Queue[tuple[int, Any]] = asyncio.Queue()
         store = ReplicaStore(self.disk)
-        durable = store.recover("identity")
+        durable = store.recover(DurableState("identity"))
         replica = ReplicaCore(
             "c1", StaticVoters(["c1"]), load_state_chart("replica"), durable, random.Random(1)
         )
@@ -60,7 +60,7 @@
         reply = await self.submit_drain(1)
         self.assertEqual(reply, SubmitReply(SubmitTag.ACCEPTED, 1, ""))
         self.disk.crash()
-        state = ReplicaStore(self.disk).recover("another")
+        state = ReplicaStore(self.disk).recover(DurableState("another"))
         self.assertEqual([e.order.target for e in state.entries if e.order], ["10.0.0.1:80"])
 
     async def test_changes_are_refused_while_the_disk_is_full_and_accepted_afterwards(self) -> None:
--- a/packages/daemon/tests/test_store.py
+++ b/packages/daemon/tests/test_store.py
@@ -33,11 +33,13 @@
 
     def open(self) -> tuple[ReplicaStore, DurableState]:
         store = ReplicaStore(self.disk)
-        return store, store.recover("fresh identity")
+        return store, store.recover(DurableState("fresh identity"))
 
     def test_identity_of_an_empty_disk_is_durable(self) -> None:
         self.disk.crash()
-        self.assertEqual(ReplicaStore(self.disk).recover("another").identity, "fresh identity")
+        self.assertEqual(
+            ReplicaStore(self.disk).recover(DurableState("another")).identity, "fresh identity"
+        )
 
     def test_all_writes_survive_a_crash(self) -> None:
         writes = [
@@ -117,7 +119,7 @@
         store.write([write(1, entry(1))])
         store.write([write(2, entry(2))])
         self.disk.crash()
-        found = ReplicaStore(self.disk).recover("another")
+        found = ReplicaStore(self.disk).recover(DurableState("another"))
         self.assertEqual(found, state.after(write(1, entry(1))).after(write(2, entry(2))))
         self.assertEqual(found.identity, "fresh identity")
 
@@ -167,12 +169,12 @@
     def test_store_on_a_real_folder(self) -> None:
         disk = FolderDisk(self.folder)
         store = ReplicaStore(disk)
-        store.recover("identity")
+        store.recover(DurableState("identity"))
         store.write([write(1, entry(1))])
         store.write([write(2, snapshot=LogSnapshot(1, 1, VOTERS, Catalogue(1)))])
         store.write([write(3, entry(2))])
         store.close()
-        state = ReplicaStore(FolderDisk(self.folder)).recover("another")
+        state = ReplicaStore(FolderDisk(self.folder)).recover(DurableState("another"))
         self.assertEqual(state.identity, "identity")
         self.assertEqual((state.snapshot.last_index, state.entries), (1, (entry(2),)))
 
