--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -185,6 +185,13 @@
         """Submit a configuration to the first control host that accepts it."""
         wait_for_status(200, CONTROLS, CALL_PORT, "PUT", CONFIG_PATH, configuration)
 
+    def serve(self) -> None:
+        """Submit a configuration, check the target in and wait until the entry hosts are ready."""
+        self.submit(make_configuration(3))
+        self.check_in()
+        for entry in ENTRIES:
+            self.wait_until_ready(entry)
+
     def send(self, entry: str, data: bytes) -> None:
         """Send a packet of the caller to an entry host."""
         self.caller.sendto(data, (entry, PACKET_PORT))
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -11,7 +11,6 @@
     TARGET_PATH,
     TARGET_STARTED_MS,
     PlatformFleetTestCase,
-    make_configuration,
     make_packet,
 )
 
@@ -29,10 +28,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.submit(make_configuration(3))
-        self.check_in()
-        for entry in ENTRIES:
-            self.wait_until_ready(entry)
+        self.serve()
         self.tag = self.open_flow()
 
     def open_flow(self) -> int:
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -35,10 +35,8 @@
 
         A check-in is answered before the entry hosts are told of the target, up to 0.2 s later.
         """
-        self.submit(make_configuration(3))
-        self.check_in()
+        self.serve()
         for entry in ENTRIES:
-            self.wait_until_ready(entry)
             self.wait_for_event("target_changed", (entry,), 1.0)
 
     def wait_for_event(self, event: str, addresses: tuple[str, ...], seconds: float) -> str:
--- a/tests/test_stopped_hosts.py
+++ b/tests/test_stopped_hosts.py
@@ -9,7 +9,6 @@
     CONTROLS,
     ENTRIES,
     PlatformFleetTestCase,
-    make_configuration,
     make_packet,
     wait_for_status,
 )
@@ -29,10 +28,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.submit(make_configuration(3))
-        self.check_in()
-        for entry in ENTRIES:
-            self.wait_until_ready(entry)
+        self.serve()
         while self.receive_syn(ENTRIES[0], PORT) != PORT:
             time.sleep(0.1)
 
@@ -77,9 +73,7 @@
     # Guards against a confirmed evacuation that is undone by a withdrawal which its operator gave
     # up: the control host that it was sent to stood still, and carries it out seconds later.
     def test_withdrawal_that_was_given_up_undoes_no_later_evacuation(self) -> None:
-        self.submit(make_configuration(3))
-        self.check_in()
-        self.wait_until_ready(ENTRIES[0])
+        self.serve()
         self.order("POST")
         stopped = self.fleet.processes[CONTROLS[2]]
         stopped.send_signal(signal.SIGSTOP)
