--- a/packages/core/src/lacewingrudder_core/_control/order_basis.py
+++ b/packages/core/src/lacewingrudder_core/_control/order_basis.py
@@ -1,8 +1,8 @@
 """What the sender of an order may have known when it sent it.
 
 An order is refused if a contrary one for the same target or zone came after it was sent. The sender
-doesn't say when that was, and a host that stood still reads orders that were given up long ago. It
-may have caught up with the log before it reads them, but has run for a moment only.
+doesn't say when that was, and a host that was paused reads orders that were given up long ago. It
+may have caught up with the log before it reads them, but has run for a few ticks only.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import collections
 
 SETTLED_TICKS = 8
-"""How many ticks a host has to run until it has read all orders that came while it stood still."""
+"""How many ticks a host has to run until it has read all orders that came while it was paused."""
 
 
 class OrderBasis:
--- a/packages/core/src/lacewingrudder_core/_control/submissions.py
+++ b/packages/core/src/lacewingrudder_core/_control/submissions.py
@@ -4,7 +4,7 @@
 in time, the operator is told that the outcome is unknown and sends the request again. That is safe:
 a note that was already applied, or an order or a configuration in force, is accepted without a new
 revision. An order is refused if a contrary one came after the operator sent it: whoever sent both
-has given up the earlier one, which may have waited on a host that stood still or for a new leader.
+has given up the earlier one, which may have waited on a paused host or for a new leader.
 """
 
 from __future__ import annotations
--- a/packages/core/src/lacewingrudder_core/_flows/handshake.py
+++ b/packages/core/src/lacewingrudder_core/_flows/handshake.py
@@ -89,7 +89,7 @@
             return self._handle_retransmission(flow, route, now)
         if flow.previous_isn == segment.seq:
             return [Drop(DropReason.OLD_INCARNATION)]
-        if flow.may_follow_syn(segment.seq):
+        if flow.may_have_opened_with(segment.seq):
             # The target tells a late copy, which it answers with its numbers, from a new SYN.
             return [ToTarget(flow.endpoint)]
         ended = self._supersede(flow, now)
--- a/packages/core/src/lacewingrudder_core/_flows/table.py
+++ b/packages/core/src/lacewingrudder_core/_flows/table.py
@@ -183,8 +183,8 @@
         self.caller_floor = (seq - WINDOW_BYTES // 4) & SEQUENCE_MASK
         self.target_floor = (target_seq - WINDOW_BYTES // 4) & SEQUENCE_MASK
 
-    def may_follow_syn(self, seq: int) -> bool:
-        """Return whether a resumed flow, whose SYN this host hasn't seen, may have begun with one.
+    def may_have_opened_with(self, seq: int) -> bool:
+        """Return whether a SYN may be that of a resumed flow, which this host hasn't seen.
 
         :param seq: sequence number of the SYN.
         """
--- a/packages/core/tests/test_flow_old_syns.py
+++ b/packages/core/tests/test_flow_old_syns.py
@@ -1,4 +1,4 @@
-"""Flows with homes: hosts that stood still send on SYNs of flows that were opened seconds ago."""
+"""Flows with homes: hosts that were paused forward SYNs of flows that were opened seconds ago."""
 
 import unittest
 
--- a/packages/core/tests/test_late_orders.py
+++ b/packages/core/tests/test_late_orders.py
@@ -21,23 +21,23 @@
 """Long enough for all hosts to learn of an order and to take the next one."""
 
 
-class StoppableHosts(ControlHosts):
-    """Control hosts, of which some stand still: they find the messages to them when they go on."""
+class PausableHosts(ControlHosts):
+    """Control hosts, of which some are paused: they find the messages to them when they resume."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.stopped: set[str] = set()
+        self.paused: set[str] = set()
         self.found: list[tuple[str, str, Any]] = []
 
     def pass_event(self, name: str, event: Any) -> None:
-        if name not in self.stopped:
+        if name not in self.paused:
             super().pass_event(name, event)
         elif not isinstance(event, m.Tick):
             self.found.append((event.sender, name, event.message))
 
-    def go_on(self, name: str) -> None:
-        """Let a host go on: it reads the messages that it finds, and runs for one tick."""
-        self.stopped.discard(name)
+    def resume(self, name: str) -> None:
+        """Resume a host: it reads the messages that it finds, and runs for one tick."""
+        self.paused.discard(name)
         self.messages.extend(row for row in self.found if row[1] == name)
         self.found = [row for row in self.found if row[1] != name]
         self.settle()
@@ -46,7 +46,7 @@
 
 class LateOrderTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.hosts = StoppableHosts()
+        self.hosts = PausableHosts()
         self.hosts.run(5.0)
         self.leader = self.find_leader()
         self.follower, self.other = (name for name in NAMES if name != self.leader)
@@ -56,7 +56,7 @@
         leads = {
             name: core.replica.leader(now) == name
             for name, core in self.hosts.cores.items()
-            if name not in self.hosts.stopped
+            if name not in self.hosts.paused
         }
         return next(name for name, is_leading in leads.items() if is_leading)
 
@@ -74,18 +74,18 @@
         return {(each.evacuations.zones, each.orders) for each in catalogues}
 
     # Guards against a confirmed evacuation that is undone by a withdrawal which its sender gave up:
-    # a host stood still, has caught up, and finds the withdrawal.
-    def test_order_that_a_host_finds_when_it_goes_on_changes_nothing(self) -> None:
+    # a host was paused, has caught up, and finds the withdrawal.
+    def test_order_that_a_host_finds_when_it_resumes_changes_nothing(self) -> None:
         for first, second in ((EVACUATE, RESTORE), (DRAIN, RESUME)):
             for rounds in (1, 2):
                 with self.subTest(first=first, rounds=rounds):
                     self.setUp()
                     self.assert_accepted(self.leader, first)
-                    self.hosts.stopped = {self.follower}
+                    self.hosts.paused = {self.follower}
                     for _ in range(rounds):
                         self.assert_accepted(self.leader, second)
                         self.assert_accepted(self.other, first)
-                    self.hosts.go_on(self.follower)
+                    self.hosts.resume(self.follower)
                     state = self.states()
                     self.assertIs(self.submit(self.follower, second).tag, SubmitTag.REFUSED)
                     self.assertEqual(self.states(), state)
@@ -96,9 +96,9 @@
     def test_order_that_was_undone_before_it_is_found_changes_nothing(self) -> None:
         for given_up, undone in ((EVACUATE, RESTORE), (DRAIN, RESUME)):
             self.setUp()
-            self.hosts.stopped = {self.follower}
+            self.hosts.paused = {self.follower}
             self.assert_accepted(self.leader, undone)
-            self.hosts.go_on(self.follower)
+            self.hosts.resume(self.follower)
             self.assertIs(self.submit(self.follower, given_up).tag, SubmitTag.REFUSED)
             self.assertEqual(self.states(), {((), ())})
 
@@ -186,7 +186,7 @@
 
     # Guards against an order that is sent to a new leader after its sender closed the connection.
     def test_order_that_was_withdrawn_is_not_sent_to_a_new_leader(self) -> None:
-        self.hosts.stopped = {self.leader}
+        self.hosts.paused = {self.leader}
         token = self.hosts.request(self.follower, EVACUATE)
         self.hosts.found.clear()
         self.hosts.pass_event(self.follower, OperatorRequestWithdrawn(token))
--- a/packages/core/tests/test_syn_age.py
+++ b/packages/core/tests/test_syn_age.py
@@ -1,4 +1,4 @@
-"""SYNs that waited on a host which stood still or was slow."""
+"""SYNs that waited on a host that was paused or is slow."""
 
 import unittest
 
@@ -16,7 +16,7 @@
         self.forwarder.apply_update(update(entry(1), entry(2)), 0.0)
 
     # Guards against targets that answer SYNs of a flow which another host opened seconds ago.
-    def test_syns_that_waited_while_the_host_stood_still_reach_no_target(self) -> None:
+    def test_syns_that_waited_while_the_host_was_paused_reach_no_target(self) -> None:
         for attempt, waited in ((0, 3.4), (1, 3.2), (2, 2.8)):
             self.assertEqual(self.forwarder.decide(syn(PORT, attempt), 5.0, waited), EXPIRED)
 
--- a/packages/core/tests/test_syn_copies.py
+++ b/packages/core/tests/test_syn_copies.py
@@ -93,7 +93,7 @@
 class RandomFlow(Flow):
     """A flow whose copies and packets go through random hosts.
 
-    Copies are late because the hosts stood still or were slow, or because the network was. The
+    Copies are late because the hosts were paused or slow, or because the network was. The
     first request is sent once; later ones may be sent while further copies arrive.
     """
 
--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
@@ -219,7 +219,7 @@
         """Return the response, or ``None`` if the client closes the connection before it is ready.
 
         Clients that get no response in time send their request to another host. This one may have
-        stood still, and have the request and the end of the connection waiting: such a request is
+        been paused, and find the request together with the end of the connection: such a request is
         not handled.
         """
         reading = asyncio.create_task(self._read())
--- a/packages/daemon/src/lacewingrudder_daemon/_packets/packet_socket.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_packets/packet_socket.py
@@ -1,6 +1,6 @@
 """A UDP socket for packets that says how long each of them may have waited to be read.
 
-A host that stood still or was slow finds packets that arrived long ago. The kernel doesn't say when
+A host that was paused or is slow finds packets that arrived long ago. The kernel doesn't say when
 each one arrived, but all that is read arrived after the socket was last seen empty.
 """
 
@@ -38,7 +38,7 @@
 
     :param on_packet: called with each packet, its sender, and the longest time in seconds for which
         it may have waited.
-    :param clock: returns a time in seconds that goes on while the host is suspended.
+    :param clock: returns a time in seconds that also advances while the host is suspended.
     """
 
     def __init__(
--- a/packages/daemon/tests/test_fleet_http.py
+++ b/packages/daemon/tests/test_fleet_http.py
@@ -253,10 +253,10 @@
         client.sendall(data)
         return client
 
-    # Guards against an order that a host carries out which stood still while its sender gave it up.
+    # Guards against an order that a host carries out which was paused while its sender gave it up.
     async def test_call_that_was_given_up_before_it_is_read_is_not_handled(self) -> None:
         self.handler.may_answer.set()
-        for number in range(20):  # the event loop stands still meanwhile
+        for number in range(20):  # the event loop is blocked meanwhile
             self.send(f"DELETE /{number} HTTP/1.1\r\nHost: x\r\n\r\n".encode()).close()
         put = b"PUT /body HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n" + bytes(70_000)
         self.send(put).close()
--- a/packages/daemon/tests/test_packet_socket.py
+++ b/packages/daemon/tests/test_packet_socket.py
@@ -1,4 +1,4 @@
-"""How long packets may have waited in a socket, as seen by a host that stands still."""
+"""How long packets may have waited in a socket, as seen by a host that was paused."""
 
 import asyncio
 import socket
@@ -42,8 +42,8 @@
             while len(self.received) < count:
                 await asyncio.sleep(0.001)
 
-    # Guards against old packets that are taken for new ones after a host stood still.
-    async def test_packets_that_came_while_the_process_stood_still_are_old(self) -> None:
+    # Guards against old packets that are taken for new ones after a host was paused.
+    async def test_packets_that_came_while_the_process_was_paused_are_old(self) -> None:
         await asyncio.sleep(2 * CHECK_INTERVAL_SECONDS)
         self.send(b"old")
         time.sleep(0.5)
--- a/tests/test_stopped_hosts.py
+++ b/tests/test_stopped_hosts.py
@@ -1,4 +1,4 @@
-"""Hosts that stand still for seconds, and find what was sent to them meanwhile."""
+"""Hosts that are paused for seconds, and find what was sent to them meanwhile."""
 
 import signal
 import socket
@@ -41,9 +41,9 @@
             return 0
         return read_packet(data).packet.source_port
 
-    # Guards against open flows that are reset after an entry host that stood still has sent old
-    # SYNs on: their targets answer, too, and the callers' packets then name the wrong target.
-    def test_syns_from_before_a_host_went_on_reach_no_target(self) -> None:
+    # Guards against open flows that are reset after an entry host that was paused has forwarded
+    # old SYNs: their targets answer, too, and the callers' packets then name the wrong target.
+    def test_syns_from_before_a_host_resumed_reach_no_target(self) -> None:
         process = self.fleet.processes[ENTRIES[0]]
         process.send_signal(signal.SIGSTOP)
         for number in range(1, 6):
@@ -71,7 +71,7 @@
         wait_for_status(200, CONTROLS[:2], CALL_PORT, method, EVACUATION_PATH)
 
     # Guards against a confirmed evacuation that is undone by a withdrawal which its operator gave
-    # up: the control host that it was sent to stood still, and carries it out seconds later.
+    # up: the control host that it was sent to was paused, and carries it out seconds later.
     def test_withdrawal_that_was_given_up_undoes_no_later_evacuation(self) -> None:
         self.serve()
         self.order("POST")
