--- a/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
+++ b/packages/daemon/src/lacewingrudder_daemon/_fleet/http.py
@@ -220,7 +220,7 @@
 
         Clients that get no response in time send their request to another host. This one may have
         been paused, and find the request together with the end of the connection: such a request is
-        not handled.
+        not handled. A client that closes only its own direction counts as gone, too.
         """
         reading = asyncio.create_task(self._read())
         answering: asyncio.Task[HttpResponse] | None = None
