--- a/packages/core/tests/test_syn_copies.py
+++ b/packages/core/tests/test_syn_copies.py
@@ -76,6 +76,21 @@
         self.flow.forwarder = make_forwarder()
         self.assertEqual(self.get_receiver(self.flow.send_request(1, 2.0)), first)
 
+    # Guards against an open flow that is reset while its first request waits for an answer: the
+    # request is repeated through a host that hasn't seen the flow, after a late answer to the first
+    # copy, and seems to belong to the target of that.
+    def test_repeated_first_request_that_moves_reaches_no_wrong_target(self) -> None:
+        Flow(self.other, port=PORT + 1).send_syn(0, 1.0)
+        first, second = self.send_syn(0, 0, 1.0), self.send_syn(1, 1, 1.2)
+        self.assertNotEqual(first, second)
+        self.flow.receive_from(second)
+        self.assertEqual(self.get_receiver(self.flow.send_request(0, 1.25)), second)
+        self.flow.receive_from(first)
+        self.flow.forwarder = make_forwarder()
+        decision = self.flow.send_request(0, 1.45)
+        if isinstance(decision, Forwarded):
+            self.assertEqual(decision.identity, second)
+
     # Guards against a copy that arrives seconds late and makes its host forget which target holds
     # the flow.
     def test_late_copy_of_an_open_flow_goes_to_the_target_that_holds_it(self) -> None:
